--- /dev/null
+++ b/packages/coordination/src/index.ts
@@ -0,0 +1,1 @@
+export * from './store/index.js';
--- /dev/null
+++ b/packages/coordination/src/store/index.ts
@@ -0,0 +1,1 @@
+export * from './types.js';
--- /dev/null
+++ b/packages/coordination/src/store/types.ts
@@ -0,0 +1,79 @@
+import type { AppError, Result } from '@turmerichoist/core';
+
+/** Version of a row. Versions rise with each write of the row; 0 means that the row is absent. */
+export type RowVersion = number;
+
+/** A value that survives JSON. */
+export type JsonValue =
+  null | boolean | number | string | readonly JsonValue[] | { readonly [name: string]: JsonValue };
+
+export interface Row {
+  readonly key: string;
+  readonly version: RowVersion;
+  readonly value: JsonValue;
+}
+
+export interface Condition {
+  readonly key: string;
+  /** The row must have exactly this version; 0 means that it must be absent. */
+  readonly version: RowVersion;
+}
+
+export interface Write {
+  readonly key: string;
+  /** The new value; null deletes the row. */
+  readonly value: JsonValue;
+}
+
+/** Conditions and writes that take effect together or not at all. */
+export interface Transaction {
+  /** Unique for each transaction, so that its fate can be found out afterwards. */
+  readonly txnId: string;
+  readonly conditions: readonly Condition[];
+  readonly writes: readonly Write[];
+}
+
+export type TxnOutcome =
+  | { readonly committed: true; readonly versions: Readonly<Record<string, RowVersion>> }
+  /** Nothing was written; `failed` names the conditions that did not hold. */
+  | { readonly committed: false; readonly failed: readonly string[] };
+
+/**
+ * The platform's transactional table service.
+ * Errors: `store-unavailable` when it can't be reached (for `commit`: the transaction did not
+ * take effect), `outcome-unknown` when a transaction may have taken effect, `store-rejected` when the
+ * call itself is wrong.
+ */
+export interface TableStore {
+  commit(txn: Transaction, signal: AbortSignal): Promise<Result<TxnOutcome, AppError>>;
+  /** Reads rows by key. Absent rows are left out. */
+  read(keys: readonly string[], signal: AbortSignal): Promise<Result<readonly Row[], AppError>>;
+  /** Reads up to `limit` rows whose key starts with `prefix` and sorts after `after`. */
+  range(
+    prefix: string,
+    after: string,
+    limit: number,
+    signal: AbortSignal,
+  ): Promise<Result<readonly Row[], AppError>>;
+}
+
+/** The platform's object store. Errors: `store-unavailable`, `outcome-unknown`, `not-found`. */
+export interface ObjectStore {
+  put(name: string, bytes: Uint8Array, signal: AbortSignal): Promise<Result<void, AppError>>;
+  get(name: string, signal: AbortSignal): Promise<Result<Uint8Array, AppError>>;
+  remove(name: string, signal: AbortSignal): Promise<Result<void, AppError>>;
+  list(prefix: string, signal: AbortSignal): Promise<Result<readonly string[], AppError>>;
+}
+
+/** An instance as the platform's lagging list shows it. */
+export interface ListedInstance {
+  readonly id: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly state: 'live' | 'leaving';
+}
+
+/** The platform's lagging list of instances. Errors: `store-unavailable`. */
+export interface InstanceList {
+  instances(signal: AbortSignal): Promise<Result<readonly ListedInstance[], AppError>>;
+}
--- /dev/null
+++ b/packages/core/src/errors/index.ts
@@ -0,0 +1,2 @@
+export * from './app-error.js';
+export * from './kinds.js';
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,4 @@
+export * from './errors/index.js';
+export * from './requests/index.js';
+export * from './resources/index.js';
+export * from './types/index.js';
--- /dev/null
+++ b/packages/core/src/requests/index.ts
@@ -0,0 +1,1 @@
+export * from './messages.js';
--- /dev/null
+++ b/packages/core/src/types/index.ts
@@ -0,0 +1,5 @@
+export * from './clock.js';
+export * from './decider.js';
+export * from './ids.js';
+export * from './random.js';
+export * from './seeded-random.js';
--- /dev/null
+++ b/packages/core/src/types/seeded-random.ts
@@ -0,0 +1,21 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { Random } from './random.js';
+
+/** Repeatable random numbers from a seed. */
+export class SeededRandom implements Random {
+  readonly #generator: ReturnType<typeof xoroshiro128plus>;
+
+  constructor(seed: number) {
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  next(): number {
+    return uniformFloat64(this.#generator);
+  }
+
+  below(bound: number): number {
+    return uniformInt(this.#generator, 0, bound - 1);
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/timers.ts
@@ -0,0 +1,32 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Millis } from '@turmerichoist/core';
+
+/** Calls `action` every `periodMs` until the signal fires. Does not keep the process alive. */
+export function every(periodMs: Millis, signal: AbortSignal, action: () => void): void {
+  if (signal.aborted) {
+    return;
+  }
+  const timer = setInterval(action, periodMs);
+  timer.unref();
+  signal.addEventListener(
+    'abort',
+    () => {
+      clearInterval(timer);
+    },
+    { once: true },
+  );
+}
+
+/** Waits `ms`. Resolves early, without an error, when the signal fires. */
+export async function sleep(ms: Millis, signal: AbortSignal): Promise<void> {
+  try {
+    await delay(ms, undefined, { signal });
+  } catch {
+    // The signal fired; callers look at it themselves.
+  }
+}
+
+/** A signal that fires with `parent` or after `ms`, whichever comes first. */
+export function timeoutSignal(parent: AbortSignal, ms: Millis): AbortSignal {
+  return AbortSignal.any([parent, AbortSignal.timeout(Math.max(0, Math.ceil(ms)))]);
+}
