feat(daemon): request front, upstream connections, settings and the command line

Cause: callers need a way in, and operators a tool. Change: the request front and the upstream connection pool as actors that exchange typed messages, a settings file checked as a whole, and the operator commands. Not wired to a running process yet. Conclusion: the daemon can be composed once the request decisions and the configuration replica exist.

--- /dev/null
+++ b/packages/cli/src/change-spec.ts
@@ -0,0 +1,24 @@
+import type { Resource } from '@turmerichoist/core';
+import type { ApiClient, CallFailure } from './client/index.js';
+import type { Result } from '@turmerichoist/core';
+
+export interface SpecChange {
+  readonly kind: Resource['kind'];
+  readonly name: string;
+  readonly change: Readonly<Record<string, unknown>>;
+  readonly dryRun: boolean;
+}
+
+/** Changes some fields of a resource; refused when someone else changed it meanwhile. */
+export async function changeSpec(
+  client: ApiClient,
+  { kind, name, change, dryRun }: SpecChange,
+): Promise<Result<unknown, CallFailure>> {
+  const current = await client.resource(kind, name);
+  if (current.isErr()) {
+    return current;
+  }
+  const { spec, version } = current.value;
+  const document = { kind, name, version, spec: { ...spec, ...change } };
+  return client.post('/api/v1/apply', { documents: [document], dryRun });
+}
--- /dev/null
+++ b/packages/cli/src/client/index.ts
@@ -0,0 +1,2 @@
+export * from './api-client.js';
+export * from './exit-codes.js';
--- /dev/null
+++ b/packages/cli/src/commands/plan/pause.ts
@@ -0,0 +1,9 @@
+import { StateCommand } from '../../state-command.js';
+
+export default class PlanPause extends StateCommand {
+  static override description = 'Pause a maintenance plan after its current wave.';
+
+  protected override readonly kind = 'plan';
+  protected override readonly change = { state: 'paused' };
+  protected override readonly question = undefined;
+}
--- /dev/null
+++ b/packages/cli/src/commands/why.ts
@@ -0,0 +1,18 @@
+import { Args } from '@oclif/core';
+import { BaseCommand } from '../base-command.js';
+
+export default class Why extends BaseCommand {
+  static override description =
+    'Say what a task, instance, plan or team waits for, and since when.';
+
+  static override args = {
+    kind: Args.string({ required: true, options: ['task', 'instance', 'plan', 'team', 'pool'] }),
+    name: Args.string({ required: true, description: 'name or id' }),
+  };
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(Why);
+    const path = `/api/v1/why/${args.kind}/${encodeURIComponent(args.name)}`;
+    this.show(this.unwrap(await this.client(flags).get(path)), flags);
+  }
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './client/index.js';
+export * from './output/index.js';
--- /dev/null
+++ b/packages/cli/src/output/index.ts
@@ -0,0 +1,1 @@
+export * from './format.js';
--- a/packages/core/src/resources/schemas.ts
+++ b/packages/core/src/resources/schemas.ts
@@ -61,6 +61,8 @@
   address,
   slots: z.int().min(1).default(DEFAULT_SLOTS),
   connections: z.int().min(1).default(DEFAULT_CONNECTIONS),
+  /** Path that answers without doing work; any status counts as a sign of life. */
+  probePath: z.string().startsWith('/').default('/healthz'),
   leaving: z.boolean().default(false),
 });
 
--- /dev/null
+++ b/packages/daemon/src/requests/exchange.ts
@@ -0,0 +1,163 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { PassThrough, type Readable } from 'node:stream';
+import { fail, Ok, type AppError, type Result } from '@turmerichoist/core';
+import { sendError } from '../http/answers.js';
+import {
+  requestHeaders,
+  type AnswerSink,
+  type HeaderFields,
+  type OutgoingRequest,
+} from '../upstreams/index.js';
+
+/** Bodies up to this size are buffered, so that a request can be sent again. */
+const BUFFER_LIMIT_BYTES = 65_536;
+
+/** A caller that sends nothing for this long while its body is awaited ends its own request. */
+const BODY_PROGRESS_TIMEOUT_MS = 5_000;
+
+const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
+  'GET',
+  'HEAD',
+  'PUT',
+  'DELETE',
+  'OPTIONS',
+]);
+
+type Body = Buffer | Readable | null;
+
+/** One request of a caller and the answer to it. */
+export class Exchange implements AnswerSink {
+  readonly #req: IncomingMessage;
+  readonly #res: ServerResponse;
+  #body: Body = null;
+  #streamUsed = false;
+  #overLimit = false;
+
+  constructor(req: IncomingMessage, res: ServerResponse) {
+    this.#req = req;
+    this.#res = res;
+  }
+
+  get finished(): boolean {
+    return this.#res.writableEnded || this.#res.destroyed;
+  }
+
+  /** Whether a streamed body grew over its limit while it was passed on. */
+  get overLimit(): boolean {
+    return this.#overLimit;
+  }
+
+  /** Whether the request may run twice without harm and its body can be sent twice. */
+  get idempotent(): boolean {
+    const declared = this.#req.headers['x-idempotent'] === 'true';
+    const method = this.#req.method ?? 'GET';
+    const repeatable = this.#body === null || Buffer.isBuffer(this.#body);
+    return repeatable && (declared || IDEMPOTENT_METHODS.has(method));
+  }
+
+  /** Reads a small body whole and prepares a large one for streaming. */
+  async readBody(maxBytes: number): Promise<Result<void, AppError>> {
+    const declared = Number(this.#req.headers['content-length'] ?? Number.NaN);
+    if (declared > maxBytes) {
+      return fail('body-too-large', `at most ${maxBytes} bytes`);
+    }
+    const chunked = this.#req.headers['transfer-encoding'] !== undefined;
+    if (!chunked && !(declared > 0)) {
+      return Ok(undefined);
+    }
+    if (chunked || declared > BUFFER_LIMIT_BYTES) {
+      this.#body = this.#limited(maxBytes);
+      return Ok(undefined);
+    }
+    return this.#buffer();
+  }
+
+  /** The request as it goes out, or undefined when its streamed body was already used. */
+  outgoing(path: string): OutgoingRequest | undefined {
+    if (this.#streamUsed) {
+      return undefined;
+    }
+    this.#streamUsed = this.#body !== null && !Buffer.isBuffer(this.#body);
+    return {
+      method: this.#req.method ?? 'GET',
+      path,
+      headers: requestHeaders(this.#req.headers),
+      idempotent: this.idempotent,
+      body: this.#body,
+    };
+  }
+
+  head(status: number, headers: HeaderFields): void {
+    for (const [name, value] of Object.entries(headers)) {
+      this.#res.setHeader(name, value);
+    }
+    this.#res.writeHead(status);
+  }
+
+  data(chunk: Uint8Array): boolean {
+    return this.#res.write(chunk);
+  }
+
+  onDrain(resume: () => void): void {
+    this.#res.once('drain', resume);
+  }
+
+  end(): void {
+    this.#res.end();
+  }
+
+  cut(): void {
+    this.#res.destroy();
+  }
+
+  /** Answers with an error. Breaks the connection when an answer has already begun. */
+  refuse(err: AppError): void {
+    if (this.finished) {
+      return;
+    }
+    if (this.#res.headersSent) {
+      this.cut();
+      return;
+    }
+    if (!this.#req.complete) {
+      this.#res.setHeader('connection', 'close');
+    }
+    sendError(this.#res, err);
+  }
+
+  async #buffer(): Promise<Result<void, AppError>> {
+    const chunks: Buffer[] = [];
+    this.#req.setTimeout(BODY_PROGRESS_TIMEOUT_MS, () => this.#req.destroy());
+    try {
+      for await (const chunk of this.#req) {
+        chunks.push(chunk as Buffer);
+      }
+    } catch {
+      return fail('caller-gone');
+    } finally {
+      this.#req.setTimeout(0);
+    }
+    this.#body = Buffer.concat(chunks);
+    return Ok(undefined);
+  }
+
+  #limited(maxBytes: number): Readable {
+    let total = 0;
+    const limited = new PassThrough();
+    this.#req.on('data', (chunk: Buffer) => {
+      total += chunk.length;
+      if (total > maxBytes) {
+        this.#overLimit = true;
+        limited.destroy(new Error('body over the limit'));
+        this.#req.pause();
+      } else if (!limited.write(chunk)) {
+        this.#req.pause();
+      }
+    });
+    limited.on('drain', () => this.#req.resume());
+    this.#req.on('end', () => limited.end());
+    this.#req.on('error', (err) => limited.destroy(err));
+    this.#req.on('aborted', () => limited.destroy(new Error('caller gone')));
+    return limited;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/front.ts
@@ -0,0 +1,183 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  appError,
+  Configuration,
+  type AppError,
+  type Clock,
+  type Millis,
+  type RequestDecision,
+  type RequestEvent,
+  type RequestId,
+} from '@turmerichoist/core';
+import { Actor, type ActorContext, type Recipient } from '@turmerichoist/runtime';
+import { sendError } from '../http/answers.js';
+import type { UpstreamMessage } from '../upstreams/index.js';
+import { callerFields, type CallerFields } from './arrival.js';
+import { Exchange } from './exchange.js';
+
+const RETRY_WHEN_FULL_MS: Millis = 1_000;
+
+export type FrontMessage =
+  RequestDecision | { readonly type: 'config-changed'; readonly cfg: Configuration };
+
+export interface FrontOptions {
+  readonly clock: Clock;
+  readonly dispatcher: Recipient<RequestEvent>;
+  readonly upstreams: Recipient<UpstreamMessage>;
+  /** Requests that may be open at once. */
+  readonly maxOpen: number;
+}
+
+interface Open {
+  readonly exchange: Exchange;
+  readonly path: string;
+}
+
+interface Target {
+  readonly queue: string;
+  /** Path and query that the upstream sees. */
+  readonly path: string;
+}
+
+/** Owns the open requests of callers. */
+export class Front extends Actor<FrontMessage> {
+  readonly #options: FrontOptions;
+  readonly #open = new Map<RequestId, Open>();
+  #cfg = Configuration.empty;
+  #lastId = 0;
+  #idle: (() => void)[] = [];
+
+  constructor(context: ActorContext, options: FrontOptions) {
+    super('front', context);
+    this.#options = options;
+  }
+
+  /** Number of requests that have no complete answer yet. */
+  get open(): number {
+    return this.#open.size;
+  }
+
+  /** Resolves when no request is open. */
+  whenIdle(): Promise<void> {
+    return this.#open.size === 0
+      ? Promise.resolve()
+      : new Promise((resolve) => this.#idle.push(resolve));
+  }
+
+  /** Takes a request of a caller, whose path starts with `/q/<queue>`. */
+  async accept(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const fields = callerFields(req.headers);
+    if (fields.isErr()) {
+      sendError(res, fields.error);
+      return;
+    }
+    if (this.#open.size >= this.#options.maxOpen) {
+      sendError(res, appError('queue-full', undefined, RETRY_WHEN_FULL_MS));
+      return;
+    }
+    const arrivedAt = this.#options.clock.now();
+    const target = parseTarget(req.url ?? '/');
+    const exchange = new Exchange(req, res);
+    const id = this.#register(exchange, target.path, res);
+    const queue = this.#cfg.spec('queue', target.queue);
+    if (queue !== undefined) {
+      const body = await exchange.readBody(queue.maxBodyBytes);
+      if (body.isErr()) {
+        this.#refuse(id, body.error);
+        return;
+      }
+    }
+    this.#arrive(id, target.queue, fields.value, arrivedAt);
+  }
+
+  protected receive(message: FrontMessage): void {
+    switch (message.type) {
+      case 'config-changed':
+        this.#cfg = message.cfg;
+        break;
+      case 'send':
+        this.#send(message);
+        break;
+      case 'refuse':
+        this.#refuse(message.id, message.err);
+        break;
+      case 'abort':
+        this.#options.upstreams.post({ type: 'abort', id: message.id });
+        break;
+    }
+  }
+
+  #register(exchange: Exchange, path: string, res: ServerResponse): RequestId {
+    this.#lastId += 1;
+    const id = String(this.#lastId);
+    this.#open.set(id, { exchange, path });
+    res.once('close', () => {
+      if (this.#open.delete(id) && !res.writableFinished) {
+        this.#options.dispatcher.post({ type: 'cancelled', id });
+      }
+      this.#releaseIdle();
+    });
+    return id;
+  }
+
+  #arrive(id: RequestId, queue: string, fields: CallerFields, arrivedAt: Millis): void {
+    const open = this.#open.get(id);
+    if (open === undefined) {
+      return;
+    }
+    const maxMs = this.#cfg.spec('queue', queue)?.maxDeadlineMs ?? 0;
+    const deadline = arrivedAt + Math.min(fields.deadlineMs ?? maxMs, maxMs);
+    const { workClass, keySha256 } = fields;
+    const { idempotent } = open.exchange;
+    const arrival = { id, queue, workClass, idempotent, deadline };
+    const accepted = this.#options.dispatcher.post({
+      type: 'arrived',
+      arrival: keySha256 === undefined ? arrival : { ...arrival, keySha256 },
+    });
+    if (!accepted) {
+      this.#refuse(id, appError('queue-full', undefined, RETRY_WHEN_FULL_MS));
+    }
+  }
+
+  #send(decision: Extract<RequestDecision, { type: 'send' }>): void {
+    const { id, upstream, deadline } = decision;
+    const open = this.#open.get(id);
+    const request = open?.exchange.outgoing(open.path);
+    if (open === undefined || request === undefined) {
+      this.#dropAttempt(id, upstream);
+      return;
+    }
+    const sink = open.exchange;
+    this.#options.upstreams.post({ type: 'send', id, upstream, request, sink, deadline });
+  }
+
+  /** Ends an attempt that can't be made: the caller has gone, or its streamed body is used up. */
+  #dropAttempt(id: RequestId, upstream: string): void {
+    const { dispatcher } = this.#options;
+    dispatcher.post({ type: 'attempt-ended', id, upstream, result: { type: 'not-sent' } });
+    dispatcher.post({ type: 'cancelled', id });
+    this.#refuse(id, appError('upstream-refused', 'a streamed body cannot be sent again'));
+  }
+
+  #refuse(id: RequestId, err: AppError): void {
+    const open = this.#open.get(id);
+    open?.exchange.refuse(open.exchange.overLimit ? appError('body-too-large') : err);
+  }
+
+  #releaseIdle(): void {
+    if (this.#open.size === 0) {
+      const waiting = this.#idle;
+      this.#idle = [];
+      for (const resolve of waiting) {
+        resolve();
+      }
+    }
+  }
+}
+
+function parseTarget(url: string): Target {
+  const [, , queue = '', ...rest] = url.split('/');
+  const [name = '', query] = queue.split('?', 2);
+  const tail = rest.length > 0 ? `/${rest.join('/')}` : '/';
+  return { queue: name, path: query === undefined ? tail : `/?${query}` };
+}
--- /dev/null
+++ b/packages/daemon/src/requests/index.ts
@@ -0,0 +1,3 @@
+export * from './arrival.js';
+export * from './dispatcher.js';
+export * from './front.js';
--- /dev/null
+++ b/packages/daemon/src/settings/index.ts
@@ -0,0 +1,2 @@
+export * from './parse.js';
+export * from './schema.js';
--- /dev/null
+++ b/packages/daemon/src/upstreams/messages.ts
@@ -0,0 +1,74 @@
+import type { Readable } from 'node:stream';
+import type {
+  AttemptResult,
+  LoadReport,
+  Millis,
+  RequestId,
+  UpstreamName,
+} from '@turmerichoist/core';
+
+export type HeaderFields = Readonly<Record<string, string | readonly string[]>>;
+
+/** A caller's request in the form in which it goes to an upstream. */
+export interface OutgoingRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: HeaderFields;
+  readonly idempotent: boolean;
+  /** A buffered body can be sent again; a stream can be sent once. */
+  readonly body: Uint8Array | Readable | null;
+}
+
+/** Receives the answer to one request, as it comes. */
+export interface AnswerSink {
+  head(status: number, headers: HeaderFields): void;
+  /** Returns false when the caller takes no more for now; `onDrain` tells when it does. */
+  data(chunk: Uint8Array): boolean;
+  onDrain(resume: () => void): void;
+  end(): void;
+  /** The answer broke off: the caller must not take what it has for the whole. */
+  cut(): void;
+}
+
+/** An upstream as the connection pool needs it. */
+export interface UpstreamTarget {
+  readonly name: UpstreamName;
+  /** IP:port. */
+  readonly address: string;
+  readonly connections: number;
+  readonly probePath: string;
+}
+
+export type UpstreamMessage =
+  | {
+      readonly type: 'send';
+      readonly id: RequestId;
+      readonly upstream: UpstreamName;
+      readonly request: OutgoingRequest;
+      readonly sink: AnswerSink;
+      readonly deadline: Millis;
+    }
+  | { readonly type: 'abort'; readonly id: RequestId }
+  | { readonly type: 'targets'; readonly targets: readonly UpstreamTarget[] }
+  | {
+      readonly type: 'probed';
+      readonly upstream: UpstreamName;
+      readonly generation: number;
+      readonly alive: boolean;
+    }
+  | { readonly type: 'tick' };
+
+/** What the pool tells the dispatcher. */
+export type UpstreamEvent =
+  | {
+      readonly type: 'attempt-ended';
+      readonly id: RequestId;
+      readonly upstream: UpstreamName;
+      readonly result: AttemptResult;
+      readonly load?: LoadReport;
+    }
+  | {
+      readonly type: 'upstream-state';
+      readonly upstream: UpstreamName;
+      readonly state: 'healthy' | 'suspect' | 'leaving';
+    };
