fix(cli): render every value of a table cell explicitly

Cause: the linter rejects the default conversion of an unknown value to a string. Change: strings are shown as they are, all else as JSON.

--- a/packages/cli/src/output/format.ts
+++ b/packages/cli/src/output/format.ts
@@ -11,7 +11,7 @@
   if (value === undefined || value === null) {
     return '';
   }
-  return typeof value === 'object' ? JSON.stringify(value) : String(value);
+  return typeof value === 'string' ? value : JSON.stringify(value);
 }
 
 function table(rows: readonly Fields[]): string {
