feat(coordination): platform stand-ins and the table store in memory

Cause: tests and the other packages need the platform's services without the platform. Conclusion: other parts can be built against both forms of the store.

--- a/packages/coordination/src/store/index.ts
+++ b/packages/coordination/src/store/index.ts
@@ -1,1 +1,3 @@
+export * from './memory-table-store.js';
+export * from './table-state.js';
 export * from './types.js';
--- /dev/null
+++ b/packages/coordination/src/store/memory-table-store.ts
@@ -0,0 +1,81 @@
+import { Ok, fail, type AppError, type Result } from '@turmerichoist/core';
+import { TableState } from './table-state.js';
+import type { Row, TableStore, Transaction, TxnOutcome } from './types.js';
+
+/** Faults of a store in memory, for tests. Each count applies to that many following commits. */
+export interface MemoryStoreFaults {
+  /** Every call fails with `store-unavailable` and has no effect. */
+  readonly down: boolean;
+  /** Commits that take effect and then answer `outcome-unknown`. */
+  readonly loseAnswers: number;
+  /** Commits that have no effect and answer `outcome-unknown`. */
+  readonly loseRequests: number;
+  /** Commits that are handled twice; the second answer is returned. */
+  readonly repeatRequests: number;
+}
+
+const NO_FAULTS: MemoryStoreFaults = {
+  down: false,
+  loseAnswers: 0,
+  loseRequests: 0,
+  repeatRequests: 0,
+};
+
+/**
+ * `TableStore` in memory for tests and embedding. The effect of a call takes place before the call
+ * returns its promise. Several stores may share one `TableState`, each with its own faults.
+ */
+export class MemoryTableStore implements TableStore {
+  readonly state: TableState;
+  #faults = NO_FAULTS;
+
+  constructor(state = new TableState()) {
+    this.state = state;
+  }
+
+  /** Changes the named faults and leaves the others as they are. */
+  setFaults(faults: Partial<MemoryStoreFaults>): void {
+    this.#faults = { ...this.#faults, ...faults };
+  }
+
+  commit(txn: Transaction, signal: AbortSignal): Promise<Result<TxnOutcome, AppError>> {
+    return Promise.resolve(this.#refusal(signal) ?? this.#commit(txn));
+  }
+
+  read(keys: readonly string[], signal: AbortSignal): Promise<Result<readonly Row[], AppError>> {
+    return Promise.resolve(this.#refusal(signal) ?? Ok(this.state.read(keys)));
+  }
+
+  range(
+    prefix: string,
+    after: string,
+    limit: number,
+    signal: AbortSignal,
+  ): Promise<Result<readonly Row[], AppError>> {
+    return Promise.resolve(this.#refusal(signal) ?? Ok(this.state.range(prefix, after, limit)));
+  }
+
+  #refusal(signal: AbortSignal): Result<never, AppError> | undefined {
+    return this.#faults.down || signal.aborted ? fail('store-unavailable') : undefined;
+  }
+
+  #commit(txn: Transaction): Result<TxnOutcome, AppError> {
+    if (this.#take('loseRequests')) {
+      return fail('outcome-unknown', 'request lost');
+    }
+    if (this.#take('repeatRequests')) {
+      this.state.commit(txn);
+    }
+    const outcome = this.state.commit(txn);
+    return this.#take('loseAnswers') ? fail('outcome-unknown', 'answer lost') : Ok(outcome);
+  }
+
+  #take(fault: 'loseAnswers' | 'loseRequests' | 'repeatRequests'): boolean {
+    const left = this.#faults[fault];
+    if (left === 0) {
+      return false;
+    }
+    this.setFaults({ [fault]: left - 1 });
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/store/table-state.ts
@@ -0,0 +1,87 @@
+import type { JsonValue, Row, RowVersion, Transaction, TxnOutcome } from './types.js';
+
+/**
+ * Rows of a transactional table in memory, in key order. Does no input or output.
+ * The version of a key keeps rising across deletions, so that a condition on an old version never
+ * holds for a row that was deleted and written again.
+ */
+export class TableState {
+  readonly #rows = new Map<string, Row>();
+  readonly #lastVersions = new Map<string, RowVersion>();
+  /** Keys of all rows in ascending order of code units. */
+  readonly #keys: string[] = [];
+
+  /** Number of rows. */
+  get size(): number {
+    return this.#rows.size;
+  }
+
+  /** Applies all writes when every condition holds, otherwise none. */
+  commit(txn: Transaction): TxnOutcome {
+    const failed = txn.conditions
+      .filter(({ key, version }) => this.#versionOf(key) !== version)
+      .map(({ key }) => key);
+    if (failed.length > 0) {
+      return { committed: false, failed };
+    }
+    const versions = txn.writes.map(({ key, value }) => [key, this.#write(key, value)] as const);
+    return { committed: true, versions: Object.fromEntries(versions) };
+  }
+
+  /** Rows of `keys`; absent rows are left out. */
+  read(keys: readonly string[]): readonly Row[] {
+    return keys.map((key) => this.#rows.get(key)).filter((row) => row !== undefined);
+  }
+
+  /** Up to `limit` rows whose key starts with `prefix` and sorts after `after`. */
+  range(prefix: string, after: string, limit: number): readonly Row[] {
+    const found: Row[] = [];
+    const from = after >= prefix ? this.#position(after, true) : this.#position(prefix, false);
+    for (let at = from; at < this.#keys.length && found.length < limit; at++) {
+      const key = this.#keys[at] ?? '';
+      if (!key.startsWith(prefix)) {
+        break;
+      }
+      found.push(...this.read([key]));
+    }
+    return found;
+  }
+
+  #versionOf(key: string): RowVersion {
+    return this.#rows.get(key)?.version ?? 0;
+  }
+
+  #write(key: string, value: JsonValue): RowVersion {
+    const existed = this.#rows.has(key);
+    if (value === null) {
+      if (existed) {
+        this.#rows.delete(key);
+        this.#keys.splice(this.#position(key, false), 1);
+      }
+      return 0;
+    }
+    if (!existed) {
+      this.#keys.splice(this.#position(key, false), 0, key);
+    }
+    const version = (this.#lastVersions.get(key) ?? 0) + 1;
+    this.#lastVersions.set(key, version);
+    this.#rows.set(key, { key, version, value: structuredClone(value) });
+    return version;
+  }
+
+  /** Index of the first key that is at least `key`, or greater than it when `strict`. */
+  #position(key: string, strict: boolean): number {
+    let low = 0;
+    let high = this.#keys.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      const probe = this.#keys[middle] ?? '';
+      if (probe < key || (strict && probe === key)) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
+    }
+    return low;
+  }
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './platform/index.js';
