feat(tasks): messages, worker stand-in and worker client

Cause: the daemon needs the task messages and the worker interface before the decisions exist. Change: closed unions TaskEvent and TaskDecision; a worker stand-in with fencing, ttl, stop modes, drain, reboot and fault switches; a typed client. Orders carry the worker's own clock reading after which they are ignored, so an order held up in a paused worker can't start a second copy.

--- /dev/null
+++ b/packages/core/src/tasks/index.ts
@@ -0,0 +1,2 @@
+export * from './messages.js';
+export * from './model.js';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './workers/index.js';
--- /dev/null
+++ b/packages/daemon/src/workers/index.ts
@@ -0,0 +1,2 @@
+export * from './wire.js';
+export * from './worker-client.js';
--- /dev/null
+++ b/packages/daemon/src/workers/wire.ts
@@ -0,0 +1,83 @@
+import { z } from 'zod';
+
+/** Schemas of the worker's HTTP interface, version 1 (section 5 of the design page). */
+
+const fence = z.object({ epoch: z.int().min(0), sequence: z.int().min(0) });
+const resources = z.object({
+  processors: z.number().min(0),
+  memoryMb: z.number().min(0),
+  accelerators: z.number().min(0),
+});
+const millis = z.number().min(0);
+
+export const leasesBody = z.object({
+  leases: z.array(
+    z.object({
+      taskId: z.string(),
+      fence,
+      ttlMs: millis,
+      validBeforeMs: millis.optional(),
+      command: z.string(),
+      resources,
+      resume: z.boolean().optional(),
+    }),
+  ),
+});
+
+export const renewBody = z.object({
+  epoch: z.int().min(0).optional(),
+  leases: z.array(
+    z.object({ taskId: z.string(), fence, ttlMs: millis, validBeforeMs: millis.optional() }),
+  ),
+});
+
+export const stopBody = z.object({
+  epoch: z.int().min(0).optional(),
+  taskId: z.string(),
+  fence,
+  mode: z.enum(['throttle', 'checkpoint', 'stop']),
+});
+
+export const resultsBody = z.object({
+  results: z.array(
+    z.object({
+      taskId: z.string(),
+      fence,
+      reply: z.enum(['accepted', 'stale-fence', 'expired', 'draining', 'busy', 'not-held']),
+    }),
+  ),
+});
+
+export const reportBody = z.object({
+  incarnation: z.string(),
+  clockMs: z.number(),
+  lagMs: millis,
+  draining: z.boolean(),
+  /** Number of the last entry of `finished`, to be sent as `after` with the next call. */
+  cursor: z.int().min(0),
+  running: z.array(
+    z.object({
+      taskId: z.string(),
+      fence,
+      usage: resources,
+      runMs: millis,
+      throttled: z.boolean(),
+    }),
+  ),
+  finished: z.array(
+    z.object({
+      taskId: z.string(),
+      fence,
+      outcome: z.enum(['succeeded', 'failed', 'checkpointed', 'stopped']),
+      peak: resources,
+      runMs: millis,
+      detail: z.string(),
+    }),
+  ),
+});
+
+export type LeasesBody = Readonly<z.output<typeof leasesBody>>;
+export type RenewBody = Readonly<z.output<typeof renewBody>>;
+export type StopBody = Readonly<z.output<typeof stopBody>>;
+export type ResultsBody = Readonly<z.output<typeof resultsBody>>;
+export type ReportBody = Readonly<z.output<typeof reportBody>>;
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './worker/index.js';
--- /dev/null
+++ b/packages/stand-ins/src/worker/index.ts
@@ -0,0 +1,4 @@
+export * from './command.js';
+export * from './faults.js';
+export * from './server.js';
+export * from './worker-model.js';
