--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,3 @@
 export * from './platform/index.js';
+export * from './upstream/index.js';
+export * from './worker/index.js';
--- /dev/null
+++ b/packages/stand-ins/src/upstream/index.ts
@@ -0,0 +1,2 @@
+export * from './faults.js';
+export * from './server.js';
