feat(requests): request decider with keys, units, fair queue and executors

Cause: the front end needs the entry point of the request decisions. Change: RequestDecider in its first form: arrivals, attempts, retries, cancellations, deadlines, grants and freshness; KeyRing, TeamLimiter, FairQueue, executor table, fleet shares.

--- /dev/null
+++ b/packages/core/src/requests/admission.ts
@@ -0,0 +1,74 @@
+import { type AppError, Err, Ok, type Result, fail } from '../errors/index.js';
+import { Configuration, MAX_WORK_MS } from '../resources/index.js';
+import type { Millis, TeamName } from '../types/index.js';
+import { KeyRing } from './key-ring.js';
+import type { Arrival } from './messages.js';
+
+/** Owner of the work in open queues. No team has this name, since names are not empty. */
+export const OPEN_TEAM: TeamName = '';
+
+/** Decides for which team work may run, at its arrival and again at its start. */
+export class Admission {
+  #cfg = Configuration.empty;
+  #keys = new KeyRing(Configuration.empty);
+  #freshUntil: Millis = Number.NEGATIVE_INFINITY;
+
+  get cfg(): Configuration {
+    return this.#cfg;
+  }
+
+  configure(cfg: Configuration): void {
+    this.#cfg = cfg;
+    this.#keys = new KeyRing(cfg);
+  }
+
+  confirm(until: Millis): void {
+    this.#freshUntil = until;
+  }
+
+  /** Whether the configuration is confirmed. */
+  fresh(now: Millis): boolean {
+    return now < this.#freshUntil;
+  }
+
+  /**
+   * Team that the work belongs to. Fails with `not-ready` before the first configuration, and with
+   * `unknown-queue`, `config-stale`, `key-missing` or `key-rejected`.
+   */
+  teamOf(arrival: Arrival, now: Millis): Result<TeamName, AppError> {
+    if (this.#cfg.revision === 0) {
+      return fail('not-ready', 'no configuration yet');
+    }
+    const queue = this.#cfg.spec('queue', arrival.queue);
+    if (queue === undefined) {
+      return fail('unknown-queue', arrival.queue);
+    }
+    return queue.open ? Ok(OPEN_TEAM) : this.#teamOfKey(arrival, now);
+  }
+
+  /** As `teamOf`, but for work that was accepted for `team` earlier. */
+  recheck(arrival: Arrival, team: TeamName, now: Millis): Result<TeamName, AppError> {
+    const current = this.teamOf(arrival, now);
+    if (current.isOk() && current.value !== team) {
+      return fail('key-rejected', 'the team of the request changed while it waited');
+    }
+    return current;
+  }
+
+  /** Deadline of the work: the caller's, limited by what a grant covers. */
+  deadlineOf(arrival: Arrival, now: Millis): Millis {
+    const queueMs = this.#cfg.spec('queue', arrival.queue)?.maxDeadlineMs ?? MAX_WORK_MS;
+    return Math.min(arrival.deadline, now + Math.min(queueMs, MAX_WORK_MS));
+  }
+
+  #teamOfKey(arrival: Arrival, now: Millis): Result<TeamName, AppError> {
+    if (!this.fresh(now)) {
+      return fail('config-stale');
+    }
+    if (arrival.keySha256 === undefined) {
+      return fail('key-missing');
+    }
+    const team = this.#keys.teamOf(arrival.keySha256);
+    return team === undefined ? Err({ kind: 'key-rejected' }) : Ok(team);
+  }
+}
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -1,1 +1,11 @@
+export { Admission, OPEN_TEAM } from './admission.js';
+export * from './choosers.js';
+export type { ExecutorView, ReportedState } from './executor.js';
+export * from './fair-queue.js';
+export * from './fleet-shares.js';
+export * from './key-ring.js';
 export * from './messages.js';
+export * from './request-decider.js';
+export * from './retry-policy.js';
+export * from './team-limiter.js';
+export * from './water-fill.js';
--- /dev/null
+++ b/packages/core/src/requests/key-ring.ts
@@ -0,0 +1,27 @@
+import type { Configuration } from '../resources/index.js';
+import type { TeamName } from '../types/index.js';
+
+/** The team of each key that is in force at one revision of the configuration. */
+export class KeyRing {
+  // A look-up by the full digest is safe without a constant-time comparison: the timing depends on
+  // the SHA-256 of the presented key, and finding a key whose digest has a chosen prefix reveals
+  // nothing about a key that is in force.
+  readonly #teams: ReadonlyMap<string, TeamName>;
+
+  constructor(cfg: Configuration) {
+    this.#teams = new Map(
+      cfg
+        .list('team')
+        .flatMap((team) =>
+          team.spec.keys
+            .filter((key) => !key.withdrawn)
+            .map((key) => [key.sha256, team.name] as const),
+        ),
+    );
+  }
+
+  /** Team of the key with this SHA-256; `undefined` if the key is unknown or withdrawn. */
+  teamOf(sha256: string): TeamName | undefined {
+    return this.#teams.get(sha256);
+  }
+}
--- /dev/null
+++ b/packages/core/src/requests/lane.ts
@@ -0,0 +1,92 @@
+import type { Millis, QueueName, RequestId, TeamName } from '../types/index.js';
+import { FairQueue } from './fair-queue.js';
+import type { DemandRow } from './messages.js';
+import type { OpenRequest } from './open-request.js';
+import { ServiceMeter } from './service-meter.js';
+
+/** The waiting and running work of one queue. */
+export class Lane {
+  readonly queue: QueueName;
+  readonly fair: FairQueue<OpenRequest>;
+  readonly meter = new ServiceMeter();
+  /** Requests between two attempts. They go before the fair queue, which they passed already. */
+  readonly #retries = new Map<RequestId, OpenRequest>();
+  readonly #running = new Map<TeamName, number>();
+  #runningTotal = 0;
+
+  constructor(queue: QueueName, capacity: number) {
+    this.queue = queue;
+    this.fair = new FairQueue(capacity);
+  }
+
+  get waiting(): number {
+    return this.fair.waiting + this.#retries.size;
+  }
+
+  get running(): number {
+    return this.#runningTotal;
+  }
+
+  get retries(): number {
+    return this.#retries.size;
+  }
+
+  runningOf(team: TeamName): number {
+    return this.#running.get(team) ?? 0;
+  }
+
+  hold(req: OpenRequest): void {
+    this.#retries.set(req.id, req);
+  }
+
+  /** Takes the request that waits longest for its next attempt. */
+  takeRetry(): OpenRequest | undefined {
+    for (const req of this.#retries.values()) {
+      this.#retries.delete(req.id);
+      return req;
+    }
+    return undefined;
+  }
+
+  remove(id: RequestId): void {
+    if (!this.#retries.delete(id)) {
+      this.fair.remove(id);
+    }
+  }
+
+  started(team: TeamName): void {
+    this.#running.set(team, this.runningOf(team) + 1);
+    this.#runningTotal += 1;
+  }
+
+  ended(team: TeamName): void {
+    const left = this.runningOf(team) - 1;
+    if (left > 0) {
+      this.#running.set(team, left);
+    } else {
+      this.#running.delete(team);
+    }
+    this.#runningTotal -= 1;
+  }
+
+  /** Waiting and running work of each team that has any. */
+  demand(): readonly DemandRow[] {
+    const waiting = new Map(this.fair.waitingByTeam());
+    for (const req of this.#retries.values()) {
+      waiting.set(req.team, (waiting.get(req.team) ?? 0) + 1);
+    }
+    const teams = new Set([...waiting.keys(), ...this.#running.keys()]);
+    return [...teams].map((team) => ({
+      queue: this.queue,
+      team,
+      waiting: waiting.get(team) ?? 0,
+      running: this.runningOf(team),
+    }));
+  }
+
+  /** Estimated wait of the last work of the team, or `undefined` without a basis for it. */
+  estimatedWait(req: OpenRequest): Millis | undefined {
+    const starts = this.fair.startsUntilLast(req.team, req.workClass) + this.#retries.size;
+    return this.meter.timeFor(starts, this.#runningTotal);
+  }
+}
--- /dev/null
+++ b/packages/core/test/requests-world.ts
@@ -0,0 +1,45 @@
+import { Configuration, type Resource, parseDocument } from '../src/index.js';
+
+/** SHA-256 fields of the keys of teams `a` and `b`. */
+export const KEY = { a: 'a'.repeat(64), b: 'b'.repeat(64) } as const;
+
+export interface WorldOptions {
+  readonly revision?: number;
+  /** Teams whose key is withdrawn. */
+  readonly withdrawn?: readonly string[];
+  readonly limit?: number;
+  readonly upstreams?: number;
+  readonly slots?: number;
+  /** Numbers of upstreams that are leaving. */
+  readonly leaving?: readonly number[];
+  readonly zoneOut?: boolean;
+  readonly open?: boolean;
+}
+
+function resource(kind: string, name: string, spec: unknown, version: number): Resource {
+  return { ...parseDocument({ kind, name, spec }).unwrap(), version };
+}
+
+/** Two teams, a queue `q` and upstreams `u1`, `u2`, ... in turn in zones `z1` and `z2`. */
+export function cfgOf(options: WorldOptions = {}): Configuration {
+  const { revision = 1, withdrawn = [], limit = 100, upstreams = 2, slots = 2 } = options;
+  const put = (kind: string, name: string, spec: unknown): Resource =>
+    resource(kind, name, spec, revision);
+  const teams = (['a', 'b'] as const).map((team) => {
+    const key = { id: 'k', sha256: KEY[team], withdrawn: withdrawn.includes(team) };
+    return put('team', team, { share: 1, limit: { requests: limit }, keys: [key] });
+  });
+  const executors = Array.from({ length: upstreams }, (_, at) => {
+    const leaving = options.leaving?.includes(at + 1) ?? false;
+    const spec = { pool: 'p', zone: at % 2 === 0 ? 'z1' : 'z2', address: '127.0.0.1:1' };
+    return put('upstream', `u${at + 1}`, { ...spec, slots, leaving });
+  });
+  return Configuration.of(revision, [
+    ...teams,
+    ...executors,
+    put('queue', 'q', { pool: 'p', open: options.open ?? false, maxDeadlineMs: 60_000 }),
+    put('pool', 'p', { size: upstreams, budget: { maxUnavailable: 1 } }),
+    put('zone', 'z1', { region: 'r', state: options.zoneOut === true ? 'out' : 'in' }),
+    put('zone', 'z2', { region: 'r' }),
+  ]);
+}
