feat(daemon): request path over real sockets, with replacement of silent connections

Cause: connections can stay open and deliver nothing, and with a single upstream the retry policy excluded the only candidate, so four waiting idempotent requests ended with 504 after 8 s. Change: HTTP server, operator API and request path composition; an attempt on a silent path ends as 'silent', which may be repeated on the same upstream over a new connection.

--- a/packages/core/src/requests/executor-table.ts
+++ b/packages/core/src/requests/executor-table.ts
@@ -44,7 +44,7 @@
   ended(name: UpstreamName, result: AttemptResult['type'], blameless: boolean, now: Millis): void {
     const executor = this.#executor(name);
     executor.outstanding -= 1;
-    if (!blameless) {
+    if (!blameless && result !== 'silent') {
       this.#judge(executor, result, now);
     }
   }
--- a/packages/core/src/requests/messages.ts
+++ b/packages/core/src/requests/messages.ts
@@ -33,6 +33,8 @@
   /** Anything else before the head of the answer was passed on: the request may have run. */
   | { readonly type: 'failed' }
   | { readonly type: 'timed-out' }
+  /** The connection went silent while new ones to the same upstream work; it may have run. */
+  | { readonly type: 'silent' }
   /** The answer broke off after its head was passed on. Nothing more can be done for the caller. */
   | { readonly type: 'cut' };
 
--- a/packages/core/src/requests/open-request.ts
+++ b/packages/core/src/requests/open-request.ts
@@ -48,8 +48,11 @@
       this.#refusedAt.add(upstream);
       return;
     }
-    this.#failedAt.add(upstream);
-    this.#failure = result === 'timed-out' ? 'upstream-timeout' : 'upstream-failed';
+    if (result !== 'silent') {
+      this.#failedAt.add(upstream);
+    }
+    const late = result === 'timed-out' || result === 'silent';
+    this.#failure = late ? 'upstream-timeout' : 'upstream-failed';
   }
 
   /** Whether another attempt may go to this executor. */
--- a/packages/core/src/requests/retry-policy.ts
+++ b/packages/core/src/requests/retry-policy.ts
@@ -40,6 +40,10 @@
     if (didNotRun(ended.result)) {
       return true;
     }
+    // The path failed, not the executor, so the repeat adds no load to one that is overloaded.
+    if (ended.result === 'silent') {
+      return ended.idempotent;
+    }
     return ended.idempotent && this.#takeFromBudget(now);
   }
 
--- /dev/null
+++ b/packages/daemon/src/api/configuration-access.ts
@@ -0,0 +1,74 @@
+import type {
+  AppError,
+  Change,
+  Configuration,
+  ResourceKind,
+  Result,
+  Revision,
+} from '@turmerichoist/core';
+
+/** An accepted change of the configuration. */
+export interface AcceptedChange {
+  readonly revision: Revision;
+  readonly changes: readonly Change[];
+  readonly actor: string;
+  /** Wall clock, for people. */
+  readonly wallMs: number;
+}
+
+/** What an apply did, or would do for a dry run. */
+export interface ApplyOutcome {
+  readonly revision: Revision;
+  readonly dryRun: boolean;
+  readonly changes: readonly Change[];
+}
+
+export interface AuditFilter {
+  readonly team?: string;
+  /** As `kind/name`. */
+  readonly resource?: string;
+  readonly actor?: string;
+  /** Wall clock bounds in milliseconds. */
+  readonly since?: number;
+  readonly until?: number;
+  readonly limit: number;
+}
+
+export type RolloutState = 'in-force' | 'behind' | 'unknown';
+
+export interface RolloutRow {
+  readonly member: string;
+  readonly zone: string;
+  readonly state: RolloutState;
+  readonly revision: Revision;
+}
+
+export interface RolloutStatus {
+  /** Newest revision that is known. */
+  readonly head: Revision;
+  readonly members: readonly RolloutRow[];
+}
+
+/** What the operator API needs of the replicated configuration. */
+export interface ConfigurationAccess {
+  current(): Configuration;
+  apply(
+    documents: readonly unknown[],
+    actor: string,
+    dryRun: boolean,
+    signal: AbortSignal,
+  ): Promise<Result<ApplyOutcome, AppError>>;
+  remove(
+    kind: ResourceKind,
+    name: string,
+    version: Revision,
+    actor: string,
+    signal: AbortSignal,
+  ): Promise<Result<ApplyOutcome, AppError>>;
+  /** Changes after a revision. Fails with `revision-gone` when they are no longer kept. */
+  changesAfter(revision: Revision): Result<readonly AcceptedChange[], AppError>;
+  /** Calls `listener` after each change until the signal fires. */
+  onChange(listener: () => void, signal: AbortSignal): void;
+  audit(filter: AuditFilter, signal: AbortSignal): Promise<Result<readonly unknown[], AppError>>;
+  rollout(signal: AbortSignal): Promise<Result<RolloutStatus, AppError>>;
+}
--- /dev/null
+++ b/packages/daemon/src/api/watch.ts
@@ -0,0 +1,45 @@
+import type { ServerResponse } from 'node:http';
+import type { Revision } from '@turmerichoist/core';
+import { sendError } from '../http/answers.js';
+import type { ConfigurationAccess } from './configuration-access.js';
+
+/** A watch that sends nothing else sends an empty line, so that a cut connection is noticed. */
+const KEEP_ALIVE_MS = 5_000;
+
+/** Sends every change after `from`, in order and without gaps, as JSON lines until cut. */
+export function watch(
+  access: ConfigurationAccess,
+  from: Revision,
+  res: ServerResponse,
+  signal: AbortSignal,
+): void {
+  const first = access.changesAfter(from);
+  if (first.isErr()) {
+    sendError(res, first.error);
+    return;
+  }
+  const ended = new AbortController();
+  const until = AbortSignal.any([signal, ended.signal]);
+  res.writeHead(200, { 'content-type': 'application/x-ndjson' });
+  let position = from;
+  const send = (): void => {
+    const changes = access.changesAfter(position);
+    if (changes.isErr()) {
+      res.destroy();
+      return;
+    }
+    for (const change of changes.value) {
+      res.write(`${JSON.stringify(change)}\n`);
+      position = change.revision;
+    }
+  };
+  const keepAlive = setInterval(() => res.write('\n'), KEEP_ALIVE_MS);
+  keepAlive.unref();
+  res.once('close', () => {
+    clearInterval(keepAlive);
+    ended.abort();
+  });
+  signal.addEventListener('abort', () => res.end(), { once: true, signal: ended.signal });
+  access.onChange(send, until);
+  send();
+}
--- /dev/null
+++ b/packages/daemon/src/http/http-server.ts
@@ -0,0 +1,107 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import polka from 'polka';
+import { appError, type Millis } from '@turmerichoist/core';
+import { sendError, sendJson } from './answers.js';
+
+/** Longer than the idle time-out of usual balancers, so that they close idle connections first. */
+const KEEP_ALIVE_MS: Millis = 75_000;
+
+/** A caller must send its header fields within this time. */
+const HEADERS_TIMEOUT_MS: Millis = 10_000;
+
+const MAX_HEADER_BYTES = 16_384;
+
+export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
+
+export interface HttpRoutes {
+  readonly callers: HttpHandler;
+  readonly tasks: HttpHandler;
+  readonly operators: HttpHandler;
+  readonly ready: () => boolean;
+  readonly onFault: (err: unknown) => void;
+}
+
+/** Owns the listener for callers and operators. */
+export class HttpServer {
+  readonly #server: Server;
+  #stopping = false;
+
+  constructor(routes: HttpRoutes) {
+    const http = createServer({
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: 0,
+      maxHeaderSize: MAX_HEADER_BYTES,
+    });
+    const app = polka({
+      server: http,
+      onNoMatch: (_req, res) => {
+        sendError(res, appError('unknown-route'));
+      },
+    });
+    const guarded = (handler: HttpHandler) => this.#guard(handler, routes.onFault);
+    app.all('/q/*', guarded(routes.callers));
+    app.all('/tasks', guarded(routes.tasks));
+    app.all('/tasks/*', guarded(routes.tasks));
+    app.all('/api/v1/*', guarded(routes.operators));
+    app.get('/healthz', (_req, res) => {
+      sendJson(res, 200, { ok: true });
+    });
+    app.get('/readyz', (_req, res) => {
+      const ready = !this.#stopping && routes.ready();
+      sendJson(res, ready ? 200 : 503, { ready });
+    });
+    http.on('request', (req, res) => {
+      app.handler(req as never, res);
+    });
+    this.#server = http;
+  }
+
+  /** Starts to listen. Resolves with `host:port`. */
+  listen(host: string, port: number): Promise<string> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, () => {
+        resolve(`${host}:${(this.#server.address() as AddressInfo).port}`);
+      });
+    });
+  }
+
+  /** Readiness goes off and each answer asks its caller to close the connection. */
+  announceStop(): void {
+    this.#stopping = true;
+  }
+
+  /** Takes no new connections; closes idle ones. Resolves when all connections have ended. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+    });
+  }
+
+  /** Breaks all connections that are still open. */
+  destroy(): void {
+    this.#server.closeAllConnections();
+  }
+
+  #guard(handler: HttpHandler, onFault: (err: unknown) => void): HttpHandler {
+    return async (req, res) => {
+      if (this.#stopping) {
+        res.setHeader('connection', 'close');
+      }
+      try {
+        await handler(req, res);
+      } catch (err) {
+        onFault(err);
+        if (res.headersSent) {
+          res.destroy();
+        } else {
+          sendError(res, appError('internal'));
+        }
+      }
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/http/index.ts
@@ -0,0 +1,2 @@
+export * from './answers.js';
+export * from './http-server.js';
--- /dev/null
+++ b/packages/daemon/src/requests/request-path.ts
@@ -0,0 +1,47 @@
+import type { Clock, Configuration, RequestEvent } from '@turmerichoist/core';
+import type { ActorContext } from '@turmerichoist/runtime';
+import { UpstreamPool, type UpstreamTarget } from '../upstreams/index.js';
+import { Dispatcher, type RequestDecisions } from './dispatcher.js';
+import { Front } from './front.js';
+
+export interface RequestPathOptions {
+  readonly context: ActorContext;
+  readonly clock: Clock;
+  readonly decisions: RequestDecisions;
+  /** Requests that may be open at once. */
+  readonly maxOpen: number;
+}
+
+/** The actors between callers and upstreams. */
+export class RequestPath {
+  readonly front: Front;
+  readonly dispatcher: Dispatcher;
+  readonly #upstreams: UpstreamPool;
+
+  constructor({ context, clock, decisions, maxOpen }: RequestPathOptions) {
+    this.dispatcher = new Dispatcher(context, { clock, decisions, front: () => this.front });
+    this.#upstreams = new UpstreamPool(context, clock, this.dispatcher);
+    const { dispatcher } = this;
+    this.front = new Front(context, { clock, dispatcher, upstreams: this.#upstreams, maxOpen });
+  }
+
+  /** Brings a configuration into force. */
+  configure(cfg: Configuration): void {
+    this.#upstreams.post({ type: 'targets', targets: targetsOf(cfg) });
+    this.front.post({ type: 'config-changed', cfg });
+    this.dispatcher.post({ type: 'config-changed', cfg });
+  }
+
+  tell(event: RequestEvent): void {
+    this.dispatcher.post(event);
+  }
+}
+
+function targetsOf(cfg: Configuration): readonly UpstreamTarget[] {
+  return cfg.list('upstream').map(({ name, spec }) => ({
+    name,
+    address: spec.address,
+    connections: Math.min(spec.slots, spec.connections),
+    probePath: spec.probePath,
+  }));
+}
--- a/packages/daemon/src/upstreams/attempt.ts
+++ b/packages/daemon/src/upstreams/attempt.ts
@@ -22,6 +22,9 @@
   readonly onEnd: (end: AttemptEnd) => void;
 }
 
+/** Who ended an attempt: a decision, the caller that takes no more, or a silent path. */
+export type AbortCause = 'decision' | 'caller' | 'silent';
+
 type Stage = 'waiting' | 'sent' | 'streaming' | 'refused' | 'ended';
 
 /** Follows one attempt on one connection and passes the answer on. */
@@ -30,8 +33,7 @@
   readonly #options: AttemptOptions;
   #controller: Dispatcher.DispatchController | undefined;
   #stage: Stage = 'waiting';
-  #timedOut = false;
-  #abortRequested = false;
+  #abortCause: AbortCause | undefined;
   #load: LoadReport | undefined;
   #leaving = false;
   #lastProgress: Millis;
@@ -53,10 +55,9 @@
     return this.#stage === 'sent';
   }
 
-  /** Ends the attempt; `timedOut` tells a deadline from a caller that has gone. */
-  abort(timedOut: boolean): void {
-    this.#timedOut = timedOut;
-    this.#abortRequested = true;
+  /** Ends the attempt. */
+  abort(cause: AbortCause): void {
+    this.#abortCause = cause;
     if (this.#stage === 'waiting') {
       this.#end({ type: 'not-sent' });
     }
@@ -65,7 +66,7 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
-    if (this.#abortRequested) {
+    if (this.#abortCause !== undefined) {
       controller.abort(new Error('attempt aborted before it was sent'));
       return;
     }
@@ -103,7 +104,7 @@
     }
     controller.pause();
     this.#callerTimer = setTimeout(() => {
-      this.abort(false);
+      this.abort('caller');
     }, PROGRESS_TIMEOUT_MS);
     this.#options.sink.onDrain(() => {
       clearTimeout(this.#callerTimer);
@@ -136,8 +137,15 @@
         this.#end({ type: 'cut' });
         break;
       default:
-        this.#end({ type: this.#timedOut || isTimeout(err) ? 'timed-out' : 'failed' });
+        this.#end({ type: this.#failure(err) });
+    }
+  }
+
+  #failure(err: Error): 'silent' | 'timed-out' | 'failed' {
+    if (this.#abortCause === 'silent') {
+      return 'silent';
     }
+    return this.#abortCause === 'decision' || isTimeout(err) ? 'timed-out' : 'failed';
   }
 
   #progress(): void {
--- a/packages/daemon/src/upstreams/upstream-connections.ts
+++ b/packages/daemon/src/upstreams/upstream-connections.ts
@@ -77,7 +77,7 @@
     silent.retire();
     for (const attempt of silent.attempts.values()) {
       if (attempt.idempotent && attempt.awaitsAnswer) {
-        attempt.abort(true);
+        attempt.abort('silent');
       }
     }
     return true;
--- a/packages/daemon/src/upstreams/upstream-pool.ts
+++ b/packages/daemon/src/upstreams/upstream-pool.ts
@@ -32,7 +32,7 @@
         break;
       case 'abort':
         for (const upstream of [...this.#upstreams.values(), ...this.#removed]) {
-          upstream.find(message.id)?.abort(true);
+          upstream.find(message.id)?.abort('decision');
         }
         break;
       case 'targets':
