--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,1 +1,3 @@
+export * from './io/store/index.js';
+export * from './state/index.js';
 export * from './store/index.js';
--- /dev/null
+++ b/packages/coordination/src/io/store/call-timeout.ts
@@ -0,0 +1,35 @@
+import type { Millis } from '@turmerichoist/core';
+
+export interface CallTimeout {
+  /** Fires with the parent or at the time-out. */
+  readonly signal: AbortSignal;
+  /** Whether the time-out came before the parent fired. */
+  expired(): boolean;
+  /** Frees the timer and the listener on the parent. */
+  clear(): void;
+}
+
+/**
+ * A time-out for one call. Unlike `AbortSignal.any` it leaves nothing behind on a parent that lives
+ * as long as the process.
+ */
+export function callTimeout(parent: AbortSignal, ms: Millis): CallTimeout {
+  const controller = new AbortController();
+  let expired = false;
+  const onParent = (): void => {
+    controller.abort();
+  };
+  const timer = setTimeout(() => {
+    expired = true;
+    controller.abort();
+  }, ms);
+  parent.addEventListener('abort', onParent, { once: true });
+  return {
+    signal: controller.signal,
+    expired: () => expired,
+    clear: () => {
+      clearTimeout(timer);
+      parent.removeEventListener('abort', onParent);
+    },
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/state/index.ts
@@ -0,0 +1,2 @@
+export * from './call-gate.js';
+export * from './txn-lane.js';
--- /dev/null
+++ b/packages/coordination/test/support/runs.ts
@@ -0,0 +1,3 @@
+/** Runs of each property; TURMERICHOIST_RUNS raises it. */
+export const RUNS = Math.max(1_000, Number(process.env.TURMERICHOIST_RUNS ?? 0));
+export const SEED = 20_261_204;
