--- /dev/null
+++ b/packages/core/src/fleet/messages.ts
@@ -0,0 +1,99 @@
+import type { Configuration } from '../resources/index.js';
+import type { InstanceName, Millis, PoolName, ZoneName } from '../types/index.js';
+import type { Fence, FleetTransaction, StoredRow } from './rows.js';
+import type { Wait } from './wait-reasons.js';
+
+/** Work of one pool, in slots. */
+export interface PoolDemand {
+  readonly pool: PoolName;
+  readonly running: number;
+  readonly waiting: number;
+  readonly capacity: number;
+  /** Instances whose slots `capacity` counts. */
+  readonly instances: number;
+}
+
+export type FleetEvent =
+  | { readonly type: 'config-changed'; readonly cfg: Configuration }
+  /** State of an instance as the platform shows it, with a lag. */
+  | {
+      readonly type: 'instance-seen';
+      readonly instance: InstanceName;
+      readonly state: 'up' | 'down' | 'rebooted';
+      /** Number of boots of the instance so far. */
+      readonly boot: number;
+      /** The instance says that it drains. */
+      readonly draining?: boolean;
+    }
+  /** No work runs on the instance, and it takes none. The fence is that of the drain. */
+  | {
+      readonly type: 'drain-finished';
+      readonly instance: InstanceName;
+      readonly fence: Fence;
+    }
+  | {
+      readonly type: 'transaction-committed';
+      readonly id: number;
+      /** The written rows with their new versions. */
+      readonly rows: readonly StoredRow[];
+    }
+  /** Nothing was written. `rows` has the rows as they are now. */
+  | {
+      readonly type: 'transaction-conflicted';
+      readonly id: number;
+      readonly rows: readonly StoredRow[];
+    }
+  /** The response was lost. One of the two events above follows when the outcome is known. */
+  | { readonly type: 'transaction-unknown'; readonly id: number }
+  /** Rows that others wrote. */
+  | { readonly type: 'rows-read'; readonly rows: readonly StoredRow[] }
+  | { readonly type: 'demand'; readonly demand: PoolDemand }
+  | {
+      readonly type: 'operator-drain';
+      readonly instance: InstanceName;
+      /** False gives the instance back. */
+      readonly on: boolean;
+    }
+  | {
+      readonly type: 'ownership-gained';
+      readonly fence: Fence;
+      /** Every budget and plan row. */
+      readonly rows: readonly StoredRow[];
+    }
+  | { readonly type: 'ownership-lost'; readonly role: PoolName }
+  /** `wallMs` is for maintenance windows and cycles, which are times of the calendar. */
+  | { readonly type: 'tick'; readonly wallMs: Millis };
+
+export type FleetDecision =
+  /** Takes and releases units, and records progress of plans, in one transaction. */
+  | { readonly type: 'change-budget'; readonly txn: FleetTransaction }
+  /** Records progress of plans without a change of budgets. */
+  | { readonly type: 'record-progress'; readonly txn: FleetTransaction }
+  /** Moves instances between pools and takes the budgets, in one transaction. */
+  | { readonly type: 'move-instances'; readonly txn: FleetTransaction }
+  /** Stops (`on`) or resumes the start of work on an instance. Resuming also ends a drain. */
+  | {
+      readonly type: 'cordon';
+      readonly instance: InstanceName;
+      readonly on: boolean;
+      readonly fence: Fence;
+    }
+  | { readonly type: 'drain'; readonly instance: InstanceName; readonly fence: Fence }
+  /** To be ignored by an instance whose boot count is not `boot`: it has rebooted already. */
+  | {
+      readonly type: 'reboot';
+      readonly instance: InstanceName;
+      readonly boot: number;
+      readonly fence: Fence;
+    }
+  | { readonly type: 'wait'; readonly wait: Wait };
+
+/** Progress of an availability zone that leaves or returns, for one pool. */
+export interface ZoneProgress {
+  readonly pool: PoolName;
+  readonly zone: ZoneName;
+  readonly state: 'leaving' | 'out' | 'returning';
+  readonly instances: number;
+  readonly drained: number;
+  readonly opened: number;
+}
--- /dev/null
+++ b/packages/core/src/fleet/plan-groups.ts
@@ -0,0 +1,76 @@
+import type { PlanSpec } from '../resources/index.js';
+import type { InstanceName, PoolName } from '../types/index.js';
+import { compareNames, groupBy, type FleetInstance, type FleetView } from './fleet-view.js';
+
+/** Instances that a plan takes down together, all or none. */
+export interface PlanGroup {
+  readonly name: string;
+  readonly instances: readonly FleetInstance[];
+}
+
+/** The instances that match every given part of a selection. An empty selection matches none. */
+export function selectInstances(
+  view: FleetView,
+  select: PlanSpec['select'],
+): readonly FleetInstance[] {
+  const { racks, zones, labels } = select;
+  if (racks === undefined && zones === undefined && labels === undefined) {
+    return [];
+  }
+  return view.instances().filter(({ spec }) => {
+    const inRack = racks?.includes(spec.rack) ?? true;
+    const inZone = zones?.includes(spec.zone) ?? true;
+    const wanted = Object.entries(labels ?? {});
+    return inRack && inZone && wanted.every(([name, value]) => spec.labels[name] === value);
+  });
+}
+
+/** A plan for racks takes whole racks; any other plan takes single instances. */
+export function groupsOf(
+  byRack: boolean,
+  instances: readonly FleetInstance[],
+): readonly PlanGroup[] {
+  if (!byRack) {
+    return instances.map((instance) => ({ name: instance.name, instances: [instance] }));
+  }
+  const racks = groupBy(instances, (instance) => instance.spec.rack);
+  return [...racks]
+    .sort(([a], [b]) => compareNames(a, b))
+    .map(([name, members]) => ({ name, instances: members }));
+}
+
+export function poolsOf(instances: readonly FleetInstance[]): readonly PoolName[] {
+  return [...new Set(instances.map((instance) => instance.spec.pool))].sort(compareNames);
+}
+
+/**
+ * Orders groups so that those which need the scarcest budget start first. The pool with the most
+ * instances left for each unit of budget decides when the plan can end.
+ */
+export function orderByScarcity(
+  groups: readonly PlanGroup[],
+  view: FleetView,
+): readonly PlanGroup[] {
+  const rounds = roundsLeft(groups, view);
+  const weight = (group: PlanGroup): number =>
+    Math.max(...group.instances.map(({ spec }) => rounds.get(spec.pool) ?? 0));
+  const weights = new Map(groups.map((group) => [group.name, weight(group)]));
+  return [...groups].sort((a, b) => {
+    const byWeight = (weights.get(b.name) ?? 0) - (weights.get(a.name) ?? 0);
+    return byWeight || b.instances.length - a.instances.length || compareNames(a.name, b.name);
+  });
+}
+
+function roundsLeft(groups: readonly PlanGroup[], view: FleetView): ReadonlyMap<PoolName, number> {
+  const instances = groups.flatMap((group) => group.instances);
+  const byPool = groupBy(instances, (instance) => instance.spec.pool);
+  const rounds = [...byPool].map(([pool, members]) => {
+    const limit = view.pool(pool)?.budget.maxUnavailable ?? 0;
+    return [pool, members.length / Math.max(limit, 1)] as const;
+  });
+  return new Map(rounds);
+}
+
+export function namesOf(instances: readonly FleetInstance[]): readonly InstanceName[] {
+  return instances.map((instance) => instance.name);
+}
--- /dev/null
+++ b/packages/core/src/fleet/wait-reasons.ts
@@ -0,0 +1,89 @@
+import type { InstanceName, Millis, PlanName, PoolName, ZoneName } from '../types/index.js';
+import type { Cause } from './rows.js';
+
+/** What something waits for. */
+export type WaitReason =
+  | {
+      readonly type: 'budget';
+      readonly pool: PoolName;
+      readonly zone?: ZoneName;
+      readonly used: number;
+      readonly needed: number;
+      readonly limit: number;
+    }
+  /** The budget is smaller than the group, so waiting won't help. */
+  | {
+      readonly type: 'impossible';
+      readonly pool: PoolName;
+      readonly zone?: ZoneName;
+      readonly needed: number;
+      readonly limit: number;
+    }
+  | { readonly type: 'reserved'; readonly pool: PoolName; readonly cause: Cause }
+  /** A change of this pool's row is on its way, or its outcome is unknown. */
+  | { readonly type: 'transaction'; readonly pool: PoolName }
+  | { readonly type: 'window' }
+  | { readonly type: 'paused' }
+  | { readonly type: 'parallel'; readonly limit: number }
+  | { readonly type: 'pace' }
+  | { readonly type: 'failures'; readonly atWave: number; readonly current: number }
+  | { readonly type: 'instance-down'; readonly instance: InstanceName }
+  | { readonly type: 'instance-busy'; readonly instance: InstanceName; readonly cause: Cause }
+  | { readonly type: 'drain'; readonly instance: InstanceName }
+  | { readonly type: 'reboot'; readonly instance: InstanceName }
+  | { readonly type: 'zone-out'; readonly zone: ZoneName }
+  | { readonly type: 'zone-ramp'; readonly zone: ZoneName }
+  | { readonly type: 'operator-hold' }
+  | { readonly type: 'no-spare' };
+
+export type WaitSubject =
+  | { readonly kind: 'plan'; readonly name: PlanName }
+  | { readonly kind: 'instance'; readonly name: InstanceName }
+  | { readonly kind: 'pool'; readonly name: PoolName };
+
+/** A reason and the clock reading since which it has been the reason. */
+export interface Wait {
+  readonly subject: WaitSubject;
+  readonly reason: WaitReason;
+  readonly since: Millis;
+}
+
+/** Remembers what each plan, instance and pool waits for, and since when. */
+export class WaitBook {
+  #waits = new Map<string, Wait>();
+  #next = new Map<string, Wait>();
+
+  /** Notes a reason of the round that runs. The first reason of a subject counts. */
+  note(subject: WaitSubject, reason: WaitReason, now: Millis): void {
+    const key = subjectKey(subject);
+    if (this.#next.has(key)) {
+      return;
+    }
+    const before = this.#waits.get(key);
+    if (before !== undefined && reason.type === 'transaction') {
+      // An open transaction lasts for milliseconds and says less than the reason before it.
+      this.#next.set(key, before);
+      return;
+    }
+    const since = before?.reason.type === reason.type ? before.since : now;
+    this.#next.set(key, { subject, reason, since });
+  }
+
+  /** Ends a round: what was not noted no longer waits. Returns the waits that are new. */
+  endRound(): readonly Wait[] {
+    const fresh = [...this.#next].filter(([key, wait]) => {
+      return this.#waits.get(key)?.reason.type !== wait.reason.type;
+    });
+    this.#waits = this.#next;
+    this.#next = new Map();
+    return fresh.map(([, wait]) => wait);
+  }
+
+  find(kind: WaitSubject['kind'], name: string): Wait | undefined {
+    return this.#waits.get(`${kind}/${name}`);
+  }
+}
+
+function subjectKey(subject: WaitSubject): string {
+  return `${subject.kind}/${subject.name}`;
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './errors/index.js';
+export * from './fleet/index.js';
 export * from './requests/index.js';
 export * from './resources/index.js';
 export * from './types/index.js';
