--- /dev/null
+++ b/packages/measure/src/pass-through/servers.ts
@@ -0,0 +1,99 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import polka from 'polka';
+import { Pool } from 'undici';
+import {
+  Configuration,
+  parseDocument,
+  RequestDecider,
+  SeededRandom,
+  type Resource,
+} from '@turmerichoist/core';
+import { HttpServer, RequestPath, sha256Hex } from '@turmerichoist/daemon';
+import { silentLogger, SystemClock } from '@turmerichoist/runtime';
+
+/** Key of the only team of the benchmark. */
+export const BENCHMARK_KEY = 'benchmark-key';
+
+const HOST = '127.0.0.1';
+const ANSWER = Buffer.alloc(256, 'x');
+const SLOTS = 512;
+
+function portOf(server: { address(): unknown }): number {
+  return (server.address() as AddressInfo).port;
+}
+
+/** An upstream that answers 256 bytes at once. Resolves with its port. */
+export function serveUpstream(): Promise<number> {
+  const server = createServer((req, res) => {
+    req.resume();
+    res.writeHead(200, { 'content-length': ANSWER.length });
+    res.end(ANSWER);
+  });
+  return new Promise((resolve) => {
+    server.listen(0, HOST, () => {
+      resolve(portOf(server));
+    });
+  });
+}
+
+/** The plainest pass-through of polka and undici. Resolves with its port. */
+export function servePlain(upstreamPort: number): Promise<number> {
+  const pool = new Pool(`http://${HOST}:${upstreamPort}`, { connections: SLOTS, pipelining: 1 });
+  const pass = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const answer = await pool.request({ method: 'GET', path: req.url ?? '/' });
+    res.writeHead(answer.statusCode, answer.headers);
+    answer.body.pipe(res);
+  };
+  const app = polka();
+  app.get('*', (req, res) => {
+    void pass(req, res);
+  });
+  return new Promise((resolve) => {
+    app.listen(0, HOST, () => {
+      resolve(portOf(app.server as unknown as { address(): unknown }));
+    });
+  });
+}
+
+function resource(kind: string, name: string, spec: unknown): Resource {
+  return { ...parseDocument({ kind, name, spec }).unwrap(), version: 1 };
+}
+
+function configuration(upstreamPort: number): Configuration {
+  const keys = [{ id: 'k', sha256: sha256Hex(BENCHMARK_KEY) }];
+  const address = `${HOST}:${upstreamPort}`;
+  return Configuration.of(1, [
+    resource('zone', 'z', { region: 'r' }),
+    resource('pool', 'p', { size: 1, budget: { maxUnavailable: 0 } }),
+    resource('queue', 'q', { pool: 'p' }),
+    resource('team', 't', { share: 1, limit: { requests: SLOTS }, keys }),
+    resource('upstream', 'u', { pool: 'p', zone: 'z', address, slots: SLOTS, connections: SLOTS }),
+  ]);
+}
+
+/** The request path of an entry with a fixed configuration. Resolves with its port. */
+export async function serveEntry(upstreamPort: number): Promise<number> {
+  const signal = new AbortController().signal;
+  const path = new RequestPath({
+    context: { log: silentLogger, signal },
+    clock: new SystemClock(),
+    decisions: new RequestDecider({ random: new SeededRandom(1) }),
+    maxOpen: SLOTS * 2,
+  });
+  path.configure(configuration(upstreamPort));
+  path.tell({ type: 'freshness', until: Number.MAX_SAFE_INTEGER });
+  const units = new Map([['t', SLOTS]]);
+  path.tell({ type: 'grants-changed', units, validUntil: Number.MAX_SAFE_INTEGER });
+  const server = new HttpServer({
+    callers: (req, res) => path.front.accept(req, res),
+    tasks: () => undefined,
+    operators: () => undefined,
+    ready: () => true,
+    onFault: (err) => {
+      console.error(err);
+    },
+  });
+  const address = await server.listen(HOST, 0);
+  return Number(address.split(':')[1]);
+}
