feat(peers): links, frames, handshake and the peer mesh

Conclusion: a heartbeat is both ping and pong: it carries its send time and echoes the peer's latest one, which dates its content and shows that both directions work.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,1 +1,3 @@
 export * from './store/index.js';
+export * from './state/peers/index.js';
+export * from './io/peers/index.js';
--- /dev/null
+++ b/packages/coordination/src/io/peers/peer-mesh.ts
@@ -0,0 +1,389 @@
+import { randomBytes } from 'node:crypto';
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import {
+  Err,
+  Ok,
+  fail,
+  type AppError,
+  type MemberId,
+  type Millis,
+  type Result,
+} from '@turmerichoist/core';
+import { Actor, every, type ActorContext } from '@turmerichoist/runtime';
+import type { JsonValue } from '../../store/index.js';
+import {
+  HEARTBEAT_MS,
+  NONCE_BYTES,
+  PROTOCOL_VERSION,
+  PendingRequests,
+  SeenBroadcasts,
+  dials,
+  errorOf,
+  isBroadcast,
+  isFullMesh,
+  neighbours,
+  relayTargets,
+  type Broadcast,
+  type Heartbeat,
+  type LinkRole,
+  type MemberStatus,
+  type MessageOf,
+  type Peer,
+  type PeerMessage,
+  type Relay,
+  type RequestTopic,
+  type VouchedReport,
+} from '../../state/peers/index.js';
+import type { Answer, MeshMessage } from './mesh-messages.js';
+import { PeerLink, type LinkObserver } from './peer-link.js';
+import type { PeerMember, PeerMeshOptions, PeerReport } from './types.js';
+
+/** Period of dialling missing links and of request time-outs. */
+const TICK_MS: Millis = 100;
+/** Pause between two attempts to dial the same member. */
+const REDIAL_MS: Millis = 500;
+
+const INITIAL_STATUS: MemberStatus = {
+  revision: 0,
+  storeReachable: false,
+  storeForMs: 0,
+  freshMs: 0,
+  stopping: false,
+};
+
+/** Owns the peer listener and all peer links of this member. */
+export class PeerMesh extends Actor<MeshMessage> {
+  readonly #options: PeerMeshOptions;
+  readonly #server: Server;
+  readonly #observer: LinkObserver;
+  readonly #links = new Map<MemberId, PeerLink>();
+  readonly #dialling = new Map<MemberId, PeerLink>();
+  readonly #dialledAt = new Map<MemberId, Millis>();
+  readonly #reports = new Map<MemberId, PeerReport>();
+  readonly #pending = new PendingRequests<(answer: Answer) => void>();
+  readonly #seen = new SeenBroadcasts();
+  #members: ReadonlyMap<MemberId, PeerMember> = new Map();
+  #neighbours: ReadonlySet<MemberId> = new Set();
+  #status = INITIAL_STATUS;
+  #statusAt: Millis = 0;
+  #seq = 0;
+
+  constructor(options: PeerMeshOptions, context: ActorContext) {
+    super('peer-mesh', context);
+    this.#options = options;
+    this.#observer = {
+      onReady: (link, peer) => this.post({ type: 'link-ready', link, peer }),
+      onMessage: (link, message) => this.post({ type: 'link-message', link, message }),
+      onClosed: (link, reason) => this.post({ type: 'link-closed', link, reason }),
+    };
+    this.#server = createServer((socket) => {
+      if (!this.post({ type: 'accepted', socket })) {
+        socket.destroy();
+      }
+    });
+  }
+
+  /** Opens the listener; resolves to its port. Errors: `settings-invalid` when it can't be opened. */
+  async start(): Promise<Result<number, AppError>> {
+    const { host, port } = this.#options.listen;
+    const opened = await new Promise<Result<number, AppError>>((resolve) => {
+      this.#server.once('error', (err) => {
+        resolve(fail('settings-invalid', `peer listener: ${err.message}`));
+      });
+      this.#server.listen(port, host, () => {
+        resolve(Ok((this.#server.address() as AddressInfo).port));
+      });
+    });
+    this.signal.addEventListener('abort', () => this.#server.close(), { once: true });
+    every(TICK_MS, this.signal, () => this.post({ type: 'tick' }));
+    every(HEARTBEAT_MS, this.signal, () => this.post({ type: 'heartbeat' }));
+    return opened;
+  }
+
+  /** Sends a message to every member, where possible. */
+  publish(message: Broadcast): void {
+    this.post({ type: 'publish', message });
+  }
+
+  /**
+   * Asks one member and waits for its answer, at most `timeoutMs`.
+   * Errors: `peer-unavailable`, or what the member answered.
+   */
+  request(
+    member: MemberId,
+    message: { readonly topic: RequestTopic; readonly body: JsonValue },
+    timeoutMs: Millis,
+    signal: AbortSignal,
+  ): Promise<Answer> {
+    const deadline = this.#options.clock.now() + timeoutMs;
+    const content = { type: 'request', ...message } as const;
+    return new Promise((settle) => {
+      const stop = (): void => {
+        resolve(fail('peer-unavailable', member));
+      };
+      const resolve = (answer: Answer): void => {
+        signal.removeEventListener('abort', stop);
+        this.signal.removeEventListener('abort', stop);
+        settle(answer);
+      };
+      signal.addEventListener('abort', stop, { once: true });
+      this.signal.addEventListener('abort', stop, { once: true });
+      const post = { type: 'request', member, message: content, deadline, resolve } as const;
+      if (signal.aborted || !this.post(post)) {
+        stop();
+      }
+    });
+  }
+
+  protected receive(message: MeshMessage): void {
+    switch (message.type) {
+      case 'members':
+        this.#onMembers(message.members);
+        break;
+      case 'status':
+        this.#status = message.status;
+        this.#statusAt = this.#options.clock.now();
+        break;
+      case 'publish':
+        this.#publish(message.message);
+        break;
+      case 'request':
+        this.#request(message);
+        break;
+      case 'accepted':
+        this.#link(message.socket, 'acceptor');
+        break;
+      case 'link-ready':
+        this.#onReady(message.link, message.peer);
+        break;
+      case 'link-message':
+        this.#onMessage(message.link, message.message);
+        break;
+      case 'link-closed':
+        this.#onClosed(message.link, message.reason);
+        break;
+      case 'heartbeat':
+        this.#sendHeartbeats();
+        break;
+      case 'tick':
+        this.#dialMissing();
+        this.#expireRequests();
+        break;
+    }
+  }
+
+  #onMembers(members: readonly PeerMember[]): void {
+    const self = this.#options.self;
+    const others = members.filter(({ member }) => member !== self.member);
+    for (const { member, incarnation } of others) {
+      if (this.#members.get(member)?.incarnation !== incarnation) {
+        this.#seen.forget(member);
+      }
+    }
+    this.#members = new Map(others.map((other) => [other.member, other]));
+    this.#neighbours = neighbours(self, others);
+    for (const [member, link] of this.#links) {
+      if (!this.#neighbours.has(member)) {
+        link.post({ type: 'closed', reason: 'no longer a neighbour' });
+      }
+    }
+    this.#dialMissing();
+  }
+
+  #dialMissing(): void {
+    const now = this.#options.clock.now();
+    for (const id of this.#neighbours) {
+      const member = this.#members.get(id);
+      const busy = this.#links.has(id) || this.#dialling.has(id);
+      const dialledAt = this.#dialledAt.get(id) ?? Number.NEGATIVE_INFINITY;
+      if (member !== undefined && !busy && now - dialledAt >= REDIAL_MS) {
+        this.#dial(member, now);
+      }
+    }
+  }
+
+  #dial(member: PeerMember, now: Millis): void {
+    if (!dials(this.#options.self.member, member.member)) {
+      return;
+    }
+    const [host = '', port = ''] = member.address.split(':');
+    const socket = connect({ host, port: Number(port) });
+    this.#dialledAt.set(member.member, now);
+    this.#dialling.set(member.member, this.#link(socket, 'dialer'));
+  }
+
+  #link(socket: Socket, role: LinkRole): PeerLink {
+    const { self, secret, clock, metrics } = this.#options;
+    const version = this.#options.protocolVersion ?? PROTOCOL_VERSION;
+    const nonce = randomBytes(NONCE_BYTES);
+    const identity = { member: self.member, incarnation: self.incarnation, version, nonce };
+    const options = { role, identity, secret, clock, metrics, observer: this.#observer };
+    return new PeerLink(socket, options, { log: this.log, signal: this.signal });
+  }
+
+  #onReady(link: PeerLink, peer: Peer): void {
+    const former = this.#links.get(peer.member);
+    this.#links.set(peer.member, link);
+    this.#dialling.delete(peer.member);
+    // The newer link wins: its dialer has seen the older one fail, whatever it looks like here.
+    former?.post({ type: 'closed', reason: 'replaced by a newer link' });
+    link.post({ type: 'send', message: this.#heartbeat(link) });
+    this.#options.listener.onLink(peer.member, peer.incarnation, true);
+  }
+
+  #onClosed(link: PeerLink, reason: string): void {
+    for (const [member, dialled] of this.#dialling) {
+      if (dialled === link) {
+        this.#dialling.delete(member);
+      }
+    }
+    this.log.info('peer link closed', { peer: link.peer?.member, reason });
+    this.#options.metrics.count('peers.link_closed');
+    const peer = link.peer;
+    if (peer === undefined || this.#links.get(peer.member) !== link) {
+      return;
+    }
+    this.#links.delete(peer.member);
+    this.#reports.delete(peer.member);
+    for (const { waiter } of this.#pending.lost(peer.member)) {
+      waiter(fail('peer-unavailable', `${peer.member}: ${reason}`));
+    }
+    this.#options.listener.onLink(peer.member, peer.incarnation, false);
+  }
+
+  #onMessage(link: PeerLink, message: PeerMessage): void {
+    const from = link.peer?.member;
+    if (from === undefined || this.#links.get(from) !== link) {
+      return;
+    }
+    if (isBroadcast(message)) {
+      this.#options.listener.onBroadcast(from, message);
+      return;
+    }
+    switch (message.type) {
+      case 'heartbeat':
+        this.#onHeartbeat(message);
+        break;
+      case 'relay':
+        this.#onRelay(from, message);
+        break;
+      case 'request':
+        void this.#serve(link, from, message);
+        break;
+      case 'response':
+        this.#onResponse(from, message);
+        break;
+      default:
+        link.post({ type: 'closed', reason: `unexpected ${message.type}` });
+    }
+  }
+
+  #onHeartbeat(heartbeat: Heartbeat): void {
+    const { member, incarnation, echo, vouched, ...status } = heartbeat;
+    if (echo === null) {
+      return;
+    }
+    const report = { member, incarnation, status, datedAt: echo };
+    this.#reports.set(member, report);
+    this.#options.listener.onReport(report);
+    for (const { member: other, ageMs, storeReachable } of vouched) {
+      const datedAt = echo - ageMs;
+      this.#options.listener.onReport({ member: other, status: { storeReachable }, datedAt });
+    }
+  }
+
+  #sendHeartbeats(): void {
+    for (const link of this.#links.values()) {
+      link.post({ type: 'send', message: this.#heartbeat(link) });
+    }
+  }
+
+  #heartbeat(link: PeerLink): Heartbeat {
+    const { member, incarnation } = this.#options.self;
+    const now = this.#options.clock.now();
+    const age = now - this.#statusAt;
+    return {
+      type: 'heartbeat',
+      member,
+      incarnation,
+      ...this.#status,
+      storeForMs: Math.floor(this.#status.storeForMs + age),
+      freshMs: Math.max(0, Math.floor(this.#status.freshMs - age)),
+      sentAt: Math.floor(now),
+      echo: link.peerSentAt,
+      vouched: this.#vouched(),
+    };
+  }
+
+  /** Members of the own zone that are not linked with everyone speak through this one. */
+  #vouched(): readonly VouchedReport[] {
+    if (this.#status.storeReachable || isFullMesh(this.#members.size + 1)) {
+      return [];
+    }
+    const now = this.#options.clock.now();
+    const zone = this.#options.self.zone;
+    return [...this.#reports.values()]
+      .filter(({ member }) => this.#members.get(member)?.zone === zone)
+      .map(({ member, status, datedAt }) => ({
+        member,
+        ageMs: Math.max(0, Math.ceil(now - datedAt)),
+        storeReachable: status.storeReachable,
+      }));
+  }
+
+  #publish(message: Broadcast): void {
+    const sparse = !isFullMesh(this.#members.size + 1);
+    this.#seq += 1;
+    const origin = this.#options.self.member;
+    const sent: PeerMessage = sparse
+      ? { type: 'relay', origin, seq: this.#seq, content: message }
+      : message;
+    for (const link of this.#links.values()) {
+      link.post({ type: 'send', message: sent });
+    }
+  }
+
+  #onRelay(from: MemberId, relay: Relay): void {
+    const self = this.#options.self;
+    const known = relay.origin !== self.member && this.#members.has(relay.origin);
+    if (!known || !this.#seen.isNew(relay.origin, relay.content.type, relay.seq)) {
+      return;
+    }
+    this.#options.listener.onBroadcast(relay.origin, relay.content);
+    const members = [self, ...this.#members.values()];
+    for (const member of relayTargets(self, this.#members.get(from)?.zone, members)) {
+      this.#links.get(member)?.post({ type: 'send', message: relay });
+    }
+  }
+
+  #request(request: Extract<MeshMessage, { type: 'request' }>): void {
+    const link = this.#links.get(request.member);
+    if (link === undefined) {
+      request.resolve(fail('peer-unavailable', request.member));
+      return;
+    }
+    const { id } = this.#pending.add(request.member, request.deadline, request.resolve);
+    link.post({ type: 'send', message: { ...request.message, id } });
+  }
+
+  async #serve(link: PeerLink, from: MemberId, request: MessageOf<'request'>): Promise<void> {
+    const { listener } = this.#options;
+    const body = request.body;
+    const answer = await listener.onRequest(from, request.topic, body, link.ended);
+    const content: unknown = answer.isOk() ? answer.value : answer.error;
+    const response = { type: 'response', id: request.id, ok: answer.isOk(), body: content };
+    link.post({ type: 'send', message: response as MessageOf<'response'> });
+  }
+
+  #onResponse(from: MemberId, response: MessageOf<'response'>): void {
+    const body = response.body;
+    const request = this.#pending.answered(response.id, from);
+    request?.waiter(response.ok ? Ok(body) : Err(errorOf(body)));
+  }
+
+  #expireRequests(): void {
+    for (const { member, waiter } of this.#pending.expired(this.#options.clock.now())) {
+      waiter(fail('peer-unavailable', `${member}: no answer in time`));
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/state/peers/messages.ts
@@ -0,0 +1,138 @@
+import { ERROR_TABLE, appError, type AppError, type ErrorKind } from '@turmerichoist/core';
+import { z } from 'zod';
+
+/** Length of the random challenge of each end. */
+export const NONCE_BYTES = 16;
+const MAC_BYTES = 32;
+
+const bytes = (length: number) =>
+  z.custom<Uint8Array>((value) => value instanceof Uint8Array && value.length === length);
+const id = z.string().min(1).max(128);
+const count = z.int().min(0);
+const units = z.int().min(0).max(1_000_000_000);
+
+/** What one member knew about another when it sent a heartbeat. */
+const vouched = z.strictObject({
+  member: id,
+  /** Time since the member's report can be dated, in milliseconds. */
+  ageMs: count,
+  storeReachable: z.boolean(),
+});
+
+const demandRow = z.strictObject({ queue: id, team: id, waiting: count, running: count });
+
+/** Schemas of all message types. */
+export const MESSAGE_SCHEMAS = {
+  hello: z.object({
+    type: z.literal('hello'),
+    member: id,
+    incarnation: id,
+    /** Highest protocol version that the sender speaks. */
+    version: z.int().min(0).max(255),
+    nonce: bytes(NONCE_BYTES),
+  }),
+  proof: z.object({
+    type: z.literal('proof'),
+    mac: bytes(MAC_BYTES),
+  }),
+  heartbeat: z.object({
+    type: z.literal('heartbeat'),
+    member: id,
+    incarnation: id,
+    /** Applied configuration revision. */
+    revision: count,
+    storeReachable: z.boolean(),
+    /** How long the store has been in that state, in milliseconds. */
+    storeForMs: count,
+    /** How long the sender's configuration stays confirmed, in milliseconds. */
+    freshMs: count,
+    stopping: z.boolean(),
+    /** Sender's clock, in milliseconds. */
+    sentAt: count,
+    /** `sentAt` of the latest heartbeat received on this link, which dates this one's content. */
+    echo: count.nullable(),
+    /** Reports of the sender's own zone, sent in sparse views while the store is unreachable. */
+    vouched: z.array(vouched).max(1_024),
+  }),
+  demand: z.object({
+    type: z.literal('demand'),
+    rows: z.array(demandRow).max(16_384),
+  }),
+  want: z.object({
+    type: z.literal('want'),
+    wants: z.array(z.strictObject({ team: id, units })).max(4_096),
+  }),
+  head: z.object({ type: z.literal('head'), revision: count }),
+  request: z.object({
+    type: z.literal('request'),
+    id: count,
+    topic: z.enum(['idempotency', 'submit', 'want']),
+    body: z.json(),
+  }),
+  response: z.object({
+    type: z.literal('response'),
+    id: count,
+    ok: z.boolean(),
+    body: z.json(),
+  }),
+  relay: z.object({
+    type: z.literal('relay'),
+    origin: id,
+    /** Rises with each message of the origin's incarnation. */
+    seq: count,
+    content: z.unknown(),
+  }),
+} as const;
+
+export type MessageType = keyof typeof MESSAGE_SCHEMAS;
+
+type ReadonlyDeep<T> = T extends Uint8Array
+  ? T
+  : T extends (infer I)[]
+    ? readonly ReadonlyDeep<I>[]
+    : T extends object
+      ? { readonly [K in keyof T]: ReadonlyDeep<T[K]> }
+      : T;
+
+type Fields<T extends MessageType> = ReadonlyDeep<z.output<(typeof MESSAGE_SCHEMAS)[T]>>;
+
+/** Messages that are sent to every member. */
+export type Broadcast = Fields<'demand'> | Fields<'want'> | Fields<'head'>;
+
+/** A broadcast in a view without a full mesh, handed on by members of other zones. */
+export type Relay = Omit<Fields<'relay'>, 'content'> & { readonly content: Broadcast };
+
+/** The closed union of messages between members. */
+export type PeerMessage =
+  { [T in Exclude<MessageType, 'relay'>]: Fields<T> }[Exclude<MessageType, 'relay'>] | Relay;
+
+export type MessageOf<T extends MessageType> = Extract<PeerMessage, { type: T }>;
+export type Heartbeat = MessageOf<'heartbeat'>;
+export type RequestTopic = MessageOf<'request'>['topic'];
+export type VouchedReport = Heartbeat['vouched'][number];
+
+/** What a heartbeat says about its sender. */
+export type MemberStatus = Pick<
+  Heartbeat,
+  'revision' | 'storeReachable' | 'storeForMs' | 'freshMs' | 'stopping'
+>;
+
+const BROADCASTS: ReadonlySet<MessageType> = new Set(['demand', 'want', 'head']);
+
+export function isBroadcast(message: PeerMessage): message is Broadcast {
+  return BROADCASTS.has(message.type);
+}
+
+const errorSchema = z.object({
+  kind: z.enum(Object.keys(ERROR_TABLE) as [ErrorKind, ...ErrorKind[]]),
+  detail: z.string().optional(),
+  retryAfterMs: z.number().optional(),
+});
+
+/** The error in a peer's response; kinds that this build does not know are `internal`. */
+export function errorOf(body: unknown): AppError {
+  const parsed = errorSchema.safeParse(body);
+  return parsed.success
+    ? appError(parsed.data.kind, parsed.data.detail, parsed.data.retryAfterMs)
+    : appError('internal', 'unknown error of a peer');
+}
