--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,3 +1,5 @@
 export * from './store/index.js';
 export * from './state/peers/index.js';
+export * from './state/membership/index.js';
 export * from './io/peers/index.js';
+export * from './io/membership/index.js';
--- /dev/null
+++ b/packages/coordination/src/io/membership/index.ts
@@ -0,0 +1,1 @@
+export * from './membership-tracker.js';
--- /dev/null
+++ b/packages/coordination/src/state/membership/index.ts
@@ -0,0 +1,3 @@
+export * from './membership.js';
+export * from './outage.js';
+export * from './types.js';
