--- /dev/null
+++ b/packages/coordination/src/io/session-keeper.ts
@@ -0,0 +1,238 @@
+import type { Clock, Incarnation, MemberId, Millis, Revision, ZoneName } from '@turmerichoist/core';
+import { Actor, every, type ActorContext, type Recipient } from '@turmerichoist/runtime';
+import {
+  SESSION_RENEW_MS,
+  SESSION_TTL_MS,
+  SessionLease,
+  memberKey,
+  memberValue,
+  type MemberValue,
+} from '../state/session.js';
+import type { RowVersion, TableStore } from '../store/index.js';
+import { callTimeout } from './store/call-timeout.js';
+
+/** Period at which the lease is looked at. A failed renewal is repeated at this pace. */
+const SESSION_TICK_MS = 250;
+/** Leaves time for a second renewal within the term of the lease. */
+const RENEW_TIMEOUT_MS = SESSION_TTL_MS / 2;
+/** A stopping process doesn't wait longer for its row to be deleted; the row expires by itself. */
+const STOP_TIMEOUT_MS = 2_000;
+
+export type SessionMessage =
+  | { readonly type: 'tick' }
+  /** The configuration revision that this member has applied. */
+  | { readonly type: 'applied'; readonly revision: Revision }
+  /** The unanimous-outage rule holds until `until`. */
+  | { readonly type: 'outage'; readonly until: Millis }
+  /** How a renewal ended; the keeper sends it to itself, so that it stays reachable meanwhile. */
+  | { readonly type: 'renewal'; readonly sentAt: Millis; readonly outcome: RenewalOutcome }
+  /** Ends the session at once and deletes its row. Send it after all other parts have stopped. */
+  | { readonly type: 'stop' };
+
+type RenewalOutcome =
+  /** The row was written; its version is missing if it was overwritten since. */
+  | { readonly type: 'written'; readonly version: RowVersion | undefined }
+  /** Nothing was written. */
+  | { readonly type: 'failed' }
+  /** The row may have been written. */
+  | { readonly type: 'unknown' }
+  /** Another process has written the row under this member id. */
+  | { readonly type: 'taken' };
+
+export type SessionEvent =
+  | {
+      readonly type: 'session';
+      readonly incarnation: Incarnation;
+      /** Clock reading until which the session is valid. */
+      readonly validUntil: Millis;
+      /** Clock reading until which requests may start under grants that are held. */
+      readonly requestsUntil: Millis;
+    }
+  /** Nothing held under this incarnation may be used any longer. */
+  | { readonly type: 'session-ended'; readonly incarnation: Incarnation };
+
+export interface SessionKeeperOptions {
+  readonly memberId: MemberId;
+  readonly address: string;
+  readonly zone: ZoneName;
+  readonly store: TableStore;
+  readonly clock: Clock;
+  readonly listeners: readonly Recipient<SessionEvent>[];
+  /** Makes unique ids for incarnations and transactions. */
+  readonly newId: () => string;
+}
+
+/** Owns the session of this member: renews its row and tells listeners until when it is valid. */
+export class SessionKeeper extends Actor<SessionMessage> {
+  readonly #options: SessionKeeperOptions;
+  readonly #key: string;
+  #lease: SessionLease;
+  #version: RowVersion | undefined;
+  #beat = 0;
+  #renewedAt: Millis = -Infinity;
+  #appliedRevision: Revision = 0;
+  #renewing = false;
+  #stopped = false;
+
+  constructor(options: SessionKeeperOptions, context: ActorContext) {
+    super('session', context);
+    this.#options = options;
+    this.#key = memberKey(options.memberId);
+    this.#lease = new SessionLease(options.newId());
+  }
+
+  /** Starts the timer. */
+  start(): void {
+    this.post({ type: 'tick' });
+    every(SESSION_TICK_MS, this.signal, () => {
+      this.post({ type: 'tick' });
+    });
+  }
+
+  protected async receive(message: SessionMessage): Promise<void> {
+    switch (message.type) {
+      case 'tick':
+        this.#tick();
+        return;
+      case 'applied':
+        this.#appliedRevision = message.revision;
+        return;
+      case 'outage':
+        this.#lease.bridge(message.until, this.#options.clock.now());
+        this.#publish();
+        return;
+      case 'renewal':
+        this.#renewalEnded(message.sentAt, message.outcome);
+        return;
+      case 'stop':
+        return this.#stop();
+    }
+  }
+
+  #tick(): void {
+    const now = this.#options.clock.now();
+    if (this.#stopped) {
+      return;
+    }
+    if (this.#lease.hasLapsed(now)) {
+      this.#replaceLease();
+    }
+    if (!this.#renewing && now - this.#renewedAt >= SESSION_RENEW_MS) {
+      this.#renewing = true;
+      void this.#renew().then((outcome) => this.post({ type: 'renewal', sentAt: now, outcome }));
+    }
+  }
+
+  #renewalEnded(sentAt: Millis, outcome: RenewalOutcome): void {
+    this.#renewing = false;
+    if (this.#stopped) {
+      return;
+    }
+    switch (outcome.type) {
+      case 'written':
+        this.#written(sentAt, outcome.version);
+        return;
+      case 'taken':
+        this.log.warn('member row changed by another process');
+        this.#replaceLease();
+        return;
+      case 'unknown':
+        this.#version = undefined;
+        return;
+      case 'failed':
+    }
+  }
+
+  #written(sentAt: Millis, version: RowVersion | undefined): void {
+    this.#version = version;
+    if (this.#lease.renewed(sentAt, this.#options.clock.now())) {
+      this.#renewedAt = sentAt;
+      this.#publish();
+    } else {
+      this.#replaceLease();
+    }
+  }
+
+  async #renew(): Promise<RenewalOutcome> {
+    const limit = callTimeout(this.signal, RENEW_TIMEOUT_MS);
+    try {
+      const version = this.#version ?? (await this.#readVersion(limit.signal));
+      return typeof version === 'number' ? await this.#write(version, limit.signal) : version;
+    } finally {
+      limit.clear();
+    }
+  }
+
+  async #write(version: RowVersion, signal: AbortSignal): Promise<RenewalOutcome> {
+    const { newId, store } = this.#options;
+    const key = this.#key;
+    const writes = [{ key, value: this.#rowValue() }];
+    const txn = { txnId: newId(), conditions: [{ key, version }], writes };
+    const sent = await store.commit(txn, signal);
+    if (sent.isErr()) {
+      this.log.warn('session not renewed', { err: sent.error.kind, detail: sent.error.detail });
+      return { type: sent.error.kind === 'outcome-unknown' ? 'unknown' : 'failed' };
+    }
+    return sent.value.committed
+      ? { type: 'written', version: sent.value.versions[key] }
+      : { type: 'taken' };
+  }
+
+  #rowValue(): MemberValue {
+    const { address, zone } = this.#options;
+    const { incarnation } = this.#lease;
+    this.#beat += 1;
+    return { incarnation, beat: this.#beat, address, zone, appliedRevision: this.#appliedRevision };
+  }
+
+  async #readVersion(signal: AbortSignal): Promise<RowVersion | RenewalOutcome> {
+    const read = await this.#options.store.read([this.#key], signal);
+    if (read.isErr()) {
+      return { type: 'failed' };
+    }
+    const row = read.value[0];
+    const owner = row === undefined ? undefined : memberValue(row.value)?.incarnation;
+    const own = !this.#lease.started || owner === this.#lease.incarnation;
+    return own ? (row?.version ?? 0) : { type: 'taken' };
+  }
+
+  #replaceLease(): void {
+    const { incarnation } = this.#lease;
+    this.#lease.end();
+    this.#lease = new SessionLease(this.#options.newId());
+    this.#version = undefined;
+    this.#renewedAt = -Infinity;
+    this.#tell({ type: 'session-ended', incarnation });
+  }
+
+  async #stop(): Promise<void> {
+    if (this.#stopped) {
+      return;
+    }
+    this.#stopped = true;
+    const { incarnation } = this.#lease;
+    this.#lease.end();
+    this.#tell({ type: 'session-ended', incarnation });
+    if (this.#version === undefined) {
+      return;
+    }
+    const key = this.#key;
+    const limit = callTimeout(this.signal, STOP_TIMEOUT_MS);
+    const conditions = [{ key, version: this.#version }];
+    const writes = [{ key, value: null }];
+    await this.#options.store.commit(
+      { txnId: this.#options.newId(), conditions, writes },
+      limit.signal,
+    );
+    limit.clear();
+  }
+
+  #publish(): void {
+    const { incarnation, validUntil, requestsUntil } = this.#lease;
+    this.#tell({ type: 'session', incarnation, validUntil, requestsUntil });
+  }
+
+  #tell(event: SessionEvent): void {
+    this.#options.listeners.forEach((listener) => listener.post(event));
+  }
+}
--- a/packages/coordination/src/state/index.ts
+++ b/packages/coordination/src/state/index.ts
@@ -1,2 +1,3 @@
 export * from './call-gate.js';
+export * from './session.js';
 export * from './txn-lane.js';
