--- /dev/null
+++ b/packages/coordination/src/io/freshness-keeper.ts
@@ -0,0 +1,95 @@
+import type { Clock, MemberId, Millis, Revision } from '@turmerichoist/core';
+import { Actor, every, type ActorContext, type Recipient } from '@turmerichoist/runtime';
+import {
+  ConfigFreshness,
+  type FreshnessDecision,
+  type FreshnessEvent,
+  type FreshnessReport,
+} from '../state/config-freshness.js';
+import type { ConfigEvent } from './config-replica.js';
+import type { SessionEvent } from './session-keeper.js';
+
+/** Period of the pings, that of the heartbeats on a peer link. */
+const PING_PERIOD_MS = 1_000;
+
+export type FreshnessMessage = FreshnessEvent | ConfigEvent | SessionEvent;
+
+/** What goes to a peer. The transport drops it when there is no link. */
+export type FreshnessFrame =
+  | { readonly type: 'ping'; readonly to: MemberId; readonly nonce: number }
+  | {
+      readonly type: 'pong';
+      readonly to: MemberId;
+      readonly nonce: number;
+      readonly report: FreshnessReport;
+    };
+
+export interface FreshnessKeeperOptions {
+  readonly clock: Clock;
+  readonly peers: Recipient<FreshnessFrame>;
+  readonly replica: Recipient<{ readonly type: 'head-seen'; readonly revision: Revision }>;
+  readonly session: Recipient<{ readonly type: 'outage'; readonly until: Millis }>;
+  /** Are told until when the configuration may be used. */
+  readonly listeners: readonly Recipient<{
+    readonly type: 'freshness';
+    readonly until: Millis;
+  }>[];
+}
+
+/** Drives `ConfigFreshness` and passes its decisions on. */
+export class FreshnessKeeper extends Actor<FreshnessMessage> {
+  readonly #options: FreshnessKeeperOptions;
+  readonly #freshness = new ConfigFreshness(() => this.#incarnation);
+  #incarnation = '';
+
+  constructor(options: FreshnessKeeperOptions, context: ActorContext) {
+    super('freshness', context);
+    this.#options = options;
+  }
+
+  /** Starts the timer. */
+  start(): void {
+    every(PING_PERIOD_MS, this.signal, () => {
+      this.post({ type: 'tick' });
+    });
+  }
+
+  protected receive(message: FreshnessMessage): void {
+    switch (message.type) {
+      case 'session':
+        this.#incarnation = message.incarnation;
+        return;
+      case 'session-ended':
+      case 'config-changed':
+        return;
+      default:
+        this.#freshness.handle(message, this.#options.clock.now()).forEach((decision) => {
+          this.#carryOut(decision);
+        });
+    }
+  }
+
+  #carryOut(decision: FreshnessDecision): void {
+    const { peers, replica, session, listeners } = this.#options;
+    switch (decision.type) {
+      case 'send-ping':
+        peers.post({ type: 'ping', to: decision.to, nonce: decision.nonce });
+        return;
+      case 'send-pong': {
+        const { to, nonce, report } = decision;
+        peers.post({ type: 'pong', to, nonce, report });
+        return;
+      }
+      case 'fresh':
+        listeners.forEach((listener) =>
+          listener.post({ type: 'freshness', until: decision.until }),
+        );
+        return;
+      case 'outage':
+        session.post({ type: 'outage', until: decision.until });
+        return;
+      case 'behind':
+        replica.post({ type: 'head-seen', revision: decision.revision });
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/state/config-log.ts
@@ -0,0 +1,226 @@
+import { z } from 'zod';
+import {
+  Ok,
+  checkConfiguration,
+  fail,
+  resourceKey,
+  type AppError,
+  type Change,
+  type Configuration,
+  type Millis,
+  type Resource,
+  type ResourceDocument,
+  type ResourceKind,
+  type Result,
+  type Revision,
+} from '@turmerichoist/core';
+import type { JsonValue, Row, RowVersion, Transaction } from '../store/types.js';
+import { auditRecordSchema, type AuditRecord, type Difference } from './audit-record.js';
+import { canonicalJson } from './canonical-json.js';
+
+export const HEAD_KEY = 'config/head';
+export const LOG_PREFIX = 'config/log/';
+export const RESOURCE_PREFIX = 'config/res/';
+
+/** Digits of a revision in a key, so that keys sort by revision. */
+const REVISION_DIGITS = 12;
+
+/** A revision as part of a key or an object name. */
+export function revisionText(revision: Revision): string {
+  return String(revision).padStart(REVISION_DIGITS, '0');
+}
+
+export function logKey(revision: Revision): string {
+  return LOG_PREFIX + revisionText(revision);
+}
+
+/** One accepted change: a row of the configuration log. */
+export interface LogEntry {
+  readonly revision: Revision;
+  readonly changes: readonly Change[];
+  readonly actor: string;
+  /** Wall-clock time, for people. */
+  readonly wallMs: Millis;
+  readonly audit: AuditRecord;
+}
+
+const headSchema = z.object({ revision: z.int().min(0) });
+const entrySchema = z.object({
+  revision: z.int().min(1),
+  changes: z.array(z.custom<Change>()),
+  actor: z.string(),
+  wallMs: z.number(),
+  audit: auditRecordSchema,
+});
+
+/** Position of the log: the revision and the version of the row that holds it. */
+export interface Head {
+  readonly revision: Revision;
+  readonly version: RowVersion;
+}
+
+/** Decodes the head row; an absent row is the empty configuration. */
+export function decodeHead(row: Row | undefined): Result<Head, AppError> {
+  if (row === undefined) {
+    return Ok({ revision: 0, version: 0 });
+  }
+  const parsed = headSchema.safeParse(row.value);
+  return parsed.success
+    ? Ok({ revision: parsed.data.revision, version: row.version })
+    : fail('store-rejected', row.key);
+}
+
+/** Decodes a log row. */
+export function decodeLogEntry(row: Row): Result<LogEntry, AppError> {
+  const parsed = entrySchema.safeParse(row.value);
+  return parsed.success ? Ok(parsed.data) : fail('store-rejected', row.key);
+}
+
+/** What an operator asks for. */
+export interface ChangeRequest {
+  /** Identifies the request in the audit. */
+  readonly id: string;
+  readonly actor: string;
+  readonly wallMs: Millis;
+  readonly documents: readonly ResourceDocument[];
+  readonly removals: readonly Removal[];
+}
+
+export interface Removal {
+  readonly kind: ResourceKind;
+  readonly name: string;
+  /** Version that the sender expects to remove. */
+  readonly version?: Revision;
+}
+
+export interface PlannedChange {
+  /** Undefined when the request changes nothing. */
+  readonly entry: LogEntry | undefined;
+  /** The configuration after the change. */
+  readonly cfg: Configuration;
+}
+
+/**
+ * Works out the change that a request makes to `cfg`.
+ * Errors: `version-conflict` when a resource doesn't have the expected version, `not-found` when one
+ * to be removed is absent, `bad-document` when the result would be inconsistent.
+ */
+export function planChange(
+  cfg: Configuration,
+  request: ChangeRequest,
+): Result<PlannedChange, AppError> {
+  const refusal = refusalOf(cfg, request);
+  if (refusal !== undefined) {
+    return refusal;
+  }
+  const revision = cfg.revision + 1;
+  const changes = changesOf(cfg, request, revision);
+  if (changes.length === 0) {
+    return Ok({ entry: undefined, cfg });
+  }
+  const next = cfg.with(revision, changes);
+  return checkConfiguration(next).map(() => ({
+    entry: entryOf(cfg, request, revision, changes),
+    cfg: next,
+  }));
+}
+
+function refusalOf(
+  cfg: Configuration,
+  request: ChangeRequest,
+): Result<never, AppError> | undefined {
+  const targets = [...request.documents, ...request.removals];
+  const keys = targets.map(({ kind, name }) => resourceKey(kind, name));
+  const repeated = keys.find((key, index) => keys.indexOf(key) !== index);
+  if (repeated !== undefined) {
+    return fail('bad-document', `${repeated} is named twice`);
+  }
+  const stale = targets.find(
+    ({ kind, name, version }) =>
+      version !== undefined && version !== (cfg.get(kind, name)?.version ?? 0),
+  );
+  if (stale !== undefined) {
+    const actual = cfg.get(stale.kind, stale.name)?.version ?? 0;
+    return fail('version-conflict', `${stale.kind}/${stale.name} has version ${actual}`);
+  }
+  const missing = request.removals.find(({ kind, name }) => cfg.get(kind, name) === undefined);
+  return missing === undefined ? undefined : fail('not-found', `${missing.kind}/${missing.name}`);
+}
+
+function changesOf(
+  cfg: Configuration,
+  request: ChangeRequest,
+  revision: Revision,
+): readonly Change[] {
+  const puts = request.documents
+    .filter(({ kind, name, spec }) => !sameSpec(cfg.get(kind, name)?.spec, spec))
+    .map(({ kind, name, spec }): Change => {
+      const resource = { kind, name, spec, version: revision } as Resource;
+      return { op: 'put', resource };
+    });
+  const deletes = request.removals.map(({ kind, name }): Change => ({ op: 'delete', kind, name }));
+  return [...puts, ...deletes];
+}
+
+function sameSpec(a: unknown, b: unknown): boolean {
+  return a !== undefined && canonicalJson(a) === canonicalJson(b);
+}
+
+function entryOf(
+  cfg: Configuration,
+  request: ChangeRequest,
+  revision: Revision,
+  changes: readonly Change[],
+): LogEntry {
+  const { id, actor, wallMs } = request;
+  const differences = changes.map((change) => differenceOf(cfg, change));
+  const audit = { id, actor, wallMs, outcome: 'accepted' as const, revision, differences };
+  return { revision, changes, actor, wallMs, audit };
+}
+
+function differenceOf(cfg: Configuration, change: Change): Difference {
+  const { kind, name } = change.op === 'put' ? change.resource : change;
+  const from = (cfg.get(kind, name)?.spec ?? null) as JsonValue;
+  const to = (change.op === 'put' ? change.resource.spec : null) as JsonValue;
+  return { kind, name, from, to };
+}
+
+/** The audit record of a refused request. */
+export function refusedRecord(
+  cfg: Configuration,
+  request: ChangeRequest,
+  err: AppError,
+): AuditRecord {
+  const { id, actor, wallMs } = request;
+  const wanted = [
+    ...request.documents.map(({ kind, name, spec }) => ({ kind, name, to: spec as JsonValue })),
+    ...request.removals.map(({ kind, name }) => ({ kind, name, to: null })),
+  ];
+  const differences = wanted.map(({ kind, name, to }) => {
+    const from = (cfg.get(kind, name)?.spec ?? null) as JsonValue;
+    return { kind, name, from, to };
+  });
+  const reason = err.detail === undefined ? err.kind : `${err.kind}: ${err.detail}`;
+  return { id, actor, wallMs, outcome: 'refused', reason, differences };
+}
+
+/** The transaction that appends `entry` to the log; it commits only onto the head it was made for. */
+export function changeTransaction(entry: LogEntry, head: Head, txnId: string): Transaction {
+  const resources = entry.changes.map((change) =>
+    change.op === 'put'
+      ? {
+          key: RESOURCE_PREFIX + resourceKey(change.resource.kind, change.resource.name),
+          value: change.resource as unknown as JsonValue,
+        }
+      : { key: RESOURCE_PREFIX + resourceKey(change.kind, change.name), value: null },
+  );
+  return {
+    txnId,
+    conditions: [{ key: HEAD_KEY, version: head.version }],
+    writes: [
+      { key: HEAD_KEY, value: { revision: entry.revision } },
+      { key: logKey(entry.revision), value: entry as unknown as JsonValue },
+      ...resources,
+    ],
+  };
+}
--- /dev/null
+++ b/packages/coordination/test/support/config-entry.ts
@@ -0,0 +1,63 @@
+import type { Clock, MemberId, Random, Revision } from '@turmerichoist/core';
+import {
+  ConfigReplica,
+  ConfigWriter,
+  SettlingStore,
+  type AuditRecord,
+  type ConfigEvent,
+  type ObjectStore,
+  type TableStore,
+} from '@turmerichoist/coordination';
+import { silentLogger } from '@turmerichoist/runtime';
+
+export const NO_WAIT: Random = { next: () => 0, below: () => 0 };
+
+export interface ConfigEntry {
+  readonly replica: ConfigReplica;
+  readonly writer: ConfigWriter;
+  /** Revisions in the order in which they came into force. */
+  readonly revisions: Revision[];
+  readonly refused: AuditRecord[];
+}
+
+/** The configuration actors of one entry, without timers. */
+export function configEntry(
+  memberId: MemberId,
+  store: TableStore,
+  objects: ObjectStore,
+  clock: Clock,
+  signal: AbortSignal,
+): ConfigEntry {
+  const context = { log: silentLogger, signal };
+  const revisions: Revision[] = [];
+  const refused: AuditRecord[] = [];
+  const post = (event: ConfigEvent): boolean => {
+    if (event.type === 'config-changed') {
+      revisions.push(event.cfg.revision);
+    }
+    return true;
+  };
+  const replica = new ConfigReplica({ store, objects, clock, listeners: [{ post }] }, context);
+  let ids = 0;
+  const writer = new ConfigWriter(
+    {
+      store: new SettlingStore({ store, memberId, random: NO_WAIT }),
+      clock,
+      random: NO_WAIT,
+      newId: () => `${memberId}-${(ids += 1)}`,
+      refresh: () => replica.refresh(),
+      refusals: { post: ({ record }) => refused.push(record) > 0 },
+      pending: { post: () => true },
+      announce: () => Promise.resolve(),
+    },
+    context,
+  );
+  writer.post({ type: 'session', incarnation: 'i', validUntil: Infinity, requestsUntil: Infinity });
+  return { replica, writer, revisions, refused };
+}
+
+/** A team document; `requests` is its upper limit. */
+export function team(name: string, requests: number, version?: Revision) {
+  const spec = { share: 1, limit: { requests } };
+  return { kind: 'team', name, spec, ...(version === undefined ? {} : { version }) };
+}
