fix(coordination): one constant for the freshness of a configuration

Cause: the membership view and the freshness rule each had a constant of the same name, which made the package's public face ambiguous. Change: the membership view uses that of the freshness rule; topics for freshness and configuration

--- a/packages/coordination/src/state/membership/outage.ts
+++ b/packages/coordination/src/state/membership/outage.ts
@@ -1,7 +1,5 @@
 import type { MemberId, Millis } from '@turmerichoist/core';
-
-/** Longest time that a configuration counts as confirmed, and that the outage rule extends it. */
-export const CONFIG_FRESH_MS: Millis = 8_000;
+import { CONFIG_FRESH_MS } from '../config-freshness.js';
 
 /** What the outage rule needs to know of one member that counts. */
 export interface OutageWitness {
--- a/packages/coordination/src/state/peers/messages.ts
+++ b/packages/coordination/src/state/peers/messages.ts
@@ -66,7 +66,7 @@
   request: z.object({
     type: z.literal('request'),
     id: count,
-    topic: z.enum(['idempotency', 'submit', 'want']),
+    topic: z.enum(['idempotency', 'submit', 'want', 'freshness', 'config']),
     body: z.json(),
   }),
   response: z.object({
--- /dev/null
+++ b/packages/daemon/src/tasks/index.ts
@@ -0,0 +1,5 @@
+export * from './messages.js';
+export * from './task-api.js';
+export * from './task-log.js';
+export * from './task-owner.js';
+export * from './task-requests.js';
--- /dev/null
+++ b/packages/daemon/src/tasks/task-api.ts
@@ -0,0 +1,125 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  appError,
+  Err,
+  fail,
+  KeyRing,
+  Ok,
+  Result,
+  type AppError,
+  type Configuration,
+  type PoolName,
+  type TeamName,
+} from '@turmerichoist/core';
+import { readJson, sendError, sendJson } from '../http/answers.js';
+import { bearerToken, sha256Hex } from '../requests/arrival.js';
+import type { TaskCommand } from './messages.js';
+import { parseCancellation, parseSubmission, poolOf } from './task-requests.js';
+
+const MAX_BODY_BYTES = 2_097_152;
+const HTTP_ACCEPTED = 202;
+
+/** Carries a command to the owner of its pool, wherever that is. */
+export type TaskRouter = (
+  command: TaskCommand,
+  signal: AbortSignal,
+) => Promise<Result<unknown, AppError>>;
+
+export interface TaskApiOptions {
+  readonly cfg: () => Configuration;
+  /** Whether keys can be trusted now: the configuration is confirmed. */
+  readonly fresh: () => boolean;
+  readonly route: TaskRouter;
+  readonly signal: AbortSignal;
+}
+
+/** Serves `/tasks` to callers with a team key. */
+export class TaskApi {
+  readonly #options: TaskApiOptions;
+
+  constructor(options: TaskApiOptions) {
+    this.#options = options;
+  }
+
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const team = this.#authenticate(req);
+    if (team.isErr()) {
+      sendError(res, team.error);
+      return;
+    }
+    const { pathname } = new URL(req.url ?? '/', 'http://entry');
+    const answer = await this.#route(req, pathname, team.value);
+    if (answer.isErr()) {
+      sendError(res, answer.error);
+    } else {
+      sendJson(res, req.method === 'POST' ? HTTP_ACCEPTED : 200, answer.value);
+    }
+  }
+
+  async #route(
+    req: IncomingMessage,
+    pathname: string,
+    team: TeamName,
+  ): Promise<Result<unknown, AppError>> {
+    const route = `${req.method ?? 'GET'} ${pathname}`;
+    if (route === 'POST /tasks') {
+      return this.#submit(req, team);
+    }
+    if (route === 'POST /tasks/cancel') {
+      return this.#cancel(req, team);
+    }
+    if (req.method === 'GET' && pathname.startsWith('/tasks/')) {
+      const id = decodeURIComponent(pathname.slice('/tasks/'.length));
+      return this.#withPool(poolOf(id), (pool) => ({ type: 'show', pool, id, team }));
+    }
+    return fail('unknown-route', route);
+  }
+
+  async #submit(req: IncomingMessage, team: TeamName): Promise<Result<unknown, AppError>> {
+    const json = await readJson(req, MAX_BODY_BYTES);
+    const submission = json.andThen((body) => parseSubmission(body, team));
+    if (submission.isErr()) {
+      return submission;
+    }
+    const { pool, task } = submission.value;
+    return this.#command({ type: 'submit', pool, task });
+  }
+
+  async #cancel(req: IncomingMessage, team: TeamName): Promise<Result<unknown, AppError>> {
+    const json = await readJson(req, MAX_BODY_BYTES);
+    const pools = json.andThen(parseCancellation);
+    if (pools.isErr()) {
+      return pools;
+    }
+    const answers = await Promise.all(
+      [...pools.value].map(([pool, ids]) => this.#command({ type: 'cancel', pool, team, ids })),
+    );
+    return Result.all(answers);
+  }
+
+  #withPool(
+    pool: Result<PoolName, AppError>,
+    command: (pool: PoolName) => TaskCommand,
+  ): Promise<Result<unknown, AppError>> {
+    return pool.isErr() ? Promise.resolve(pool) : this.#command(command(pool.value));
+  }
+
+  #command(command: TaskCommand): Promise<Result<unknown, AppError>> {
+    if (this.#options.cfg().get('pool', command.pool) === undefined) {
+      return Promise.resolve(fail('not-found', `pool/${command.pool}`));
+    }
+    return this.#options.route(command, this.#options.signal);
+  }
+
+  #authenticate(req: IncomingMessage): Result<TeamName, AppError> {
+    const token = bearerToken(req.headers);
+    if (token === undefined) {
+      return Err(appError('key-missing'));
+    }
+    if (!this.#options.fresh()) {
+      return Err(appError('config-stale'));
+    }
+    const team = new KeyRing(this.#options.cfg()).teamOf(sha256Hex(token));
+    return team === undefined ? fail('key-rejected') : Ok(team);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/tasks/task-requests.ts
@@ -0,0 +1,101 @@
+import {
+  fail,
+  Ok,
+  WORK_CLASSES,
+  type AppError,
+  type PoolName,
+  type Result,
+  type TaskId,
+  type TaskSpec,
+  type TeamName,
+} from '@turmerichoist/core';
+import { z } from 'zod';
+
+const MAX_CANCELLED_IDS = 10_000;
+const MAX_COMMAND_CHARS = 8_192;
+const SEPARATOR = ':';
+
+const localId = z
+  .string()
+  .regex(/^[A-Za-z0-9._-]{1,64}$/, 'letters, digits, ".", "_" and "-", at most 64');
+const name = z.string().regex(/^[a-z0-9.-]{1,63}$/, 'a resource name');
+
+const submitBody = z.strictObject({
+  /** Chosen by the submitter; a repeat with the same id is not run again. */
+  id: localId,
+  pool: name,
+  class: z.enum(WORK_CLASSES).default('normal'),
+  command: z.string().min(1).max(MAX_COMMAND_CHARS),
+  idempotent: z.boolean().default(false),
+  resources: z.strictObject({
+    processors: z.int().min(0),
+    memoryMb: z.int().min(0),
+    accelerators: z.int().min(0).default(0),
+  }),
+  constraints: z
+    .strictObject({
+      zones: z.array(name).min(1).optional(),
+      labels: z.record(z.string(), z.string()).optional(),
+    })
+    .default({}),
+});
+
+const cancelBody = z.strictObject({ ids: z.array(z.string()).min(1).max(MAX_CANCELLED_IDS) });
+
+export interface Submission {
+  readonly pool: PoolName;
+  readonly task: TaskSpec;
+}
+
+/** The id under which callers know a task: its pool and the id that they chose. */
+export function taskId(pool: PoolName, local: string): TaskId {
+  return `${pool}${SEPARATOR}${local}`;
+}
+
+/** The pool that a task id names. Fails with `not-found`. */
+export function poolOf(id: TaskId): Result<PoolName, AppError> {
+  const [pool, local] = id.split(SEPARATOR, 2);
+  return pool === undefined || local === undefined || pool === ''
+    ? fail('not-found', `task ${id}: an id has the form pool${SEPARATOR}id`)
+    : Ok(pool);
+}
+
+function check<S extends z.ZodType>(schema: S, input: unknown): Result<z.output<S>, AppError> {
+  const parsed = schema.safeParse(input);
+  if (parsed.success) {
+    return Ok(parsed.data);
+  }
+  const faults = parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`);
+  return fail('bad-request', faults.join('; '));
+}
+
+/** Reads the body of a submission. Fails with `bad-request`, naming every wrong field. */
+export function parseSubmission(input: unknown, team: TeamName): Result<Submission, AppError> {
+  return check(submitBody, input).map(({ id, pool, class: workClass, constraints, ...rest }) => {
+    const { zones, labels } = constraints;
+    const limits = {
+      ...(zones === undefined ? {} : { zones }),
+      ...(labels === undefined ? {} : { labels }),
+    };
+    return { pool, task: { id: taskId(pool, id), team, workClass, constraints: limits, ...rest } };
+  });
+}
+
+/** Reads the body of a cancellation, by pool. Fails with `bad-request` or `not-found`. */
+export function parseCancellation(
+  input: unknown,
+): Result<ReadonlyMap<PoolName, readonly TaskId[]>, AppError> {
+  return check(cancelBody, input).andThen(({ ids }) => {
+    const byPool = new Map<PoolName, TaskId[]>();
+    for (const id of ids) {
+      const pool = poolOf(id);
+      if (pool.isErr()) {
+        return pool;
+      }
+      const known = byPool.get(pool.value) ?? [];
+      known.push(id);
+      byPool.set(pool.value, known);
+    }
+    return Ok(byPool);
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/tasks/worker-links.ts
@@ -0,0 +1,144 @@
+import type {
+  AppError,
+  Clock,
+  InstanceName,
+  LeaseResult,
+  Millis,
+  Result,
+  TaskDecision,
+  TaskEvent,
+} from '@turmerichoist/core';
+import type { Recipient } from '@turmerichoist/runtime';
+import { WorkerClient, type WorkerReply } from '../workers/index.js';
+
+type Order = Extract<TaskDecision, { type: 'lease' | 'renew' | 'stop' }>;
+
+interface Link {
+  readonly address: string;
+  readonly client: WorkerClient;
+  cursor: number;
+  polling: boolean;
+}
+
+export interface WorkerAddress {
+  readonly worker: InstanceName;
+  readonly address: string;
+}
+
+/** Calls the workers of one pool and passes on what they answer. */
+export class WorkerLinks {
+  readonly #clock: Clock;
+  readonly #owner: Recipient<TaskEvent>;
+  readonly #signal: AbortSignal;
+  readonly #links = new Map<InstanceName, Link>();
+
+  constructor(clock: Clock, owner: Recipient<TaskEvent>, signal: AbortSignal) {
+    this.#clock = clock;
+    this.#owner = owner;
+    this.#signal = signal;
+    signal.addEventListener('abort', () => void this.#closeAll(), { once: true });
+  }
+
+  /** Sets the workers of the pool; links to others are closed. */
+  setWorkers(workers: readonly WorkerAddress[]): void {
+    const wanted = new Map(workers.map(({ worker, address }) => [worker, address]));
+    for (const [worker, link] of this.#links) {
+      if (wanted.get(worker) !== link.address) {
+        void link.client.close();
+        this.#links.delete(worker);
+      }
+    }
+    for (const [worker, address] of wanted) {
+      if (!this.#links.has(worker)) {
+        const client = new WorkerClient({ worker, address });
+        this.#links.set(worker, { address, client, cursor: 0, polling: false });
+      }
+    }
+  }
+
+  /** Asks each worker for its report, unless the last one is still awaited. */
+  poll(): void {
+    for (const [worker, link] of this.#links) {
+      if (!link.polling) {
+        link.polling = true;
+        void this.#poll(worker, link);
+      }
+    }
+  }
+
+  /** Sends an order of the decider and reports what became of it. */
+  async send(order: Order): Promise<void> {
+    const link = this.#links.get(order.worker);
+    const late = this.#clock.now() >= order.sendBefore;
+    const ids = orderIds(order);
+    if (link === undefined || late) {
+      this.#report(
+        order.worker,
+        ids.map((each) => ({ ...each, reply: 'not-sent' })),
+      );
+      return;
+    }
+    const answer = await this.#call(link.client, order);
+    if (order.type !== 'stop') {
+      this.#report(order.worker, resultsOf(ids, answer));
+    }
+  }
+
+  #call(client: WorkerClient, order: Order): Promise<Result<readonly WorkerReply[], AppError>> {
+    switch (order.type) {
+      case 'lease':
+        return client.lease(order.leases, this.#signal);
+      case 'renew':
+        return client.renew(order.epoch, order.renewals, this.#signal);
+      case 'stop':
+        return client.stop(order.epoch, order.id, order.fence, order.mode, this.#signal);
+    }
+  }
+
+  async #poll(worker: InstanceName, link: Link): Promise<void> {
+    const page = await link.client.report(link.cursor, this.#signal);
+    link.polling = false;
+    if (page.isOk()) {
+      link.cursor = page.value.cursor;
+      this.#owner.post({ type: 'worker-report', report: page.value.report });
+    } else {
+      this.#owner.post({ type: 'worker-unreachable', worker });
+    }
+  }
+
+  #report(worker: InstanceName, results: readonly LeaseResult[]): void {
+    this.#owner.post({ type: 'lease-result', worker, results });
+  }
+
+  async #closeAll(): Promise<void> {
+    await Promise.all([...this.#links.values()].map(({ client }) => client.close()));
+  }
+}
+
+type Identity = Pick<LeaseResult, 'id' | 'fence'>;
+
+function orderIds(order: Order): readonly Identity[] {
+  switch (order.type) {
+    case 'lease':
+      return order.leases.map(({ id, fence }) => ({ id, fence }));
+    case 'renew':
+      return order.renewals.map(({ id, fence }) => ({ id, fence }));
+    case 'stop':
+      return [];
+  }
+}
+
+function resultsOf(
+  ids: readonly Identity[],
+  answer: Result<readonly WorkerReply[], AppError>,
+): readonly LeaseResult[] {
+  if (answer.isErr()) {
+    const reply = answer.error.kind === 'peer-unavailable' ? 'not-sent' : 'unknown';
+    return ids.map((each) => ({ ...each, reply }));
+  }
+  const replies = new Map(answer.value.map(({ id, reply }) => [id, reply]));
+  return ids.map((each) => ({ ...each, reply: replies.get(each.id) ?? 'unknown' }));
+}
+
+/** Period of the reports that are asked of each worker. */
+export const REPORT_PERIOD_MS: Millis = 1_000;
