--- a/packages/core/src/requests/choosers.ts
+++ b/packages/core/src/requests/choosers.ts
@@ -1,5 +1,6 @@
 import type { Millis, Random } from '../types/index.js';
 import type { ExecutorView } from './executor.js';
+import { slotsWithin } from './slot-part.js';
 
 /** Age at which a load report is ignored. A few service times pass between reports. */
 export const REPORT_FRESH_MS = 250;
@@ -86,7 +87,7 @@
 }
 
 /**
- * Least outstanding within a fixed part of each executor's slots. The parts of all entries add up
+ * Least outstanding within an equal part of each executor's slots. The parts of all entries add up
  * to the slots, so that no executor is ever offered more than it can run.
  */
 export class SlotShare implements ExecutorChooser {
@@ -97,18 +98,14 @@
   }
 
   choose<V extends ExecutorView>(candidates: readonly V[], ctx: ChoiceContext): V | undefined {
-    const open = candidates.filter((view) => view.outstanding < slotPart(view, ctx));
+    const part = { from: ctx.rank / ctx.entries, to: (ctx.rank + 1) / ctx.entries };
+    const open = candidates.filter(
+      (view) => view.outstanding < slotsWithin(part, view.slots, view.phase),
+    );
     return leastLoaded(open, ownLoad, this.#random);
   }
 }
 
-/** Slots of the executor that belong to this entry. The remainder rotates with the name. */
-export function slotPart(view: ExecutorView, ctx: ChoiceContext): number {
-  const offset = Array.from(view.name).reduce((sum, char) => sum + char.charCodeAt(0), 0);
-  const turn = (ctx.rank + offset) % ctx.entries;
-  return Math.floor(view.slots / ctx.entries) + (turn < view.slots % ctx.entries ? 1 : 0);
-}
-
 /**
  * The less loaded of two executors picked at random, by the load that each reported with its last
  * response, corrected by what this entry started and ended there since. A stale report is ignored.
--- a/packages/core/src/requests/executor-health.ts
+++ b/packages/core/src/requests/executor-health.ts
@@ -2,7 +2,7 @@
 
 /** First pause after a refusal; it doubles with each further refusal in a row. */
 export const REFUSAL_BACKOFF_MS = 5;
-export const MAX_REFUSAL_BACKOFF_MS = 500;
+export const MAX_REFUSAL_BACKOFF_MS = 80;
 /** First ejection; it doubles with each further one without a success between them. */
 export const EJECTION_MS = 1_000;
 export const MAX_EJECTION_MS = 30_000;
--- a/packages/core/src/requests/executor-table.ts
+++ b/packages/core/src/requests/executor-table.ts
@@ -92,13 +92,19 @@
 
   #groupByPool(): ReadonlyMap<PoolName, readonly Executor[]> {
     const pools = new Map<PoolName, Executor[]>();
-    for (const executor of this.#executors.values()) {
+    const byName = [...this.#executors.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
+    for (const executor of byName) {
       if (executor.place !== undefined) {
         const pool = pools.get(executor.place.pool) ?? [];
         pool.push(executor);
         pools.set(executor.place.pool, pool);
       }
     }
+    for (const pool of pools.values()) {
+      pool.forEach((executor, at) => {
+        executor.phase = at / pool.length;
+      });
+    }
     return pools;
   }
 }
--- a/packages/core/src/requests/executor.ts
+++ b/packages/core/src/requests/executor.ts
@@ -13,6 +13,8 @@
 export interface ExecutorView {
   readonly name: UpstreamName;
   readonly slots: number;
+  /** Position in its pool, from 0 to 1. It spreads the rounding of slot parts. */
+  readonly phase: number;
   /** Attempts of this entry that run there. */
   readonly outstanding: number;
   readonly reported?: ReportedState | undefined;
@@ -34,6 +36,7 @@
   /** `undefined` while the configuration does not name it. */
   place: ExecutorPlace | undefined;
   signal: 'healthy' | 'suspect' | 'leaving' = 'healthy';
+  phase = 0;
   outstanding = 0;
   reported: ReportedState | undefined;
 
--- a/packages/core/src/requests/fleet-shares.ts
+++ b/packages/core/src/requests/fleet-shares.ts
@@ -1,6 +1,7 @@
 import type { MemberId, Millis, QueueName, TeamName } from '../types/index.js';
 import type { DemandRow } from './messages.js';
-import { waterFill } from './water-fill.js';
+import type { SlotInterval } from './slot-part.js';
+import { type Filled, waterFill } from './water-fill.js';
 
 /** Age at which the demand that another entry sent is dropped. */
 export const SHARE_STALE_MS = 3_000;
@@ -8,8 +9,9 @@
 const MIN_WEIGHT = 1e-6;
 
 type WeightOf = (team: TeamName) => number;
+type Totals = ReadonlyMap<TeamName, number>;
 
-/** What the local weights of one queue are computed from. */
+/** What the allotment of one queue is computed from. */
 export interface ShareInput {
   readonly queue: QueueName;
   /** Demand of this entry. */
@@ -20,66 +22,135 @@
   readonly slots: number;
 }
 
+/** What one entry gets of one queue. */
+export interface Allotment {
+  /** Local weight of each team. */
+  readonly weightOf: WeightOf;
+  /** Slots of this entry; `undefined` while the fleet wants fewer slots than there are. */
+  readonly slots: SlotInterval | undefined;
+}
+
 interface PeerRows {
   readonly at: Millis;
   readonly rows: readonly DemandRow[];
 }
 
-/** Demand over all entries, and the local weight of each team that follows from it. */
+/** Demand over all entries, and what follows from it for this one. */
 export class FleetShares {
+  readonly #self: MemberId;
   readonly #peers = new Map<MemberId, PeerRows>();
 
+  constructor(self: MemberId) {
+    this.#self = self;
+  }
+
   /** Replaces the rows of another entry. */
   replace(member: MemberId, rows: readonly DemandRow[], now: Millis): void {
     this.#peers.set(member, { at: now, rows });
   }
 
   /**
-   * Local weight of each team: its part of the slots over the whole fleet, times the part of its
-   * demand that is here. Without rows of other entries it is the configured weight.
+   * The local weight of a team is its part of the slots over the whole fleet, times the part of its
+   * demand that is here. Local weights alone can't make up for an entry that gets too few slots, so
+   * while slots are scarce each entry keeps to the slots that its local weights add up to. Without
+   * rows of other entries the weights are the configured ones.
    */
-  weights(input: ShareInput, now: Millis): WeightOf {
-    const remote = this.#rows(input.queue, now);
-    if (remote.length === 0 || input.slots === 0) {
-      return input.shareOf;
+  allot(input: ShareInput, now: Millis): Allotment {
+    this.#dropStale(now);
+    const demands = this.#demands(input);
+    if (demands.size < 2 || input.slots === 0) {
+      return { weightOf: input.shareOf, slots: undefined };
     }
-    const here = totals(input.own.filter((row) => row.queue === input.queue));
-    const total = totals(remote, here);
+    const total = sum([...demands.values()]);
     const wants = [...total].map(([team, demand]) => ({
       team,
       demand,
       weight: input.shareOf(team),
     }));
-    const { shares, level } = waterFill(input.slots, wants);
-    return (team) => {
-      const demand = total.get(team) ?? 0;
-      const local = here.get(team) ?? 0;
-      const fleetShare = shares.get(team) ?? 0;
-      const weight = local > 0 ? (fleetShare * local) / demand : input.shareOf(team) * level;
-      return Math.max(MIN_WEIGHT, weight);
+    const filled = waterFill(input.slots, wants);
+    const here = demands.get(this.#self) ?? new Map<TeamName, number>();
+    return {
+      weightOf: (team) => {
+        const fair = input.shareOf(team) * filled.level;
+        return Math.max(MIN_WEIGHT, localWeight(team, here, total, filled) ?? fair);
+      },
+      slots: this.#interval(input.slots, demands, total, filled),
     };
   }
 
-  #rows(queue: QueueName, now: Millis): readonly DemandRow[] {
-    const rows: DemandRow[] = [];
+  #interval(
+    slots: number,
+    demands: ReadonlyMap<MemberId, Totals>,
+    total: Totals,
+    filled: Filled,
+  ): SlotInterval | undefined {
+    const wanted = [...total.values()].reduce((all, demand) => all + demand, 0);
+    if (wanted < slots) {
+      return undefined;
+    }
+    let from = 0;
+    for (const member of [...demands.keys()].sort()) {
+      const part = deserved(demands.get(member) ?? new Map(), total, filled) / slots;
+      if (member === this.#self) {
+        return { from, to: from + part };
+      }
+      from += part;
+    }
+    return undefined;
+  }
+
+  /** Demand for the queue of each entry that has any, and of this one. */
+  #demands(input: ShareInput): ReadonlyMap<MemberId, Totals> {
+    const demands = new Map<MemberId, Totals>();
+    demands.set(this.#self, demandFor(input.queue, input.own));
+    for (const [member, peer] of this.#peers) {
+      const demand = demandFor(input.queue, peer.rows);
+      if (demand.size > 0) {
+        demands.set(member, demand);
+      }
+    }
+    return demands;
+  }
+
+  #dropStale(now: Millis): void {
     for (const [member, peer] of this.#peers) {
       if (now - peer.at > SHARE_STALE_MS) {
         this.#peers.delete(member);
-      } else {
-        rows.push(...peer.rows.filter((row) => row.queue === queue));
       }
     }
-    return rows;
   }
 }
 
-function totals(
-  rows: readonly DemandRow[],
-  start: ReadonlyMap<TeamName, number> = new Map(),
-): ReadonlyMap<TeamName, number> {
-  const sums = new Map(start);
+function localWeight(
+  team: TeamName,
+  here: Totals,
+  total: Totals,
+  { shares }: Filled,
+): number | undefined {
+  const local = here.get(team) ?? 0;
+  return local > 0 ? ((shares.get(team) ?? 0) * local) / (total.get(team) ?? local) : undefined;
+}
+
+/** Slots that the demand of one entry is worth. */
+function deserved(demand: Totals, total: Totals, filled: Filled): number {
+  const weights = [...demand.keys()].map((team) => localWeight(team, demand, total, filled) ?? 0);
+  return weights.reduce((all, weight) => all + weight, 0);
+}
+
+function demandFor(queue: QueueName, rows: readonly DemandRow[]): Totals {
+  const totals = new Map<TeamName, number>();
   for (const row of rows) {
-    sums.set(row.team, (sums.get(row.team) ?? 0) + row.waiting + row.running);
+    if (row.queue === queue) {
+      totals.set(row.team, (totals.get(row.team) ?? 0) + row.waiting + row.running);
+    }
+  }
+  return totals;
+}
+
+function sum(parts: readonly Totals[]): Totals {
+  const totals = new Map<TeamName, number>();
+  for (const [team, demand] of parts.flatMap((part) => [...part])) {
+    totals.set(team, (totals.get(team) ?? 0) + demand);
   }
-  return sums;
+  return totals;
 }
--- a/packages/core/src/requests/lane.ts
+++ b/packages/core/src/requests/lane.ts
@@ -3,11 +3,14 @@
 import type { DemandRow } from './messages.js';
 import type { OpenRequest } from './open-request.js';
 import { ServiceMeter } from './service-meter.js';
+import type { SlotInterval } from './slot-part.js';
 
 /** The waiting and running work of one queue. */
 export class Lane {
   readonly queue: QueueName;
   readonly fair: FairQueue<OpenRequest>;
+  /** Slots that this entry keeps to while slots are scarce. */
+  slots: SlotInterval | undefined;
   readonly meter = new ServiceMeter();
   /** Requests between two attempts. They go before the fair queue, which they passed already. */
   readonly #retries = new Map<RequestId, OpenRequest>();
@@ -23,6 +26,10 @@
     return this.fair.waiting + this.#retries.size;
   }
 
+  get running(): number {
+    return this.#runningTotal;
+  }
+
   waitingOf(team: TeamName): number {
     const retries = [...this.#retries.values()].filter((req) => req.team === team).length;
     return this.fair.waitingOf(team) + retries;
@@ -101,6 +108,11 @@
     return this.meter.timeFor(this.fair.startsUntilLast(team, workClass) + this.#retries.size);
   }
 
+  /** Whether the work would likely not be complete by its deadline if it started now. */
+  startsTooLate(req: OpenRequest, now: Millis): boolean {
+    return now + this.meter.typicalMs > req.deadline;
+  }
+
   /** Time until a part of the waiting work has started. */
   timeToDrain(part: number): Millis | undefined {
     return this.meter.timeFor(Math.ceil(this.waiting * part));
--- a/packages/core/src/requests/request-decider.ts
+++ b/packages/core/src/requests/request-decider.ts
@@ -192,7 +192,7 @@
     const lane = this.#scheduler.laneOf(arrival.queue);
     const limit = this.#admission.limitOf(req.team);
     const wait = lane.estimatedWait(req.team, req.workClass, limit) ?? 0;
-    const tooLateBy = this.#now + wait - req.deadline;
+    const tooLateBy = this.#now + wait + lane.meter.typicalMs - req.deadline;
     if (tooLateBy > 0) {
       lane.remove(req.id);
       this.#refuse(req, appError('deadline-unreachable', undefined, Math.ceil(tooLateBy)));
--- a/packages/core/src/requests/scheduler.ts
+++ b/packages/core/src/requests/scheduler.ts
@@ -1,4 +1,4 @@
-import type { AppError } from '../errors/index.js';
+import { type AppError, appError } from '../errors/index.js';
 import type { Configuration } from '../resources/index.js';
 import type { MemberId, Millis, QueueName, TeamName, UpstreamName } from '../types/index.js';
 import { type Admission, OPEN_TEAM } from './admission.js';
@@ -9,10 +9,16 @@
 import { Lane } from './lane.js';
 import type { AttemptResult, DemandRow, LoadReport } from './messages.js';
 import type { OpenRequest } from './open-request.js';
+import { slotsWithin } from './slot-part.js';
 import { TeamLimiter } from './team-limiter.js';
 
 /** Shortest time between two computations of the local weights. */
 const REWEIGH_MS = 250;
+/**
+ * A timeout counts against the executor only if the attempt had this many typical durations. Under
+ * overload work starts shortly before its deadline, and blaming those timeouts ejected half a pool.
+ */
+const BLAMED_TIMEOUT_RATIO = 3;
 
 /** Receives what the scheduler decides about a request. */
 export interface SchedulerSink {
@@ -39,7 +45,7 @@
 export class Scheduler {
   readonly limiter = new TeamLimiter();
   readonly executors = new ExecutorTable();
-  readonly shares = new FleetShares();
+  readonly shares: FleetShares;
   readonly #options: SchedulerOptions;
   readonly #lanes = new Map<QueueName, Lane>();
   #members: readonly MemberId[] = [];
@@ -48,6 +54,7 @@
 
   constructor(options: SchedulerOptions) {
     this.#options = options;
+    this.shares = new FleetShares(options.self);
   }
 
   get lanes(): readonly Lane[] {
@@ -124,7 +131,9 @@
     for (const lane of this.#lanes.values()) {
       const slots = this.executors.slots(this.#poolOf(lane));
       const input = { queue: lane.queue, own: lane.demand(), shareOf: this.#shareOf, slots };
-      lane.fair.reweigh(this.shares.weights(input, now));
+      const allotment = this.shares.allot(input, now);
+      lane.fair.reweigh(allotment.weightOf);
+      lane.slots = allotment.slots;
     }
   }
 
@@ -169,7 +178,11 @@
       if (executor === undefined || req === undefined) {
         return;
       }
-      this.#start(lane, req, executor, now);
+      if (lane.waiting > 0 && lane.startsTooLate(req, now)) {
+        this.#options.sink.refuse(req, appError('deadline-unreachable', 'others wait'));
+      } else {
+        this.#start(lane, req, executor, now);
+      }
     }
   }
 
@@ -219,7 +232,7 @@
 
   #choose(lane: Lane, now: Millis, req?: OpenRequest): Executor | undefined {
     const open = this.executorsOf(lane).filter(
-      (each) => each.open(now) && (req?.mayTry(each.name) ?? true),
+      (each) => each.open(now) && hasSlot(lane, each) && (req?.mayTry(each.name) ?? true),
     );
     return this.#options.chooser.choose(open, this.#context(now));
   }
@@ -245,8 +258,17 @@
   }
 }
 
+/** Whether the executor has a slot for this entry. An entry without any work always gets one. */
+function hasSlot(lane: Lane, executor: Executor): boolean {
+  const { slots, running } = lane;
+  if (slots === undefined || running === 0) {
+    return true;
+  }
+  return executor.outstanding < slotsWithin(slots, executor.slots, executor.phase);
+}
+
 /** Whether the end says nothing about the executor: the caller left or gave it too little time. */
 function blameless(req: OpenRequest, end: AttemptEnd, lane: Lane, now: Millis): boolean {
-  const tooShort = now - req.startedAt < lane.meter.meanMs;
+  const tooShort = now - req.startedAt < BLAMED_TIMEOUT_RATIO * lane.meter.typicalMs;
   return req.cancelled || (end.result.type === 'timed-out' && tooShort);
 }
--- a/packages/core/src/requests/service-meter.ts
+++ b/packages/core/src/requests/service-meter.ts
@@ -13,20 +13,23 @@
 export class ServiceMeter {
   #samples = 0;
   #meanMs: Millis = 0;
+  #deviationMs: Millis = 0;
   #period = Number.NEGATIVE_INFINITY;
   #peak = 0;
   #lastPeak = 0;
 
-  /** Mean duration of answered attempts; 0 before the first one. */
-  get meanMs(): Millis {
-    return this.#meanMs;
+  /** Duration that most attempts do not exceed: the mean plus twice the mean deviation. 0 if unmeasured. */
+  get typicalMs(): Millis {
+    return this.#meanMs + 2 * this.#deviationMs;
   }
 
   /** Records the duration of an attempt that ended with an answer. */
   served(durationMs: Millis): void {
     this.#samples += 1;
     const weight = Math.max(NEWEST_WEIGHT, 1 / this.#samples);
-    this.#meanMs += weight * (durationMs - this.#meanMs);
+    const difference = durationMs - this.#meanMs;
+    this.#meanMs += weight * difference;
+    this.#deviationMs += weight * (Math.abs(difference) - this.#deviationMs);
   }
 
   /** Records how much runs at once. */
