feat(tasks): TaskDecider with log, placement, shares, preemption and health

Change: one decider for each pool, composed of small modules. Orders are timed on the worker's own clock and carry its incarnation; replies to appends carry the epoch; reports are ordered by the time of their request. A lease that was not shown to run is not renewed, so that one logged by a former owner and never sent ends. Conclusion: the daemon can be wired to the decider.

--- /dev/null
+++ b/packages/core/src/tasks/amounts.ts
@@ -0,0 +1,61 @@
+import type { Resources } from './model.js';
+
+export const NOTHING: Resources = { processors: 0, memoryMb: 0, accelerators: 0 };
+
+export function add(a: Resources, b: Resources): Resources {
+  return {
+    processors: a.processors + b.processors,
+    memoryMb: a.memoryMb + b.memoryMb,
+    accelerators: a.accelerators + b.accelerators,
+  };
+}
+
+export function subtract(a: Resources, b: Resources): Resources {
+  return {
+    processors: a.processors - b.processors,
+    memoryMb: a.memoryMb - b.memoryMb,
+    accelerators: a.accelerators - b.accelerators,
+  };
+}
+
+/** The larger amount of each resource. */
+export function larger(a: Resources, b: Resources): Resources {
+  return {
+    processors: Math.max(a.processors, b.processors),
+    memoryMb: Math.max(a.memoryMb, b.memoryMb),
+    accelerators: Math.max(a.accelerators, b.accelerators),
+  };
+}
+
+/** The smaller amount of each resource. */
+export function smaller(a: Resources, b: Resources): Resources {
+  return {
+    processors: Math.min(a.processors, b.processors),
+    memoryMb: Math.min(a.memoryMb, b.memoryMb),
+    accelerators: Math.min(a.accelerators, b.accelerators),
+  };
+}
+
+/** Sums of fractions drift by rounding; amounts are compared with this slack. */
+const ROUNDING = 1e-6;
+
+export function fitsIn(amount: Resources, room: Resources): boolean {
+  return (
+    amount.processors <= room.processors + ROUNDING &&
+    amount.memoryMb <= room.memoryMb + ROUNDING &&
+    amount.accelerators <= room.accelerators + ROUNDING
+  );
+}
+
+/** Largest part that `amount` has of any one resource of `capacity`. */
+export function dominantShare(amount: Resources, capacity: Resources): number {
+  return Math.max(
+    part(amount.processors, capacity.processors),
+    part(amount.memoryMb, capacity.memoryMb),
+    part(amount.accelerators, capacity.accelerators),
+  );
+}
+
+function part(amount: number, capacity: number): number {
+  return capacity > 0 ? amount / capacity : 0;
+}
--- /dev/null
+++ b/packages/core/src/tasks/explain.ts
@@ -0,0 +1,111 @@
+import { WORK_CLASSES, type Millis, type TaskId, type TeamName } from '../types/index.js';
+import type { Resources, TaskRecord, TaskState } from './model.js';
+import type { WaitReason } from './messages.js';
+import type { PoolState } from './pool-state.js';
+import { isWaiting } from './task-store.js';
+import type { WaitReasons } from './wait-reasons.js';
+
+/** What a task is doing, or what it waits for and since when. */
+export interface TaskExplanation {
+  readonly id: TaskId;
+  readonly team: TeamName;
+  readonly state: TaskState;
+  readonly detail: string;
+  readonly worker?: string;
+  readonly waits?: { readonly reason: WaitReason; readonly since: Millis };
+}
+
+/** What a team uses, may use and waits for in this pool. */
+export interface TeamExplanation {
+  readonly team: TeamName;
+  readonly waiting: Readonly<Record<'urgent' | 'normal' | 'archive', number>>;
+  readonly charged: Resources;
+  readonly allowance: Resources;
+  /** Dominant share divided by the weight; lower is served first. */
+  readonly rank: number;
+  /** Why the first waiting task of the highest class waits. */
+  readonly waits?: { readonly id: TaskId; readonly reason: WaitReason; readonly since: Millis };
+}
+
+/** Answers why tasks and teams wait. */
+export class Explain {
+  readonly #state: PoolState;
+  readonly #waits: WaitReasons;
+
+  constructor(state: PoolState, waits: WaitReasons) {
+    this.#state = state;
+    this.#waits = waits;
+  }
+
+  task(id: TaskId, now: Millis): TaskExplanation | undefined {
+    const record = this.#state.log.confirmed(id);
+    if (record === undefined) {
+      return undefined;
+    }
+    const lease = this.#state.book.get(id);
+    const { team } = record.task;
+    const runs = record.state === 'leased' && lease?.phase === 'running';
+    const state = runs ? 'running' : record.state;
+    const waits = this.#waitOf(record, now);
+    const { detail } = record;
+    return {
+      id,
+      team,
+      state,
+      detail,
+      ...(lease === undefined ? {} : { worker: lease.worker }),
+      ...(waits === undefined ? {} : { waits }),
+    };
+  }
+
+  team(team: TeamName, now: Millis): TeamExplanation {
+    const { queues, ledger } = this.#state;
+    const waits = this.#firstWait(team, now);
+    return {
+      team,
+      waiting: {
+        urgent: queues.waiting(team, 'urgent'),
+        normal: queues.waiting(team, 'normal'),
+        archive: queues.waiting(team, 'archive'),
+      },
+      charged: ledger.charged(team),
+      allowance: ledger.allowance(team),
+      rank: ledger.rank(team),
+      ...(waits === undefined ? {} : { waits }),
+    };
+  }
+
+  #firstWait(team: TeamName, now: Millis): TeamExplanation['waits'] {
+    for (const workClass of WORK_CLASSES) {
+      const [id] = this.#state.queues.peek(workClass, team, 1);
+      const record = id === undefined ? undefined : this.#state.log.get(id);
+      const wait = record === undefined ? undefined : this.#waitOf(record, now);
+      if (id !== undefined && wait !== undefined) {
+        return { id, ...wait };
+      }
+    }
+    return undefined;
+  }
+
+  #waitOf(record: TaskRecord, now: Millis): TaskExplanation['waits'] {
+    const { queues, gate, book } = this.#state;
+    const { id } = record.task;
+    const lease = book.get(id);
+    if (lease !== undefined) {
+      const reason = lease.phase === 'planned' ? 'log-append' : 'worker-answer';
+      return lease.phase === 'running' ? undefined : { reason, since: lease.since };
+    }
+    const noted = this.#waits.get(id);
+    if (record.state === 'infeasible') {
+      return noted ?? { reason: 'infeasible', since: now };
+    }
+    if (!isWaiting(record.state)) {
+      return undefined;
+    }
+    const since = queues.since(record.task) ?? now;
+    const blocked = gate.blockedBy(now);
+    return blocked === undefined
+      ? (noted ?? { reason: 'share', since })
+      : { reason: blocked, since };
+  }
+}
--- a/packages/core/src/tasks/messages.ts
+++ b/packages/core/src/tasks/messages.ts
@@ -26,9 +26,14 @@
   readonly detail: string;
 }
 
-/** What a worker says about itself. Reports may be late, doubled or lost. */
+/**
+ * What a worker says about itself. Reports may be late, doubled or lost. A worker is asked for one at
+ * a time, and an answer to a request that was given up is dropped.
+ */
 export interface WorkerReport {
   readonly worker: InstanceName;
+  /** Our clock when the report was asked for; an earlier one than the last is a late report. */
+  readonly requestedAt: Millis;
   /** Changes when the worker restarts, which ends every task that it ran. */
   readonly incarnation: string;
   /** Reading of the worker's monotonic clock when it wrote the report. */
@@ -36,6 +41,12 @@
   /** Age of the usage figures. */
   readonly lagMs: Millis;
   readonly draining: boolean;
+  /**
+   * Positions in the worker's list of finished tasks: `finished` holds those after the first up to
+   * the second. A gap shows that a report was lost on the way here.
+   */
+  readonly after: number;
+  readonly cursor: number;
   readonly running: readonly RunningTask[];
   readonly finished: readonly FinishedTask[];
 }
@@ -62,15 +73,18 @@
       readonly team: TeamName;
       readonly ids: readonly TaskId[];
     }
-  | { readonly type: 'append-confirmed'; readonly batch: number }
+  /** Replies to an append carry its epoch; those to a former ownership are ignored. */
+  | { readonly type: 'append-confirmed'; readonly epoch: number; readonly batch: number }
   /** The batch was not written. `not-owner` ends the work of this decider. */
   | {
       readonly type: 'append-rejected';
+      readonly epoch: number;
       readonly batch: number;
       readonly cause: 'unavailable' | 'not-owner';
     }
   /** The batch may have been written; the same batch is sent again under the same number. */
-  | { readonly type: 'append-unknown'; readonly batch: number }
+  | { readonly type: 'append-unknown'; readonly epoch: number; readonly batch: number }
+  /** Replies to leases. Those to renewals and stops are not needed: reports show their effect. */
   | {
       readonly type: 'lease-result';
       readonly worker: InstanceName;
@@ -102,6 +116,8 @@
   readonly ttlMs: Millis;
   /** The worker ignores the order when its own clock has passed this reading. */
   readonly validBeforeMs: Millis;
+  /** The worker ignores the order when it has restarted since. */
+  readonly incarnation: string;
   readonly command: string;
   readonly resources: Resources;
   readonly resume: boolean;
@@ -112,19 +128,15 @@
   readonly fence: Fence;
   readonly ttlMs: Millis;
   readonly validBeforeMs: Millis;
+  /** A throttle lasts until a renewal that does not ask for it. */
+  readonly throttled: boolean;
 }
 
 export type StopMode = 'throttle' | 'checkpoint' | 'stop';
 
 /** Why work is throttled, checkpointed or stopped. */
 export type StopReason =
-  | 'overload'
-  | 'urgent-work'
-  | 'share-called-back'
-  | 'cancelled'
-  | 'above-allowance'
-  | 'zone-out'
-  | 'superseded';
+  'overload' | 'urgent-work' | 'share-called-back' | 'cancelled' | 'superseded';
 
 /** What a task waits for. */
 export type WaitReason =
@@ -155,6 +167,7 @@
   /** Written to the log as one row numbered `batch`, conditional on the owner's epoch. */
   | {
       readonly type: 'append';
+      readonly epoch: number;
       readonly batch: number;
       readonly events: readonly TaskLogEvent[];
       /** Rows before this one are no longer needed once this batch is confirmed. */
--- a/packages/core/src/tasks/model.ts
+++ b/packages/core/src/tasks/model.ts
@@ -100,14 +100,8 @@
   | { readonly type: 'cancel-requested'; readonly id: TaskId }
   | { readonly type: 'infeasible'; readonly id: TaskId; readonly reason: string }
   | { readonly type: 'feasible'; readonly id: TaskId }
-  /** Replaces everything before it; parts 0 to `parts` - 1 follow each other. */
-  | {
-      readonly type: 'snapshot';
-      readonly part: number;
-      readonly parts: number;
-      readonly tasks: readonly TaskRecord[];
-      readonly nextSequence: number;
-    };
+  /** State of a task at this position, repeated so that older rows can be dropped. */
+  | { readonly type: 'record'; readonly record: TaskRecord };
 
 /** The lease of a task, as the log has it. */
 export interface LeaseRecord {
--- /dev/null
+++ b/packages/core/src/tasks/placement-index.ts
@@ -0,0 +1,225 @@
+import type { InstanceName, ZoneName } from '../types/index.js';
+import { fitsIn } from './amounts.js';
+import type { Resources, TaskConstraints } from './model.js';
+
+/** What the index needs to know about a worker. */
+export interface IndexedWorker {
+  readonly name: InstanceName;
+  readonly zone: ZoneName;
+  readonly labels: Readonly<Record<string, string>>;
+  readonly capacity: Resources;
+}
+
+interface Entry {
+  readonly name: InstanceName;
+  readonly room: Resources;
+  readonly plainRoom: Resources;
+  readonly plainLevel: number;
+  readonly group: Group;
+}
+
+/** Workers of one zone with the same labels, with or without accelerators. */
+interface Group {
+  readonly zone: ZoneName;
+  readonly labels: Readonly<Record<string, string>>;
+  readonly accelerated: boolean;
+  readonly capacities: Resources[];
+  /** Workers by whole free processors for tasks without accelerators. */
+  readonly byProcessors: Set<InstanceName>[];
+  /** Workers by free accelerators. */
+  readonly byAccelerators: Set<InstanceName>[];
+}
+
+/**
+ * Workers by what is free on them, so that the best fit is found without a scan of the fleet. Groups
+ * are few (zones times distinct labels); within one, workers are kept by level of free processors and
+ * by free accelerators.
+ */
+export class PlacementIndex {
+  readonly #groups = new Map<string, Group>();
+  readonly #groupOf = new Map<InstanceName, Group>();
+  readonly #entries = new Map<InstanceName, Entry>();
+  readonly #matching = new Map<string, readonly Group[]>();
+
+  /** Starts over with these workers, all of them closed. */
+  rebuild(workers: Iterable<IndexedWorker>): void {
+    this.#groups.clear();
+    this.#groupOf.clear();
+    this.#entries.clear();
+    this.#matching.clear();
+    for (const worker of workers) {
+      const group = this.#groupFor(worker);
+      this.#groupOf.set(worker.name, group);
+      if (!group.capacities.some((known) => sameAmounts(known, worker.capacity))) {
+        group.capacities.push(worker.capacity);
+      }
+    }
+  }
+
+  put(worker: IndexedWorker, room: Resources, plainRoom: Resources): void {
+    const group = this.#groupOf.get(worker.name);
+    if (group === undefined) {
+      return;
+    }
+    this.remove(worker.name);
+    const plainLevel = Math.max(0, Math.floor(plainRoom.processors));
+    this.#entries.set(worker.name, { name: worker.name, room, plainRoom, plainLevel, group });
+    bucket(group.byProcessors, plainLevel).add(worker.name);
+    if (group.accelerated) {
+      bucket(group.byAccelerators, room.accelerators).add(worker.name);
+    }
+  }
+
+  remove(name: InstanceName): void {
+    const entry = this.#entries.get(name);
+    if (entry !== undefined) {
+      this.#entries.delete(name);
+      entry.group.byProcessors[entry.plainLevel]?.delete(name);
+      entry.group.byAccelerators[entry.room.accelerators]?.delete(name);
+    }
+  }
+
+  /** Capacities of all workers that match, open or not. */
+  capacities(constraints: TaskConstraints): readonly Resources[] {
+    return this.#groupsFor(constraints).flatMap(({ capacities }) => capacities);
+  }
+
+  matches(name: InstanceName, constraints: TaskConstraints): boolean {
+    const group = this.#groupOf.get(name);
+    return group !== undefined && matches(group, constraints);
+  }
+
+  /**
+   * The open worker on which the least is left over. Tasks without accelerators go to workers with
+   * accelerators only when no other has room.
+   */
+  bestFit(
+    size: Resources,
+    constraints: TaskConstraints,
+    excluded: readonly InstanceName[],
+  ): InstanceName | undefined {
+    const groups = this.#groupsFor(constraints);
+    if (size.accelerators > 0) {
+      return this.#best(groups, (group) => this.#inAccelerated(group, size, excluded));
+    }
+    const plain = groups.filter(({ accelerated }) => !accelerated);
+    const others = groups.filter(({ accelerated }) => accelerated);
+    const search = (group: Group): Entry | undefined => this.#inPlain(group, size, excluded);
+    return this.#best(plain, search) ?? this.#best(others, search);
+  }
+
+  #best(
+    groups: readonly Group[],
+    search: (group: Group) => Entry | undefined,
+  ): InstanceName | undefined {
+    let best: Entry | undefined;
+    for (const group of groups) {
+      const found = search(group);
+      if (found !== undefined && (best === undefined || tighter(found, best))) {
+        best = found;
+      }
+    }
+    return best?.name;
+  }
+
+  #inPlain(group: Group, size: Resources, excluded: readonly InstanceName[]): Entry | undefined {
+    const levels = group.byProcessors;
+    for (let level = Math.floor(size.processors); level < levels.length; level += 1) {
+      const entry = this.#firstFit(levels[level], (e) => fitsIn(size, e.plainRoom), excluded);
+      if (entry !== undefined) {
+        return entry;
+      }
+    }
+    return undefined;
+  }
+
+  #inAccelerated(
+    group: Group,
+    size: Resources,
+    excluded: readonly InstanceName[],
+  ): Entry | undefined {
+    const levels = group.byAccelerators;
+    for (let free = size.accelerators; free < levels.length; free += 1) {
+      const entry = this.#firstFit(levels[free], (e) => fitsIn(size, e.room), excluded);
+      if (entry !== undefined) {
+        return entry;
+      }
+    }
+    return undefined;
+  }
+
+  #firstFit(
+    names: ReadonlySet<InstanceName> | undefined,
+    fits: (entry: Entry) => boolean,
+    excluded: readonly InstanceName[],
+  ): Entry | undefined {
+    for (const name of names ?? []) {
+      const entry = this.#entries.get(name);
+      if (entry !== undefined && fits(entry) && !excluded.includes(name)) {
+        return entry;
+      }
+    }
+    return undefined;
+  }
+
+  #groupFor(worker: IndexedWorker): Group {
+    const accelerated = worker.capacity.accelerators > 0;
+    const key = JSON.stringify([worker.zone, sortedLabels(worker.labels), accelerated]);
+    const known = this.#groups.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const { zone, labels } = worker;
+    const buckets = { capacities: [], byProcessors: [], byAccelerators: [] };
+    const group: Group = { zone, labels, accelerated, ...buckets };
+    this.#groups.set(key, group);
+    return group;
+  }
+
+  #groupsFor(constraints: TaskConstraints): readonly Group[] {
+    const key = constraintKey(constraints);
+    const known = this.#matching.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const found = [...this.#groups.values()].filter((group) => matches(group, constraints));
+    this.#matching.set(key, found);
+    return found;
+  }
+}
+
+/** Equal for constraints that allow the same workers. */
+export function constraintKey(constraints: TaskConstraints): string {
+  const { zones, labels } = constraints;
+  if (zones === undefined && labels === undefined) {
+    return '';
+  }
+  return JSON.stringify([zones?.toSorted() ?? null, sortedLabels(labels ?? {})]);
+}
+
+function sortedLabels(labels: Readonly<Record<string, string>>): readonly [string, string][] {
+  return Object.entries(labels).sort(([a], [b]) => (a < b ? -1 : 1));
+}
+
+function matches(group: Group, { zones, labels }: TaskConstraints): boolean {
+  const zoneAllowed = zones?.includes(group.zone) ?? true;
+  return (
+    zoneAllowed &&
+    Object.entries(labels ?? {}).every(([name, value]) => group.labels[name] === value)
+  );
+}
+
+function tighter(a: Entry, b: Entry): boolean {
+  return a.room.processors < b.room.processors;
+}
+
+function sameAmounts(a: Resources, b: Resources): boolean {
+  return fitsIn(a, b) && fitsIn(b, a);
+}
+
+function bucket(levels: Set<InstanceName>[], level: number): Set<InstanceName> {
+  for (let missing = levels.length; missing <= level; missing += 1) {
+    levels.push(new Set());
+  }
+  return levels[level] ?? new Set();
+}
--- /dev/null
+++ b/packages/core/src/tasks/preemption.ts
@@ -0,0 +1,176 @@
+import {
+  WORK_CLASSES,
+  type InstanceName,
+  type Millis,
+  type TeamName,
+  type WorkClass,
+} from '../types/index.js';
+import { NOTHING, add, fitsIn, subtract } from './amounts.js';
+import type { Lease } from './lease-book.js';
+import type { Resources, TaskRecord } from './model.js';
+import type { PoolState } from './pool-state.js';
+import { THROTTLED_PART } from './stop-orders.js';
+
+/** Workers that are looked at for one claim. */
+const MAX_CANDIDATES = 48;
+const LEASES_PER_TEAM = 8;
+/** Run time before a task may be called back for another team's share, so that work gets done. */
+const MIN_RUN_MS = 2_000;
+
+/** Which tasks to throttle or checkpoint on one worker so that another task fits. */
+export interface PreemptionPlan {
+  readonly worker: InstanceName;
+  readonly mode: 'throttle' | 'checkpoint';
+  readonly victims: readonly Lease[];
+}
+
+interface Claim {
+  readonly record: TaskRecord;
+  readonly size: Resources;
+  readonly now: Millis;
+}
+
+/**
+ * Chooses victims: lowest class first, then the team farthest above its share, then the least work
+ * lost. Urgent work displaces lower classes. Otherwise a team displaces another one only while it is
+ * not above that one's share afterwards, which ends the exchange instead of repeating it.
+ */
+export class Preemption {
+  readonly #state: PoolState;
+
+  constructor(state: PoolState) {
+    this.#state = state;
+  }
+
+  plan(record: TaskRecord, size: Resources, now: Millis): PreemptionPlan | undefined {
+    const claim = { record, size, now };
+    const workers = this.#candidates(claim);
+    const throttling = record.task.workClass === 'urgent';
+    const byThrottle = throttling ? this.#firstPlan(workers, claim, 'throttle') : undefined;
+    return byThrottle ?? this.#firstPlan(workers, claim, 'checkpoint');
+  }
+
+  #firstPlan(
+    workers: readonly InstanceName[],
+    claim: Claim,
+    mode: PreemptionPlan['mode'],
+  ): PreemptionPlan | undefined {
+    for (const worker of workers) {
+      const victims = this.#victimsOn(worker, claim, mode);
+      if (victims !== undefined) {
+        return { worker, mode, victims };
+      }
+    }
+    return undefined;
+  }
+
+  /** Workers with the leases that should go first, in that order. */
+  #candidates(claim: Claim): readonly InstanceName[] {
+    const found = new Set<InstanceName>();
+    for (const workClass of WORK_CLASSES.toReversed()) {
+      for (const team of this.#teamsByRank(workClass)) {
+        const newest = this.#state.book.newestOfTeam(workClass, team, LEASES_PER_TEAM);
+        for (const lease of newest) {
+          if (this.#mayDisplace(lease, claim) && this.#isUsable(lease.worker, claim)) {
+            found.add(lease.worker);
+          }
+        }
+        if (found.size >= MAX_CANDIDATES) {
+          return [...found];
+        }
+      }
+      if (workClass === claim.record.task.workClass) {
+        break;
+      }
+    }
+    return [...found];
+  }
+
+  #teamsByRank(workClass: WorkClass): readonly TeamName[] {
+    const { book, ledger } = this.#state;
+    const ranked = book.teams(workClass).map((team) => ({ team, rank: ledger.rank(team) }));
+    return ranked.sort((a, b) => b.rank - a.rank).map(({ team }) => team);
+  }
+
+  #isUsable(worker: InstanceName, { record, size }: Claim): boolean {
+    const { table } = this.#state;
+    const view = table.get(worker);
+    return (
+      view !== undefined &&
+      view.reservedFor === undefined &&
+      table.isOpen(worker) &&
+      fitsIn(size, view.capacity) &&
+      !record.failedOn.includes(worker) &&
+      table.index.matches(worker, record.task.constraints)
+    );
+  }
+
+  #victimsOn(
+    worker: InstanceName,
+    claim: Claim,
+    mode: PreemptionPlan['mode'],
+  ): readonly Lease[] | undefined {
+    const { table, book } = this.#state;
+    const capacity = table.get(worker)?.capacity ?? NOTHING;
+    const leases = book.onWorker(worker);
+    const victims: Lease[] = [];
+    const taken = new Map<TeamName, Resources>();
+    let room = table.room(worker);
+    for (const lease of this.#inOrder(leases)) {
+      if (fitsIn(claim.size, room)) {
+        break;
+      }
+      const usable = mode === 'throttle' ? lease.throttled === undefined : !lease.ignoresCheckpoint;
+      if (usable && this.#mayDisplace(lease, claim, taken)) {
+        victims.push(lease);
+        taken.set(lease.task.team, add(taken.get(lease.task.team) ?? NOTHING, lease.size));
+        room = add(room, freedBy(lease, mode));
+      }
+    }
+    const emptied = mode === 'checkpoint' && victims.length === leases.length;
+    return victims.length > 0 && fitsIn(claim.size, emptied ? capacity : room)
+      ? victims
+      : undefined;
+  }
+
+  #inOrder(leases: readonly Lease[]): readonly Lease[] {
+    const { ledger } = this.#state;
+    const ranked = leases.map((lease) => ({
+      lease,
+      level: WORK_CLASSES.indexOf(lease.task.workClass),
+      rank: ledger.rank(lease.task.team),
+    }));
+    ranked.sort((a, b) => b.level - a.level || b.rank - a.rank || b.lease.since - a.lease.since);
+    return ranked.map(({ lease }) => lease);
+  }
+
+  #mayDisplace(
+    lease: Lease,
+    { record, size, now }: Claim,
+    taken: ReadonlyMap<TeamName, Resources> = new Map(),
+  ): boolean {
+    const { task } = record;
+    const claimant = WORK_CLASSES.indexOf(task.workClass);
+    const level = WORK_CLASSES.indexOf(lease.task.workClass);
+    if (lease.phase === 'planned' || lease.stopping !== undefined || level < claimant) {
+      return false;
+    }
+    if (task.workClass === 'urgent' && level > claimant) {
+      return true;
+    }
+    if (lease.task.team === task.team || now - lease.since < MIN_RUN_MS) {
+      return false;
+    }
+    const { ledger } = this.#state;
+    const gone = add(taken.get(lease.task.team) ?? NOTHING, lease.size);
+    const left = ledger.rank(lease.task.team, subtract(NOTHING, gone));
+    return ledger.rank(task.team, size) <= left;
+  }
+}
+
+function freedBy(lease: Lease, mode: PreemptionPlan['mode']): Resources {
+  if (mode === 'checkpoint') {
+    return lease.size;
+  }
+  return { ...NOTHING, processors: lease.size.processors * (1 - THROTTLED_PART) };
+}
--- /dev/null
+++ b/packages/core/test/support/fake-worker.ts
@@ -0,0 +1,40 @@
+import type { Millis, Resources, SeededRandom, WorkerReport } from '@turmerichoist/core';
+import { WorkerModel } from '@turmerichoist/stand-ins';
+
+/** A worker with a clock of its own, whose messages wait while it is paused. */
+export class FakeWorker {
+  readonly model: WorkerModel;
+  readonly #offset: Millis;
+  readonly #rate: number;
+  inbox: (() => void)[] = [];
+
+  constructor(
+    readonly name: string,
+    readonly zone: string,
+    capacity: Resources,
+    random: SeededRandom,
+  ) {
+    this.#offset = random.below(1_000_000);
+    this.#rate = 0.995 + random.next() * 0.01;
+    this.model = new WorkerModel({ capacity, lagMs: 500 }, this.#offset);
+  }
+
+  clock(t: Millis): Millis {
+    return this.#offset + t * this.#rate;
+  }
+
+  trueTime(clock: Millis): Millis {
+    return (clock - this.#offset) / this.#rate;
+  }
+}
+
+/** The worker's report as its client would hand it on. */
+export function reportOf(
+  worker: FakeWorker,
+  after: number,
+  requestedAt: Millis,
+  clock: Millis,
+): WorkerReport {
+  const raw = worker.model.report(after, clock);
+  return { ...raw, worker: worker.name, requestedAt };
+}
--- /dev/null
+++ b/packages/core/test/support/task-checks.ts
@@ -0,0 +1,114 @@
+import { expect } from '@jest/globals';
+import { TaskStore, type Millis } from '@turmerichoist/core';
+import type { TaskRun } from '@turmerichoist/stand-ins';
+import { LOW, type Scenario } from './task-scenario.js';
+import { STEP_MS } from './task-world.js';
+
+/** A change is in force within the freshness limit; an order may be on its way for 2 s more. */
+const IN_FORCE_MS = 8_000 + 2_100 + 2 * STEP_MS;
+
+interface SeenRun extends TaskRun {
+  readonly zone: string;
+  readonly start: Millis;
+  readonly end: Millis;
+}
+
+export function runsOf({ world }: Scenario): readonly SeenRun[] {
+  const runs = world.workers.flatMap((worker) =>
+    worker.model.runs.map((run) => ({
+      ...run,
+      zone: worker.zone,
+      start: worker.trueTime(run.startedAt),
+      end: run.endedAt === undefined ? Infinity : worker.trueTime(run.endedAt),
+    })),
+  );
+  return runs.sort((a, b) => a.start - b.start);
+}
+
+function grouped(runs: readonly SeenRun[]): ReadonlyMap<string, readonly SeenRun[]> {
+  const groups = new Map<string, SeenRun[]>();
+  for (const run of runs) {
+    groups.set(run.id, [...(groups.get(run.id) ?? []), run]);
+  }
+  return groups;
+}
+
+/** Values that were in force at some time between a change's latest effect and `at`. */
+function inForce<T extends { readonly at: Millis }>(
+  changes: readonly T[],
+  at: Millis,
+): readonly T[] {
+  return changes.filter((change, i) => {
+    const next = changes[i + 1]?.at ?? Infinity;
+    return change.at <= at && next + IN_FORCE_MS > at;
+  });
+}
+
+export function checkRuns(scenario: Scenario, runs: readonly SeenRun[]): void {
+  for (const [id, own] of grouped(runs)) {
+    const task = scenario.tasks.get(id);
+    for (const [i, run] of own.entries()) {
+      const next = own[i + 1];
+      if (next !== undefined) {
+        expect(`${id} live until ${run.end}`).toBe(
+          next.start >= run.end ? `${id} live until ${run.end}` : `copy started ${next.start}`,
+        );
+        const repeated = task?.idempotent === false && run.outcome !== 'checkpointed';
+        expect([id, 'run again', repeated]).toEqual([id, 'run again', false]);
+      }
+      const cancelled = scenario.world.table.cancelledAt.get(id) ?? Infinity;
+      expect(run.start).toBeLessThanOrEqual(cancelled);
+      const zoneWasIn = inForce(scenario.zoneChanges, run.start).some(
+        ({ out }) => !out.includes(run.zone),
+      );
+      expect([id, run.zone, zoneWasIn]).toEqual([id, run.zone, true]);
+    }
+  }
+}
+
+export function checkLimits(scenario: Scenario, runs: readonly SeenRun[]): void {
+  for (const run of runs) {
+    const team = scenario.tasks.get(run.id)?.team ?? '';
+    const live = runs.filter(({ id, start, end }) => {
+      const same = scenario.tasks.get(id)?.team === team;
+      return same && start <= run.start && end > run.start;
+    });
+    const limits = inForce(scenario.limits, run.start).map(({ teams }) => teams.get(team) ?? LOW);
+    for (const amount of ['processors', 'accelerators'] as const) {
+      const used = live.reduce(
+        (sum, { id }) => sum + (scenario.tasks.get(id)?.resources[amount] ?? 0),
+        0,
+      );
+      const most = Math.max(...limits.map((limit) => limit[amount]));
+      expect(used).toBeLessThanOrEqual(most);
+    }
+  }
+}
+
+/** True when no task in the log is without an end, and none is on its way there. */
+export function allEnded({ world }: Scenario): boolean {
+  const events = world.table.events();
+  const ended = new Set(events.flatMap((event) => (event.type === 'ended' ? [event.id] : [])));
+  const owned = world.members.some(({ decider }) => decider.whyTeam('a', world.now) !== undefined);
+  const open = events.some((event) => event.type === 'submitted' && !ended.has(event.task.id));
+  return owned && !open;
+}
+
+export function checkEnds(scenario: Scenario): void {
+  const events = scenario.world.table.events();
+  const accepted = new Set(
+    events.flatMap((event) => (event.type === 'submitted' ? [event.task.id] : [])),
+  );
+  for (const { answer } of scenario.world.answers) {
+    if (answer.type === 'accepted') {
+      expect(accepted).toContain(answer.id);
+    }
+  }
+  const store = new TaskStore();
+  events.forEach((event) => store.apply(event));
+  for (const id of accepted) {
+    const ends = events.filter((event) => event.type === 'ended' && event.id === id);
+    const { state, lease } = store.get(id) ?? {};
+    expect({ id, ends: ends.length, state, lease }).toMatchObject({ id, ends: 1 });
+  }
+}
--- a/packages/daemon/src/workers/wire.ts
+++ b/packages/daemon/src/workers/wire.ts
@@ -17,6 +17,7 @@
       fence,
       ttlMs: millis,
       validBeforeMs: millis.optional(),
+      incarnation: z.string().optional(),
       command: z.string(),
       resources,
       resume: z.boolean().optional(),
@@ -27,7 +28,13 @@
 export const renewBody = z.object({
   epoch: z.int().min(0).optional(),
   leases: z.array(
-    z.object({ taskId: z.string(), fence, ttlMs: millis, validBeforeMs: millis.optional() }),
+    z.object({
+      taskId: z.string(),
+      fence,
+      ttlMs: millis,
+      validBeforeMs: millis.optional(),
+      throttled: z.boolean().optional(),
+    }),
   ),
 });
 
--- a/packages/daemon/src/workers/worker-client.ts
+++ b/packages/daemon/src/workers/worker-client.ts
@@ -4,6 +4,7 @@
   appError,
   fail,
   type AppError,
+  type Clock,
   type Fence,
   type InstanceName,
   type LeaseOrder,
@@ -15,7 +16,7 @@
   type TaskId,
   type WorkerReport,
 } from '@turmerichoist/core';
-import { timeoutSignal } from '@turmerichoist/runtime';
+import { SystemClock, timeoutSignal } from '@turmerichoist/runtime';
 import { Pool, errors } from 'undici';
 import type { z } from 'zod';
 import { reportBody, resultsBody } from './wire.js';
@@ -30,6 +31,7 @@
   /** `host:port`. */
   readonly address: string;
   readonly timeoutMs?: Millis;
+  readonly clock?: Clock;
 }
 
 /** Reply to one lease, renewal or stop. */
@@ -39,12 +41,6 @@
   readonly reply: LeaseReply;
 }
 
-/** A report and the position after which the next one should continue. */
-export interface ReportPage {
-  readonly report: WorkerReport;
-  readonly cursor: number;
-}
-
 /**
  * Calls one worker. Calls are never repeated by the client. Errors: `peer-unavailable` when no
  * byte of the call was sent or the worker refused it with 4xx or 503, `outcome-unknown` when the
@@ -54,9 +50,11 @@
   readonly #pool: Pool;
   readonly #worker: InstanceName;
   readonly #timeoutMs: Millis;
+  readonly #clock: Clock;
 
   constructor(options: WorkerClientOptions) {
     this.#worker = options.worker;
+    this.#clock = options.clock ?? new SystemClock();
     this.#timeoutMs = options.timeoutMs ?? CALL_TIMEOUT_MS;
     this.#pool = new Pool(`http://${options.address}`, {
       connections: CONNECTIONS,
@@ -92,19 +90,23 @@
     return this.#orders('/v1/leases/stop', { epoch, taskId: id, fence, mode }, signal);
   }
 
-  /** Reads the report; `after` leaves out finished tasks up to that position. */
-  async report(after: number, signal: AbortSignal): Promise<Result<ReportPage, AppError>> {
+  /**
+   * Reads the report. `after` leaves out finished tasks up to that position; it is the `cursor` of
+   * the last report that was handed on, and 0 for a worker that has restarted. One report is to be
+   * asked for at a time, so that reports are in order.
+   */
+  async report(after: number, signal: AbortSignal): Promise<Result<WorkerReport, AppError>> {
+    const requestedAt = this.#clock.now();
     const answer = await this.#call('GET', `/v1/report?after=${after}`, undefined, signal);
     return answer
       .andThen((raw) => this.#parse(reportBody, raw))
-      .map(({ cursor, running, finished, ...rest }) => ({
-        cursor,
-        report: {
-          ...rest,
-          worker: this.#worker,
-          running: running.map(({ taskId, ...task }) => ({ id: taskId, ...task })),
-          finished: finished.map(({ taskId, ...task }) => ({ id: taskId, ...task })),
-        },
+      .map(({ running, finished, ...rest }) => ({
+        ...rest,
+        worker: this.#worker,
+        requestedAt,
+        after,
+        running: running.map(({ taskId, ...task }) => ({ id: taskId, ...task })),
+        finished: finished.map(({ taskId, ...task }) => ({ id: taskId, ...task })),
       }));
   }
 
--- a/packages/stand-ins/src/worker/server.ts
+++ b/packages/stand-ins/src/worker/server.ts
@@ -198,6 +198,7 @@
         ...lease,
         id: taskId,
         validBeforeMs: lease.validBeforeMs ?? NEVER_OUTDATED,
+        incarnation: lease.incarnation ?? this.#model.incarnation,
         resume: lease.resume ?? false,
       };
       return { taskId, fence: lease.fence, reply: this.#model.lease(order, now) };
@@ -209,7 +210,7 @@
     const now = this.#clock.now();
     const { leases, epoch } = renewBody.parse(body);
     const results = leases.map(({ taskId, validBeforeMs = NEVER_OUTDATED, ...lease }) => {
-      const order = { ...lease, id: taskId, validBeforeMs };
+      const order = { ...lease, id: taskId, validBeforeMs, throttled: lease.throttled ?? false };
       const reply = this.#model.renew(epoch ?? lease.fence.epoch, order, now);
       return { taskId, fence: lease.fence, reply };
     });
@@ -230,7 +231,12 @@
 
   #report(req: IncomingMessage): unknown {
     const after = Number(new URL(req.url ?? '/', 'http://worker').searchParams.get('after') ?? 0);
-    return this.#model.report(Number.isFinite(after) ? after : 0, this.#clock.now());
+    const report = this.#model.report(Number.isFinite(after) ? after : 0, this.#clock.now());
+    return {
+      ...report,
+      running: report.running.map(({ id, ...task }) => ({ taskId: id, ...task })),
+      finished: report.finished.map(({ id, ...task }) => ({ taskId: id, ...task })),
+    };
   }
 
   #drain(): unknown {
--- a/packages/stand-ins/src/worker/worker-model.ts
+++ b/packages/stand-ins/src/worker/worker-model.ts
@@ -8,8 +8,10 @@
   type RenewOrder,
   type Resources,
   type RunOutcome,
+  type RunningTask,
   type StopMode,
   type TaskId,
+  type WorkerReport,
 } from '@turmerichoist/core';
 import { planOf, type CommandPlan } from './command.js';
 import { NO_FAULTS, mergeFaults, type WorkerFaults } from './faults.js';
@@ -74,6 +76,11 @@
     return this.#runs;
   }
 
+  /** Changes with each reboot. */
+  get incarnation(): string {
+    return String(this.#incarnation);
+  }
+
   setFaults(raw: unknown, now: Millis): WorkerFaults {
     this.advance(now);
     this.#faults = mergeFaults(this.#faults, raw);
@@ -107,6 +114,7 @@
       return 'expired';
     }
     active.validUntil = Math.max(active.validUntil, now + order.ttlMs);
+    active.throttled = order.throttled;
     return 'accepted';
   }
 
@@ -151,18 +159,19 @@
     this.#incarnation += 1;
   }
 
-  /** Report body; `after` leaves out finished tasks up to that position. */
-  report(after: number, now: Millis): Readonly<Record<string, unknown>> {
+  /** The report; `after` leaves out finished tasks up to that position. */
+  report(after: number, now: Millis): Omit<WorkerReport, 'worker' | 'requestedAt'> {
     this.advance(now);
     const finished = this.#finished.filter(({ position }) => position > after);
     return {
-      incarnation: String(this.#incarnation),
+      incarnation: this.incarnation,
       clockMs: now,
       lagMs: this.#options.lagMs,
       draining: this.#draining,
+      after,
       cursor: this.#position,
       running: [...this.#active.values()].map((active) => this.#describe(active, now)),
-      finished: finished.map(({ task: { id, ...task } }) => ({ taskId: id, ...task })),
+      finished: finished.map(({ task }) => task),
     };
   }
 
@@ -193,7 +202,7 @@
     if (older || order.fence.epoch < this.#highestEpoch) {
       return 'stale-fence';
     }
-    if (now > order.validBeforeMs) {
+    if (now > order.validBeforeMs || order.incarnation !== this.incarnation) {
       return 'expired';
     }
     const same = latest !== undefined && compareFences(order.fence, latest) === 0;
@@ -265,13 +274,13 @@
     }
   }
 
-  #describe(active: Active, now: Millis): Readonly<Record<string, unknown>> {
+  #describe(active: Active, now: Millis): RunningTask {
     const { order, plan, startedAt, throttled } = active;
     const idle = { processors: 0, memoryMb: 0, accelerators: 0 };
     const measured = now - startedAt >= this.#options.lagMs ? plan.usage : idle;
     const usage = throttled
       ? { ...measured, processors: measured.processors * THROTTLED_SPEED }
       : measured;
-    return { taskId: order.id, fence: order.fence, usage, runMs: now - startedAt, throttled };
+    return { id: order.id, fence: order.fence, usage, runMs: now - startedAt, throttled };
   }
 }
--- a/packages/stand-ins/test/worker-stand-in.test.ts
+++ b/packages/stand-ins/test/worker-stand-in.test.ts
@@ -24,7 +24,16 @@
   const fence = { epoch: 1, sequence };
   const resources = { processors: 1, memoryMb: 10, accelerators: 0 };
   const validBeforeMs = Number.MAX_SAFE_INTEGER;
-  return { id, fence, ttlMs, validBeforeMs, command, resources, resume: false };
+  return {
+    id,
+    fence,
+    ttlMs,
+    validBeforeMs,
+    incarnation: '1',
+    command,
+    resources,
+    resume: false,
+  };
 }
 
 async function lease(given: LeaseOrder): Promise<string> {
@@ -38,17 +47,17 @@
 }
 
 async function finished(id: TaskId): Promise<string | undefined> {
-  const page = (await client.report(0, signal)).unwrap();
-  return page.report.finished.find((task) => task.id === id)?.outcome;
+  const report = (await client.report(0, signal)).unwrap();
+  return report.finished.find((task) => task.id === id)?.outcome;
 }
 
 test('a task runs to its end and is reported once after the cursor', async () => {
   expect(await lease(order('a', 1, 'run ms=20'))).toBe('accepted');
   await sleep(60, signal);
-  const page = (await client.report(0, signal)).unwrap();
-  expect(page.report.finished.map((task) => task.outcome)).toEqual(['succeeded']);
-  const next = (await client.report(page.cursor, signal)).unwrap();
-  expect(next.report.finished).toEqual([]);
+  const report = (await client.report(0, signal)).unwrap();
+  expect(report.finished.map((task) => task.outcome)).toEqual(['succeeded']);
+  const next = (await client.report(report.cursor, signal)).unwrap();
+  expect(next.finished).toEqual([]);
 });
 
 test('a lease with an older fence does not start a second copy', async () => {
@@ -63,21 +72,21 @@
   await stop(order('other', 1), 'stop', 2);
   expect(await lease(order('b', 9))).toBe('stale-fence');
   expect(await stop(order('a', 1), 'stop')).toBe('stale-fence');
-  const renewed = await client.renew(1, [order('a', 1)], signal);
+  const renewed = await client.renew(1, [{ ...order('a', 1), throttled: false }], signal);
   expect(renewed.unwrap()[0]?.reply).toBe('stale-fence');
 });
 
 test('a task whose lease lapses stops by itself, and a renewed one goes on', async () => {
   await lease(order('lapses', 1, 'run ms=5000', 100));
   await lease(order('renewed', 2, 'run ms=5000', 100));
-  await client.renew(1, [{ ...order('renewed', 2), ttlMs: 2_000 }], signal);
+  await client.renew(1, [{ ...order('renewed', 2), ttlMs: 2_000, throttled: false }], signal);
   await sleep(200, signal);
   expect(await finished('lapses')).toBe('stopped');
   expect(await finished('renewed')).toBeUndefined();
 });
 
 test('a lease that was held up in a paused worker is not started afterwards', async () => {
-  const { clockMs } = (await client.report(0, signal)).unwrap().report;
+  const { clockMs } = (await client.report(0, signal)).unwrap();
   worker.setFaults({ paused: true });
   const sent = client.lease([{ ...order('late', 1), validBeforeMs: clockMs + 100 }], signal);
   await sleep(200, signal);
@@ -123,12 +132,13 @@
 });
 
 test('a reboot ends every task and shows a new incarnation', async () => {
-  const before = (await client.report(0, signal)).unwrap().report.incarnation;
+  const before = (await client.report(0, signal)).unwrap().incarnation;
   await lease(order('a', 1));
   await client.reboot(signal);
   await sleep(100, signal);
-  const { report } = (await client.report(0, signal)).unwrap();
+  const report = (await client.report(0, signal)).unwrap();
   expect([report.running, report.incarnation === before]).toEqual([[], false]);
+  expect(await lease(order('meant-for-the-former-run', 2))).toBe('expired');
 });
 
 test('accelerators are never given twice', async () => {
@@ -137,9 +147,12 @@
   expect(await lease({ ...order('b', 2), resources: whole })).toBe('busy');
 });
 
-test('a throttled task is shown as throttled', async () => {
+test('a throttle is reported and ends with a renewal that does not ask for it', async () => {
   await lease(order('a', 1));
   await stop(order('a', 1), 'throttle');
-  const { report } = (await client.report(0, signal)).unwrap();
+  const report = (await client.report(0, signal)).unwrap();
   expect(report.running[0]?.throttled).toBe(true);
+  await client.renew(1, [{ ...order('a', 1), throttled: false }], signal);
+  const lifted = (await client.report(0, signal)).unwrap();
+  expect(lifted.running[0]?.throttled).toBe(false);
 });
