feat(daemon): the whole path from operator and caller to upstream and worker

Cause: the parts existed, and no process ran them together. Conclusion: the path is real at each point; the failures of each part are tested next.

--- a/packages/core/src/errors/app-error.ts
+++ b/packages/core/src/errors/app-error.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from 'ts-results-es';
+import { Err, Ok, Result } from 'ts-results-es';
 import type { Millis } from '../types/index.js';
 import { answerOf, type ErrorAnswer, type ErrorKind } from './kinds.js';
 
@@ -46,4 +46,4 @@
   };
 }
 
-export { Err, Ok, type Result };
+export { Err, Ok, Result };
--- a/packages/core/src/tasks/allowance.ts
+++ b/packages/core/src/tasks/allowance.ts
@@ -1,15 +1,18 @@
 import type { PoolName } from '../types/index.js';
 import type { Resources } from './model.js';
 
-/** Parts of a team's upper limit, by the pool that may use them. Their sum is within the limit. */
-export type AllowanceRow = ReadonlyMap<PoolName, Resources>;
+/**
+ * Parts of a team's upper limit, by the pool that may use them. Their sum is within the limit. A
+ * part belongs to the pool and not to its owner, so a new owner goes on with it.
+ */
+export type AllowanceParts = ReadonlyMap<PoolName, Resources>;
 
 export interface AllowanceRequest {
   readonly pool: PoolName;
-  /** What the pool's leases of this team count. It can't be given back. */
+  /** What the pool's leases of this team count. It can't be given back before they have ended. */
   readonly charged: Resources;
-  /** What the pool's waiting work of this team would use on top. */
-  readonly waiting: Resources;
+  /** What the pool could use. */
+  readonly wanted: Resources;
 }
 
 const FIELDS = ['processors', 'memoryMb', 'accelerators'] as const;
@@ -18,35 +21,34 @@
 
 export const NO_RESOURCES: Resources = { processors: 0, memoryMb: 0, accelerators: 0 };
 
-function eachField(value: (field: Field) => number): Resources {
-  return {
-    processors: value('processors'),
-    memoryMb: value('memoryMb'),
-    accelerators: value('accelerators'),
-  };
+/** Whether two amounts are the same. */
+export function sameResources(a: Resources, b: Resources): boolean {
+  return FIELDS.every((field) => a[field] === b[field]);
 }
 
 /**
- * The part that a pool should hold: what it needs, as far as the limit leaves it. The part of a
- * pool belongs to the pool and not to its owner, so a new owner goes on with it.
+ * The part that a pool should hold: what it wants, as far as the other pools leave it, and as long
+ * as others hold parts, not more than an equal part of the limit. Never less than what is charged.
  */
 export function planAllowance(
-  row: AllowanceRow,
+  parts: AllowanceParts,
   limit: Resources,
   request: AllowanceRequest,
 ): Resources {
-  const held = row.get(request.pool) ?? NO_RESOURCES;
-  const others = (field: Field): number =>
-    [...row].reduce((sum, [pool, part]) => sum + (pool === request.pool ? 0 : part[field]), 0);
-  return eachField((field) => {
-    const needed = request.charged[field] + request.waiting[field];
-    const free = Math.max(0, limit[field] - others(field));
-    // A part is never cut below what runs, nor raised above what the limit leaves.
-    return Math.max(Math.min(needed, free), Math.min(held[field], request.charged[field]));
-  });
-}
-
-/** Whether two amounts are the same. */
-export function sameResources(a: Resources, b: Resources): boolean {
-  return FIELDS.every((field) => a[field] === b[field]);
+  const others = [...parts].filter(([pool]) => pool !== request.pool).map(([, part]) => part);
+  const part = (field: Field): number => {
+    const taken = others.reduce((sum, each) => sum + each[field], 0);
+    const free = Math.max(0, limit[field] - taken);
+    const sharers = others.filter((each) => each[field] > 0).length + 1;
+    const equal = Math.floor(limit[field] / sharers);
+    const held = parts.get(request.pool)?.[field] ?? 0;
+    // Above an equal part nothing more is taken, but what others leave idle may be kept.
+    const target = Math.min(request.wanted[field], free, Math.max(equal, held));
+    return Math.max(target, Math.min(held, request.charged[field]));
+  };
+  return {
+    processors: part('processors'),
+    memoryMb: part('memoryMb'),
+    accelerators: part('accelerators'),
+  };
 }
--- a/packages/core/src/tasks/index.ts
+++ b/packages/core/src/tasks/index.ts
@@ -6,3 +6,4 @@
 export { TaskDecider } from './task-decider.js';
 export { TaskStore } from './task-store.js';
 export { UsageEstimator } from './usage-estimator.js';
+export * from './allowance.js';
--- /dev/null
+++ b/packages/daemon/src/entry/coordination-listener.ts
@@ -0,0 +1,56 @@
+import type {
+  AuditRecord,
+  Broadcast,
+  JsonValue,
+  MemberWatchEvent,
+  OwnershipEvent,
+  PeerReport,
+  RequestTopic,
+  ViewMember,
+} from '@turmerichoist/coordination';
+import type {
+  AppError,
+  Clock,
+  Configuration,
+  MemberId,
+  Millis,
+  Random,
+  Result,
+  TeamName,
+} from '@turmerichoist/core';
+import type { ActorContext, Metrics } from '@turmerichoist/runtime';
+import type { Settings } from '../settings/index.js';
+import type { Platform } from './platform.js';
+
+/** What the coordination parts tell the rest of the entry. Calls return at once. */
+export interface CoordinationListener {
+  onConfig(cfg: Configuration): void;
+  /** The configuration may be used until then. */
+  onFreshness(until: Millis): void;
+  onSession(validUntil: Millis): void;
+  onUnits(serial: number, units: ReadonlyMap<TeamName, number>, validUntil: Millis): void;
+  onUnitsReturned(): void;
+  onView(members: readonly ViewMember[]): void;
+  onMembersRead(event: Extract<MemberWatchEvent, { type: 'members-read' }>): void;
+  onPeerReport(report: PeerReport): void;
+  onBroadcast(from: MemberId, message: Broadcast): void;
+  onRequest(
+    from: MemberId,
+    topic: RequestTopic,
+    body: JsonValue,
+    signal: AbortSignal,
+  ): Promise<Result<JsonValue, AppError>>;
+  onOwnership(event: OwnershipEvent): void;
+  onRefusal(record: AuditRecord): void;
+}
+
+export interface CoordinationOptions {
+  readonly settings: Settings;
+  readonly context: ActorContext;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly newId: () => string;
+  readonly platform: Platform;
+  readonly listener: CoordinationListener;
+}
--- /dev/null
+++ b/packages/daemon/src/entry/coordination.ts
@@ -0,0 +1,388 @@
+import {
+  ConfigReplica,
+  ConfigWriter,
+  FreshnessKeeper,
+  GrantBroker,
+  linkableMembers,
+  MembershipTracker,
+  MemberWatch,
+  OwnershipKeeper,
+  PeerMesh,
+  SessionKeeper,
+  type AuditRecord,
+  type Broadcast,
+  type ConfigEvent,
+  type JsonValue,
+  type ListedInstance,
+  type MemberWatchEvent,
+  type OwnershipEvent,
+  type PeerListener,
+  type PeerReport,
+  type RequestTopic,
+  type SessionEvent,
+  type ViewMember,
+} from '@turmerichoist/coordination';
+import {
+  type AppError,
+  type Clock,
+  type Configuration,
+  type MemberId,
+  type Millis,
+  type Random,
+  type Result,
+  type Revision,
+  type TeamName,
+} from '@turmerichoist/core';
+import { every, type ActorContext, type Metrics } from '@turmerichoist/runtime';
+import type { Settings } from '../settings/index.js';
+import { FreshnessTransport } from './freshness-transport.js';
+import type { CoordinationOptions } from './coordination-listener.js';
+import { declaredLimits } from './declared-limits.js';
+import type { Platform } from './platform.js';
+import { recipient } from './recipient.js';
+
+/** Period at which heartbeats get a new status of this entry. */
+const STATUS_MS: Millis = 250;
+
+const NEVER: Millis = Number.NEGATIVE_INFINITY;
+
+/** The parts by which this entry agrees with the others, wired to each other. */
+export class Coordination {
+  readonly session: SessionKeeper;
+  readonly replica: ConfigReplica;
+  readonly writer: ConfigWriter;
+  readonly freshness: FreshnessKeeper;
+  readonly mesh: PeerMesh;
+  readonly membership: MembershipTracker;
+  readonly broker: GrantBroker;
+  readonly ownership: OwnershipKeeper;
+  readonly #watch: MemberWatch;
+  readonly #transport: FreshnessTransport;
+  readonly #options: CoordinationOptions;
+  #incarnation = '';
+  #freshUntil: Millis = NEVER;
+  #storeReachable = false;
+  #storeSince: Millis;
+  #stopping = false;
+
+  constructor(options: CoordinationOptions) {
+    this.#options = options;
+    const { settings, context, clock, random, newId, platform, listener } = options;
+    const memberId = settings.member;
+    const store = platform.table;
+    this.#storeSince = clock.now();
+    this.mesh = this.#createMesh();
+    this.#transport = new FreshnessTransport(
+      (to, body, timeoutMs) =>
+        this.mesh.request(to, { topic: 'freshness', body }, timeoutMs, context.signal),
+      () => this.freshness,
+    );
+    this.freshness = new FreshnessKeeper(
+      {
+        clock,
+        peers: this.#transport,
+        replica: recipient((message) => this.replica.post(message)),
+        session: recipient((message) => this.session.post(message)),
+        listeners: [
+          recipient(({ until }) => {
+            this.#onFreshness(until);
+          }),
+        ],
+      },
+      context,
+    );
+    this.replica = new ConfigReplica(
+      {
+        store,
+        objects: platform.objects,
+        clock,
+        listeners: [
+          this.freshness,
+          recipient((event) => {
+            this.#onConfigEvent(event);
+          }),
+        ],
+      },
+      context,
+    );
+    this.writer = new ConfigWriter(
+      {
+        store,
+        clock,
+        random,
+        newId,
+        refresh: () => this.replica.refresh(),
+        refusals: recipient(({ record }) => {
+          listener.onRefusal(record);
+        }),
+        pending: this.freshness,
+        announce: (revision) => this.#announce(revision),
+      },
+      context,
+    );
+    this.broker = this.#createBroker();
+    this.ownership = new OwnershipKeeper(
+      {
+        memberId,
+        store,
+        clock,
+        newId,
+        listeners: [
+          recipient((event) => {
+            listener.onOwnership(event);
+          }),
+        ],
+      },
+      context,
+    );
+    this.session = new SessionKeeper(
+      {
+        memberId,
+        address: settings.peerListen,
+        zone: settings.zone,
+        store,
+        clock,
+        newId,
+        listeners: [
+          this.freshness,
+          this.writer,
+          this.ownership,
+          recipient((event) => {
+            this.#onSession(event);
+          }),
+        ],
+      },
+      context,
+    );
+    this.membership = this.#createMembership();
+    this.#watch = new MemberWatch(
+      {
+        store,
+        clock,
+        listener: recipient((event) => {
+          this.#onMembers(event);
+        }),
+      },
+      context,
+    );
+  }
+
+  /** Opens the peer listener and starts all parts. Errors: `settings-invalid`. */
+  async start(): Promise<Result<number, AppError>> {
+    const opened = await this.mesh.start();
+    if (opened.isErr()) {
+      return opened;
+    }
+    for (const part of [this.session, this.replica, this.freshness, this.membership]) {
+      part.start();
+    }
+    for (const part of [this.broker, this.ownership, this.#watch]) {
+      part.start();
+    }
+    every(STATUS_MS, this.#options.context.signal, () => {
+      this.#publishStatus();
+    });
+    return opened;
+  }
+
+  /** From now on peers know that this entry stops. */
+  announceStop(): void {
+    this.#stopping = true;
+    this.#publishStatus();
+  }
+
+  #createMesh(): PeerMesh {
+    const { settings, context, clock, metrics, listener } = this.#options;
+    const [host = '', port = ''] = settings.peerListen.split(':');
+    const incarnation = (): string => this.#incarnation;
+    const peers: PeerListener = {
+      onLink: (member, peer, up) =>
+        this.membership.post({ type: 'link', member, incarnation: peer, up }),
+      onReport: (report) => {
+        this.membership.post({ type: 'report', ...report });
+        listener.onPeerReport(report);
+      },
+      onBroadcast: (from, message) => {
+        this.#onBroadcast(from, message);
+      },
+      onRequest: (from, topic, body, signal) =>
+        topic === 'freshness'
+          ? this.#transport.handle(from, body)
+          : listener.onRequest(from, topic, body, signal),
+    };
+    return new PeerMesh(
+      {
+        // The incarnation is that of the session, which changes when a session has lapsed.
+        self: {
+          member: settings.member,
+          zone: settings.zone,
+          get incarnation() {
+            return incarnation();
+          },
+        },
+        listen: { host, port: Number(port) },
+        secret: new TextEncoder().encode(settings.peerSecret),
+        clock,
+        metrics,
+        listener: peers,
+      },
+      context,
+    );
+  }
+
+  #createBroker(): GrantBroker {
+    const { settings, context, clock, random, platform, listener } = this.#options;
+    return new GrantBroker(
+      {
+        self: settings.member,
+        clock,
+        random,
+        store: platform.table,
+        listener: {
+          onUsable: (serial, units, validUntil) => {
+            listener.onUnits(serial, units, validUntil);
+          },
+          onWant: (wants) => {
+            this.mesh.publish({ type: 'want', wants: [...wants] });
+          },
+          onLimitInForce: () => undefined,
+          onReleased: () => {
+            listener.onUnitsReturned();
+          },
+        },
+      },
+      context,
+    );
+  }
+
+  #createMembership(): MembershipTracker {
+    const { settings, context, clock, platform, listener } = this.#options;
+    return new MembershipTracker(
+      {
+        self: settings.member,
+        clock,
+        instances: platform.instances,
+        peerAddress: (instance) => this.#peerAddress(instance),
+        listener: {
+          onView: (members) => {
+            this.mesh.post({ type: 'members', members: linkableMembers(members) });
+            listener.onView(members);
+          },
+          // The freshness rule decides about outages; it also knows of changes under way.
+          onOutage: () => undefined,
+        },
+      },
+      context,
+    );
+  }
+
+  /** The platform lists upstreams and workers too; those are resources and no entries. */
+  #peerAddress({ id, address }: ListedInstance): string | undefined {
+    const { cfg } = this.replica;
+    const other = cfg.get('upstream', id) ?? cfg.get('instance', id);
+    return other === undefined ? address : undefined;
+  }
+
+  #onSession(event: SessionEvent): void {
+    const { listener } = this.#options;
+    const { incarnation } = event;
+    if (event.type === 'session') {
+      const { validUntil, requestsUntil } = event;
+      this.#incarnation = incarnation;
+      this.broker.post({ type: 'session', incarnation, validUntil });
+      if (requestsUntil > validUntil) {
+        this.broker.post({ type: 'outage', until: requestsUntil });
+      }
+      listener.onSession(validUntil);
+    } else {
+      this.broker.post({ type: 'session', incarnation, validUntil: NEVER });
+      listener.onSession(NEVER);
+    }
+  }
+
+  #onFreshness(until: Millis): void {
+    this.#freshUntil = until;
+    this.#options.listener.onFreshness(until);
+  }
+
+  #onConfigEvent(event: ConfigEvent): void {
+    switch (event.type) {
+      case 'config-changed':
+        this.broker.post({ type: 'limits', limits: declaredLimits(event.cfg) });
+        this.#options.listener.onConfig(event.cfg);
+        break;
+      case 'applied':
+        this.session.post({ type: 'applied', revision: event.revision });
+        this.#publishStatus();
+        break;
+      case 'head-read':
+        this.#setReachable(true);
+        break;
+      case 'store-failed':
+        this.#setReachable(false);
+        break;
+    }
+  }
+
+  #setReachable(reachable: boolean): void {
+    if (reachable !== this.#storeReachable) {
+      this.#storeReachable = reachable;
+      this.#storeSince = this.#options.clock.now();
+      this.membership.post({ type: 'store', reachable });
+      this.#publishStatus();
+    }
+  }
+
+  #onMembers(event: MemberWatchEvent): void {
+    if (event.type === 'members-failed') {
+      return;
+    }
+    const self = this.#options.settings.member;
+    this.membership.post({ type: 'rows', rows: event.rows });
+    const sessions = event.rows.map(({ member, incarnation }) => ({ member, incarnation }));
+    this.broker.post({ type: 'members', rows: sessions });
+    for (const { member, incarnation } of event.expired) {
+      this.membership.post({ type: 'expired', member, incarnation });
+      this.broker.post({ type: 'expired', member, incarnation, at: event.sentAt });
+    }
+    const others = sessions.filter(({ member }) => member !== self && event.live.includes(member));
+    this.freshness.post({
+      type: 'members',
+      members: others.map(({ member, incarnation }) => ({ memberId: member, incarnation })),
+    });
+    this.#options.listener.onMembersRead(event);
+  }
+
+  #onBroadcast(from: MemberId, message: Broadcast): void {
+    switch (message.type) {
+      case 'head':
+        this.replica.post({ type: 'head-seen', revision: message.revision });
+        break;
+      case 'want':
+        this.broker.post({ type: 'peer-want', member: from, wants: message.wants });
+        break;
+      case 'demand':
+        this.#options.listener.onBroadcast(from, message);
+        break;
+    }
+  }
+
+  #announce(revision: Revision): Promise<void> {
+    this.mesh.publish({ type: 'head', revision });
+    return Promise.resolve();
+  }
+
+  #publishStatus(): void {
+    const now = this.#options.clock.now();
+    this.mesh.post({
+      type: 'status',
+      status: {
+        revision: this.replica.cfg.revision,
+        storeReachable: this.#storeReachable,
+        storeForMs: Math.floor(now - this.#storeSince),
+        freshMs: Math.max(0, Math.floor(this.#freshUntil - now)),
+        stopping: this.#stopping,
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/declared-limits.ts
@@ -0,0 +1,13 @@
+import type { DeclaredLimit } from '@turmerichoist/coordination';
+import type { Configuration, TeamName } from '@turmerichoist/core';
+
+/** The upper limit of each team on concurrently running requests, with the revision that set it. */
+export function declaredLimits(cfg: Configuration): ReadonlyMap<TeamName, DeclaredLimit> {
+  const teams = cfg.list('team');
+  return new Map(
+    teams.map(({ name, spec, version }) => [
+      name,
+      { limit: spec.limit.requests, revision: version },
+    ]),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/entry/freshness-transport.ts
@@ -0,0 +1,89 @@
+import type {
+  FreshnessFrame,
+  FreshnessMessage,
+  FreshnessReport,
+  JsonValue,
+} from '@turmerichoist/coordination';
+import {
+  fail,
+  Ok,
+  type AppError,
+  type MemberId,
+  type Millis,
+  type Result,
+} from '@turmerichoist/core';
+import type { Recipient } from '@turmerichoist/runtime';
+import { z } from 'zod';
+
+const PING_TIMEOUT_MS: Millis = 1_000;
+
+const pingBody = z.strictObject({ nonce: z.int() });
+const reportBody = z.strictObject({
+  incarnation: z.string(),
+  revision: z.int().min(0),
+  confirmedAgeMs: z.number().min(0).exactOptional(),
+  storeDown: z.boolean(),
+  changePending: z.boolean(),
+});
+
+/** Asks a peer and waits for its answer. */
+export type AskPeer = (
+  member: MemberId,
+  body: JsonValue,
+  timeoutMs: Millis,
+) => Promise<Result<JsonValue, AppError>>;
+
+interface WaitingPing {
+  readonly from: MemberId;
+  readonly nonce: number;
+  readonly resolve: (answer: Result<JsonValue, AppError>) => void;
+}
+
+/** Carries the pings of the freshness rule over requests between peers. */
+export class FreshnessTransport implements Recipient<FreshnessFrame> {
+  readonly #ask: AskPeer;
+  readonly #keeper: () => Recipient<FreshnessMessage>;
+  #waiting: readonly WaitingPing[] = [];
+
+  constructor(ask: AskPeer, keeper: () => Recipient<FreshnessMessage>) {
+    this.#ask = ask;
+    this.#keeper = keeper;
+  }
+
+  post(frame: FreshnessFrame): boolean {
+    if (frame.type === 'ping') {
+      void this.#ping(frame.to, frame.nonce);
+      return true;
+    }
+    const found = this.#waiting.find(
+      ({ from, nonce }) => from === frame.to && nonce === frame.nonce,
+    );
+    this.#waiting = this.#waiting.filter((each) => each !== found);
+    found?.resolve(Ok(frame.report as unknown as JsonValue));
+    return found !== undefined;
+  }
+
+  /** Handles the ping of a peer. Errors: `bad-request`, `not-ready`. */
+  handle(from: MemberId, body: JsonValue): Promise<Result<JsonValue, AppError>> {
+    const parsed = pingBody.safeParse(body);
+    if (!parsed.success) {
+      return Promise.resolve(fail('bad-request', 'ping'));
+    }
+    const { nonce } = parsed.data;
+    return new Promise((resolve) => {
+      this.#waiting = [...this.#waiting, { from, nonce, resolve }];
+      if (!this.#keeper().post({ type: 'ping', from, nonce })) {
+        resolve(fail('not-ready'));
+      }
+    });
+  }
+
+  async #ping(to: MemberId, nonce: number): Promise<void> {
+    const answer = await this.#ask(to, { nonce }, PING_TIMEOUT_MS);
+    const parsed = reportBody.safeParse(answer.unwrapOr(null));
+    if (parsed.success) {
+      const report: FreshnessReport = parsed.data;
+      this.#keeper().post({ type: 'pong', from: to, nonce, report });
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/index.ts
@@ -0,0 +1,2 @@
+export * from './entry.js';
+export * from './platform.js';
--- /dev/null
+++ b/packages/daemon/src/entry/platform.ts
@@ -0,0 +1,36 @@
+import {
+  HttpInstanceList,
+  HttpObjectStore,
+  HttpTableStore,
+  SettlingStore,
+  type InstanceList,
+  type ObjectStore,
+  type TableStore,
+} from '@turmerichoist/coordination';
+import type { Clock, Random } from '@turmerichoist/core';
+import type { Settings } from '../settings/index.js';
+
+/** The services of the platform. */
+export interface Platform {
+  /** Settles unknown outcomes before it answers. */
+  readonly table: TableStore;
+  readonly objects: ObjectStore;
+  readonly instances: InstanceList;
+}
+
+/** Clients of the platform's services, as the settings name them. */
+export function connectPlatform(
+  settings: Settings,
+  clock: Clock,
+  random: Random,
+  signal: AbortSignal,
+): Platform {
+  const { table, objects, instances } = settings.platform;
+  const base = { clock, random, signal };
+  const store = new HttpTableStore({ url: table, ...base });
+  return {
+    table: new SettlingStore({ store, memberId: settings.member, random }),
+    objects: new HttpObjectStore({ url: objects, ...base }),
+    instances: new HttpInstanceList({ url: instances, ...base }),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/idempotency/idempotency-gate.ts
@@ -0,0 +1,105 @@
+import {
+  fail,
+  HomeHistory,
+  homeOf,
+  IdempotencyTable,
+  Ok,
+  type AppError,
+  type Clock,
+  type MemberId,
+  type Millis,
+  type Result,
+} from '@turmerichoist/core';
+import type { JsonValue } from '@turmerichoist/coordination';
+import { z } from 'zod';
+
+/** Time that the home of a key gets for its answer. */
+const HOME_TIMEOUT_MS: Millis = 1_000;
+
+const requestBody = z.discriminatedUnion('op', [
+  z.strictObject({ op: z.literal('claim'), key: z.string() }),
+  z.strictObject({ op: z.literal('settle'), key: z.string(), mayHaveRun: z.boolean() }),
+]);
+
+type KeyRequest = z.output<typeof requestBody>;
+
+/** Asks another entry about a key. */
+export type AskHome = (
+  home: MemberId,
+  body: JsonValue,
+  timeoutMs: Millis,
+  signal: AbortSignal,
+) => Promise<Result<JsonValue, AppError>>;
+
+export interface IdempotencyGateOptions {
+  readonly self: MemberId;
+  readonly clock: Clock;
+  readonly ask: AskHome;
+  readonly signal: AbortSignal;
+}
+
+/** Lets a request with an idempotency key through once, wherever its repeats arrive. */
+export class IdempotencyGate {
+  readonly #options: IdempotencyGateOptions;
+  readonly #table = new IdempotencyTable();
+  readonly #history: HomeHistory;
+  #members: readonly MemberId[] = [];
+
+  constructor(options: IdempotencyGateOptions) {
+    this.#options = options;
+    this.#history = new HomeHistory(options.self);
+  }
+
+  membersChanged(members: readonly MemberId[]): void {
+    this.#members = members;
+    this.#history.membersChanged(members, this.#options.clock.now());
+  }
+
+  /**
+   * Reserves a key. Errors: `idempotency-running`, `idempotency-done`, and
+   * `idempotency-unavailable` when its home can't be asked or does not cover the window.
+   */
+  async claim(key: string): Promise<Result<void, AppError>> {
+    const home = homeOf(key, this.#members);
+    if (home === undefined) {
+      return fail('idempotency-unavailable', 'the members are not known yet');
+    }
+    const answer = await this.#send(home, { op: 'claim', key });
+    const unreachable = answer.isErr() && answer.error.kind === 'peer-unavailable';
+    return unreachable
+      ? fail('idempotency-unavailable', 'its home did not answer')
+      : answer.map(() => undefined);
+  }
+
+  /** Ends the reservation of a key. */
+  async settle(key: string, mayHaveRun: boolean): Promise<void> {
+    const home = homeOf(key, this.#members);
+    if (home !== undefined) {
+      // A settlement that is lost is harmless: the home counts an unsettled key as run.
+      await this.#send(home, { op: 'settle', key, mayHaveRun });
+    }
+  }
+
+  /** Handles the request of another entry. Errors: as `claim`, and `bad-request`. */
+  handle(body: JsonValue): Result<JsonValue, AppError> {
+    const parsed = requestBody.safeParse(body);
+    return parsed.success ? this.#local(parsed.data) : fail('bad-request', parsed.error.message);
+  }
+
+  async #send(home: MemberId, request: KeyRequest): Promise<Result<JsonValue, AppError>> {
+    const { self, ask, signal } = this.#options;
+    return home === self ? this.#local(request) : ask(home, request, HOME_TIMEOUT_MS, signal);
+  }
+
+  #local(request: KeyRequest): Result<JsonValue, AppError> {
+    const now = this.#options.clock.now();
+    if (request.op === 'settle') {
+      this.#table.settle(request.key, request.mayHaveRun, now);
+      return Ok(null);
+    }
+    if (!this.#history.covers(request.key, now)) {
+      return fail('idempotency-unavailable', 'its home joined within the window');
+    }
+    return this.#table.claim(request.key, now).map(() => null);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/idempotency/index.ts
@@ -0,0 +1,1 @@
+export * from './idempotency-gate.js';
--- a/packages/daemon/src/requests/front.ts
+++ b/packages/daemon/src/requests/front.ts
@@ -1,15 +1,19 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
+  answerOf,
   appError,
   Configuration,
+  fail,
+  Ok,
   type AppError,
   type Clock,
   type Millis,
   type RequestDecision,
   type RequestEvent,
   type RequestId,
+  type Result,
 } from '@turmerichoist/core';
-import { Actor, type ActorContext, type Recipient } from '@turmerichoist/runtime';
+import { Actor, type ActorContext, type Metrics, type Recipient } from '@turmerichoist/runtime';
 import { sendError } from '../http/answers.js';
 import type { UpstreamMessage } from '../upstreams/index.js';
 import { callerFields, type CallerFields } from './arrival.js';
@@ -24,13 +28,25 @@
   readonly clock: Clock;
   readonly dispatcher: Recipient<RequestEvent>;
   readonly upstreams: Recipient<UpstreamMessage>;
+  readonly metrics: Metrics;
   /** Requests that may be open at once. */
   readonly maxOpen: number;
 }
 
+/** Lets a request with an idempotency key through once. */
+export interface KeyGuard {
+  /** Errors: `idempotency-running`, `idempotency-done`, `idempotency-unavailable`. */
+  claim(key: string): Promise<Result<void, AppError>>;
+  settle(key: string, mayHaveRun: boolean): Promise<void>;
+}
+
 interface Open {
   readonly exchange: Exchange;
   readonly path: string;
+  /** Idempotency key that this request has claimed. */
+  claimed: string | undefined;
+  /** Whether the request may have run at an upstream. */
+  mayHaveRun: boolean;
 }
 
 interface Target {
@@ -46,12 +62,18 @@
   #cfg = Configuration.empty;
   #lastId = 0;
   #idle: (() => void)[] = [];
+  #guard: KeyGuard | undefined;
 
   constructor(context: ActorContext, options: FrontOptions) {
     super('front', context);
     this.#options = options;
   }
 
+  /** Sets what lets requests with an idempotency key through. Without it they are refused. */
+  guardKeys(guard: KeyGuard): void {
+    this.#guard = guard;
+  }
+
   /** Number of requests that have no complete answer yet. */
   get open(): number {
     return this.#open.size;
@@ -87,6 +109,11 @@
         return;
       }
     }
+    const claimed = await this.#claim(id, target.queue, fields.value);
+    if (claimed.isErr()) {
+      this.#refuse(id, claimed.error);
+      return;
+    }
     this.#arrive(id, target.queue, fields.value, arrivedAt);
   }
 
@@ -110,16 +137,54 @@
   #register(exchange: Exchange, path: string, res: ServerResponse): RequestId {
     this.#lastId += 1;
     const id = String(this.#lastId);
-    this.#open.set(id, { exchange, path });
+    const open: Open = { exchange, path, claimed: undefined, mayHaveRun: false };
+    this.#open.set(id, open);
     res.once('close', () => {
-      if (this.#open.delete(id) && !res.writableFinished) {
+      this.#open.delete(id);
+      if (!res.writableFinished) {
         this.#options.dispatcher.post({ type: 'cancelled', id });
       }
+      this.#count(res);
+      this.#settle(open);
       this.#releaseIdle();
     });
     return id;
   }
 
+  async #claim(
+    id: RequestId,
+    queue: string,
+    fields: CallerFields,
+  ): Promise<Result<void, AppError>> {
+    if (fields.idempotencyKey === undefined) {
+      return Ok(undefined);
+    }
+    const key = `${queue}/${fields.keySha256 ?? ''}/${fields.idempotencyKey}`;
+    const claim = (await this.#guard?.claim(key)) ?? fail('idempotency-unavailable');
+    if (claim.isErr()) {
+      const unavailable = claim.error.kind === 'idempotency-unavailable';
+      return unavailable && fields.bestEffortKey ? Ok(undefined) : claim;
+    }
+    const open = this.#open.get(id);
+    if (open === undefined) {
+      await this.#guard?.settle(key, false);
+      return fail('caller-gone');
+    }
+    open.claimed = key;
+    return claim;
+  }
+
+  #settle({ claimed, mayHaveRun }: Open): void {
+    if (claimed !== undefined) {
+      void this.#guard?.settle(claimed, mayHaveRun);
+    }
+  }
+
+  #count(res: ServerResponse): void {
+    const outcome = res.writableFinished ? String(res.statusCode) : 'broken';
+    this.#options.metrics.count('requests', 1, { outcome });
+  }
+
   #arrive(id: RequestId, queue: string, fields: CallerFields, arrivedAt: Millis): void {
     const open = this.#open.get(id);
     if (open === undefined) {
@@ -147,6 +212,7 @@
       this.#dropAttempt(id, upstream);
       return;
     }
+    open.mayHaveRun = true;
     const sink = open.exchange;
     this.#options.upstreams.post({ type: 'send', id, upstream, request, sink, deadline });
   }
@@ -161,7 +227,11 @@
 
   #refuse(id: RequestId, err: AppError): void {
     const open = this.#open.get(id);
-    open?.exchange.refuse(open.exchange.overLimit ? appError('body-too-large') : err);
+    if (open === undefined) {
+      return;
+    }
+    open.mayHaveRun &&= answerOf(err.kind).outcome !== 'not-run';
+    open.exchange.refuse(open.exchange.overLimit ? appError('body-too-large') : err);
   }
 
   #releaseIdle(): void {
--- a/packages/daemon/src/requests/request-path.ts
+++ b/packages/daemon/src/requests/request-path.ts
@@ -1,5 +1,5 @@
 import type { Clock, Configuration, RequestEvent } from '@turmerichoist/core';
-import type { ActorContext } from '@turmerichoist/runtime';
+import type { ActorContext, Metrics } from '@turmerichoist/runtime';
 import { UpstreamPool, type UpstreamTarget } from '../upstreams/index.js';
 import { Dispatcher, type RequestDecisions } from './dispatcher.js';
 import { Front } from './front.js';
@@ -8,6 +8,7 @@
   readonly context: ActorContext;
   readonly clock: Clock;
   readonly decisions: RequestDecisions;
+  readonly metrics: Metrics;
   /** Requests that may be open at once. */
   readonly maxOpen: number;
 }
@@ -18,11 +19,12 @@
   readonly dispatcher: Dispatcher;
   readonly #upstreams: UpstreamPool;
 
-  constructor({ context, clock, decisions, maxOpen }: RequestPathOptions) {
+  constructor({ context, clock, decisions, metrics, maxOpen }: RequestPathOptions) {
     this.dispatcher = new Dispatcher(context, { clock, decisions, front: () => this.front });
     this.#upstreams = new UpstreamPool(context, clock, this.dispatcher);
     const { dispatcher } = this;
-    this.front = new Front(context, { clock, dispatcher, upstreams: this.#upstreams, maxOpen });
+    const upstreams = this.#upstreams;
+    this.front = new Front(context, { clock, dispatcher, upstreams, metrics, maxOpen });
   }
 
   /** Brings a configuration into force. */
--- a/packages/daemon/src/tasks/messages.ts
+++ b/packages/daemon/src/tasks/messages.ts
@@ -1,6 +1,7 @@
 import type {
   AppError,
   PoolName,
+  Resources,
   Result,
   TaskAnswer,
   TaskEvent,
@@ -45,4 +46,11 @@
       readonly command: TaskCommand;
       readonly reply: (answer: Result<unknown, AppError>) => void;
     }
-  | { readonly type: 'poll-workers' };
+  | { readonly type: 'poll-workers' }
+  | { readonly type: 'adjust-allowances' }
+  /** Puts allowances into force and tells what is charged against them then. */
+  | {
+      readonly type: 'lower-allowances';
+      readonly teams: ReadonlyMap<TeamName, Resources>;
+      readonly reply: (charges: ReadonlyMap<TeamName, Resources>) => void;
+    };
--- a/packages/daemon/src/tasks/task-api.ts
+++ b/packages/daemon/src/tasks/task-api.ts
@@ -20,7 +20,7 @@
 const HTTP_ACCEPTED = 202;
 
 /** Carries a command to the owner of its pool, wherever that is. */
-export type TaskRouter = (
+export type RouteTask = (
   command: TaskCommand,
   signal: AbortSignal,
 ) => Promise<Result<unknown, AppError>>;
@@ -29,7 +29,7 @@
   readonly cfg: () => Configuration;
   /** Whether keys can be trusted now: the configuration is confirmed. */
   readonly fresh: () => boolean;
-  readonly route: TaskRouter;
+  readonly route: RouteTask;
   readonly signal: AbortSignal;
 }
 
--- a/packages/daemon/src/tasks/task-owner.ts
+++ b/packages/daemon/src/tasks/task-owner.ts
@@ -1,12 +1,13 @@
 import {
   appError,
   Err,
+  Configuration,
   fail,
+  NO_RESOURCES,
   Ok,
   TaskDecider,
   type AppError,
   type Clock,
-  type Configuration,
   type Millis,
   type PoolName,
   type RequestId,
@@ -14,16 +15,21 @@
   type Result,
   type TaskAnswer,
   type TaskDecision,
+  type TaskEvent,
   type TeamName,
 } from '@turmerichoist/core';
 import type { Condition, TableStore } from '@turmerichoist/coordination';
 import { Actor, every, type ActorContext } from '@turmerichoist/runtime';
 import type { TaskCommand, TaskOwnerMessage } from './messages.js';
+import { AllowanceKeeper, type TeamUse } from './allowance-keeper.js';
 import { TaskLog } from './task-log.js';
 import { REPORT_PERIOD_MS, WorkerLinks } from './worker-links.js';
 
 const TICK_MS: Millis = 50;
 
+/** Period at which the parts of the teams' limits follow the work. */
+const ALLOWANCE_MS: Millis = 500;
+
 /** Pause before a log that could not be read is tried again. */
 const READ_RETRY_MS: Millis = 500;
 
@@ -31,6 +37,7 @@
   readonly pool: PoolName;
   readonly clock: Clock;
   readonly store: TableStore;
+  readonly newId: () => string;
   /** Epoch under which the pool is owned. */
   readonly epoch: number;
   /** The owner's row, which every write has as a condition. */
@@ -46,6 +53,9 @@
   readonly #decider: TaskDecider;
   readonly #taskLog: TaskLog;
   readonly #workers: WorkerLinks;
+  readonly #allowances: AllowanceKeeper;
+  #cfg = Configuration.empty;
+  #adjusting = false;
   readonly #replies = new Map<RequestId, Reply>();
   #lastRequest = 0;
 
@@ -54,14 +64,22 @@
     this.#options = options;
     this.#decider = new TaskDecider(options.pool);
     this.#taskLog = new TaskLog(options.store, options.pool);
+    this.#allowances = new AllowanceKeeper(options);
     this.#workers = new WorkerLinks(options.clock, this, this.signal);
-    this.signal.addEventListener('abort', () => this.#failReplies(), { once: true });
+    this.signal.addEventListener(
+      'abort',
+      () => {
+        this.#failReplies();
+      },
+      { once: true },
+    );
   }
 
   /** Reads the log and begins to decide. */
   start(): void {
     void this.#gain();
     every(TICK_MS, this.signal, () => this.post({ type: 'tick' }));
+    every(ALLOWANCE_MS, this.signal, () => this.post({ type: 'adjust-allowances' }));
     every(REPORT_PERIOD_MS, this.signal, () => this.post({ type: 'poll-workers' }));
   }
 
@@ -88,17 +106,57 @@
       case 'poll-workers':
         this.#workers.poll();
         return;
+      case 'adjust-allowances':
+        void this.#adjustAllowances();
+        return;
+      case 'lower-allowances':
+        this.#decide({ type: 'allowances', teams: message.teams });
+        message.reply(this.#decider.charges());
+        return;
       case 'config-changed':
+        this.#cfg = message.cfg;
         this.#workers.setWorkers(workersOf(message.cfg, this.#options.pool));
         break;
       default:
         break;
     }
-    for (const decision of this.#decider.handle(message, this.#options.clock.now())) {
+    this.#decide(message);
+  }
+
+  #decide(event: TaskEvent): void {
+    for (const decision of this.#decider.handle(event, this.#options.clock.now())) {
       this.#execute(decision);
     }
   }
 
+  async #adjustAllowances(): Promise<void> {
+    if (this.#adjusting) {
+      return;
+    }
+    this.#adjusting = true;
+    const lower = (teams: ReadonlyMap<TeamName, Resources>) =>
+      new Promise<ReadonlyMap<TeamName, Resources>>((resolve) => {
+        if (!this.post({ type: 'lower-allowances', teams, reply: resolve })) {
+          resolve(this.#decider.charges());
+        }
+      });
+    const teams = await this.#allowances.adjust(this.#cfg, this.#use(), lower, this.signal);
+    this.#adjusting = false;
+    this.post({ type: 'allowances', teams });
+  }
+
+  /** Teams with leases or waiting tasks in this pool. */
+  #use(): ReadonlyMap<TeamName, TeamUse> {
+    const charges = this.#decider.charges();
+    const now = this.#options.clock.now();
+    const rows = this.#cfg.list('team').map(({ name }) => {
+      const waiting = this.#decider.whyTeam(name, now)?.waiting;
+      const waits = Object.values(waiting ?? {}).some((count) => count > 0);
+      return [name, { charged: charges.get(name) ?? NO_RESOURCES, waits }] as const;
+    });
+    return new Map(rows.filter(([team, { waits }]) => waits || charges.has(team)));
+  }
+
   #command(command: TaskCommand, reply: Reply): void {
     if (command.type === 'show') {
       reply(this.#show(command));
--- /dev/null
+++ b/packages/daemon/src/tasks/task-router.ts
@@ -0,0 +1,101 @@
+import { ownerKey, type JsonValue, type TableStore } from '@turmerichoist/coordination';
+import {
+  fail,
+  Ok,
+  type AppError,
+  type Clock,
+  type MemberId,
+  type Millis,
+  type PoolName,
+  type Result,
+} from '@turmerichoist/core';
+import { z } from 'zod';
+import type { TaskCommand } from './messages.js';
+import { poolRole, type PoolOwners } from './pool-owners.js';
+
+/** Longest time that the owner of a pool gets for a command. */
+const OWNER_TIMEOUT_MS: Millis = 5_000;
+
+/** Time for which the owner that was read last is asked first. */
+const OWNER_CACHE_MS: Millis = 1_000;
+
+const ownerBody = z.object({ member: z.string(), released: z.boolean().default(false) });
+
+export interface TaskRouterOptions {
+  readonly self: MemberId;
+  readonly clock: Clock;
+  readonly store: TableStore;
+  readonly owners: PoolOwners;
+  readonly ask: (
+    member: MemberId,
+    body: JsonValue,
+    timeoutMs: Millis,
+    signal: AbortSignal,
+  ) => Promise<Result<JsonValue, AppError>>;
+}
+
+interface KnownOwner {
+  readonly member: MemberId;
+  readonly readAt: Millis;
+}
+
+/** Carries commands to the owner of their pool. */
+export class TaskRouter {
+  readonly #options: TaskRouterOptions;
+  readonly #known = new Map<PoolName, KnownOwner>();
+
+  constructor(options: TaskRouterOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Carries out a command at its owner. Errors: `not-owner` when there is none now,
+   * `outcome-unknown` when the owner did not answer, and those of the owner.
+   */
+  async route(command: TaskCommand, signal: AbortSignal): Promise<Result<unknown, AppError>> {
+    const { owners, self, ask } = this.#options;
+    if (owners.owns(command.pool)) {
+      return owners.command(command);
+    }
+    const member = await this.#ownerOf(command.pool, signal);
+    if (member.isErr()) {
+      return member;
+    }
+    if (member.value === self) {
+      return fail('not-owner', `pool/${command.pool} is being taken over`);
+    }
+    const body = command as unknown as JsonValue;
+    const answer = await ask(member.value, body, OWNER_TIMEOUT_MS, signal);
+    return answer.mapErr((err) => this.#explain(command, err));
+  }
+
+  /** A command that got no answer may have been carried out, unless it only reads. */
+  #explain(command: TaskCommand, err: AppError): AppError {
+    this.#known.delete(command.pool);
+    return err.kind === 'peer-unavailable' && command.type !== 'show'
+      ? { kind: 'outcome-unknown', detail: 'the owner of the pool did not answer' }
+      : err;
+  }
+
+  async #ownerOf(pool: PoolName, signal: AbortSignal): Promise<Result<MemberId, AppError>> {
+    const { clock, store } = this.#options;
+    const known = this.#known.get(pool);
+    if (known !== undefined && clock.now() - known.readAt < OWNER_CACHE_MS) {
+      return this.#found(known.member);
+    }
+    const rows = await store.read([ownerKey(poolRole(pool))], signal);
+    const owner = rows.map(([row]) => ownerBody.safeParse(row?.value).data);
+    if (owner.isErr()) {
+      return known === undefined ? owner : this.#found(known.member);
+    }
+    if (owner.value === undefined || owner.value.released) {
+      return fail('not-owner', `pool/${pool} has no owner now`);
+    }
+    this.#known.set(pool, { member: owner.value.member, readAt: clock.now() });
+    return this.#found(owner.value.member);
+  }
+
+  #found(member: MemberId): Result<MemberId, AppError> {
+    return Ok(member);
+  }
+}
--- a/packages/daemon/src/tasks/worker-links.ts
+++ b/packages/daemon/src/tasks/worker-links.ts
@@ -16,6 +16,8 @@
 interface Link {
   readonly address: string;
   readonly client: WorkerClient;
+  /** Worker process that the cursor belongs to. */
+  incarnation: string;
   cursor: number;
   polling: boolean;
 }
@@ -51,7 +53,7 @@
     for (const [worker, address] of wanted) {
       if (!this.#links.has(worker)) {
         const client = new WorkerClient({ worker, address });
-        this.#links.set(worker, { address, client, cursor: 0, polling: false });
+        this.#links.set(worker, { address, client, incarnation: '', cursor: 0, polling: false });
       }
     }
   }
@@ -99,8 +101,11 @@
     const page = await link.client.report(link.cursor, this.#signal);
     link.polling = false;
     if (page.isOk()) {
-      link.cursor = page.value.cursor;
-      this.#owner.post({ type: 'worker-report', report: page.value.report });
+      const { incarnation, cursor } = page.value;
+      const restarted = link.incarnation !== '' && link.incarnation !== incarnation;
+      link.cursor = restarted ? 0 : cursor;
+      link.incarnation = incarnation;
+      this.#owner.post({ type: 'worker-report', report: page.value });
     } else {
       this.#owner.post({ type: 'worker-unreachable', worker });
     }
--- a/packages/daemon/test/request-path-fixture.ts
+++ b/packages/daemon/test/request-path-fixture.ts
@@ -6,7 +6,7 @@
   type Resource,
 } from '@turmerichoist/core';
 import { HttpServer, RequestPath, sha256Hex } from '@turmerichoist/daemon';
-import { silentLogger, SystemClock } from '@turmerichoist/runtime';
+import { NoMetrics, silentLogger, SystemClock } from '@turmerichoist/runtime';
 import { startUpstream, type Upstream, type UpstreamOptions } from '@turmerichoist/stand-ins';
 
 export const KEY = 'key-of-team-a';
@@ -51,6 +51,7 @@
     context: { log: silentLogger, signal: stop.signal },
     clock,
     decisions: new RequestDecider({ random: new SeededRandom(1) }),
+    metrics: new NoMetrics(),
     maxOpen: 1_000,
   });
   const cfg = configuration(
--- a/packages/daemon/test/settings.test.ts
+++ b/packages/daemon/test/settings.test.ts
@@ -20,7 +20,7 @@
     .replace('drainMs: 2000', 'drainMs: -1');
   const lines = text.split('\n');
   const at = (start: string): number => lines.findIndex((line) => line.startsWith(start)) + 1;
-  expect(faults(text).map((fault) => fault.split(' ')[0] + (fault.split(' ')[1] ?? ''))).toEqual([
+  expect(faults(text).map((fault) => fault.split(' ').slice(0, 2).join(''))).toEqual([
     `s.yaml:${at('member')}:member:`,
     `s.yaml:${at('  table')}:platform.table:`,
     `s.yaml:${at('drainMs')}:drainMs:`,
--- a/packages/measure/src/pass-through/servers.ts
+++ b/packages/measure/src/pass-through/servers.ts
@@ -10,7 +10,7 @@
   type Resource,
 } from '@turmerichoist/core';
 import { HttpServer, RequestPath, sha256Hex } from '@turmerichoist/daemon';
-import { silentLogger, SystemClock } from '@turmerichoist/runtime';
+import { NoMetrics, silentLogger, SystemClock } from '@turmerichoist/runtime';
 
 /** Key of the only team of the benchmark. */
 export const BENCHMARK_KEY = 'benchmark-key';
@@ -79,6 +79,7 @@
     context: { log: silentLogger, signal },
     clock: new SystemClock(),
     decisions: new RequestDecider({ random: new SeededRandom(1) }),
+    metrics: new NoMetrics(),
     maxOpen: SLOTS * 2,
   });
   path.configure(configuration(upstreamPort));
--- /dev/null
+++ b/packages/stand-ins/src/demo/index.ts
@@ -0,0 +1,1 @@
+export * from './small-system.js';
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
 export * from './platform/index.js';
 export * from './upstream/index.js';
 export * from './worker/index.js';
+export * from './demo/index.js';
--- /dev/null
+++ b/packages/stand-ins/test/whole-path.test.ts
@@ -0,0 +1,206 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { createServer, type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterAll, beforeAll, expect, test } from '@jest/globals';
+import {
+  settingsText,
+  startPlatform,
+  startUpstream,
+  startWorker,
+  type StandInPlatform,
+  type Upstream,
+  type UpstreamEcho,
+  type Worker,
+} from '@turmerichoist/stand-ins';
+import { request } from 'undici';
+
+const TOKEN = 'operator-token';
+const KEY = 'key-blue';
+const HOST = '127.0.0.1';
+
+async function freePort(): Promise<number> {
+  const server = createServer().listen(0, HOST);
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+async function until<T>(what: string, ms: number, probe: () => Promise<T | undefined>): Promise<T> {
+  const end = performance.now() + ms;
+  while (performance.now() < end) {
+    const found = await probe().catch(() => undefined);
+    if (found !== undefined) {
+      return found;
+    }
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  throw new Error(`no ${what} within ${ms} ms`);
+}
+
+interface Process {
+  readonly url: string;
+  readonly child: ChildProcess;
+  readonly output: string[];
+}
+
+let folder = '';
+let platform: StandInPlatform;
+let upstreams: readonly Upstream[];
+let worker: Worker;
+let entries: readonly Process[];
+
+async function startDaemon(member: string, zone: string): Promise<Process> {
+  const [port, peerPort] = [await freePort(), await freePort()];
+  const place = { member, zone, port, peerPort, operatorToken: TOKEN };
+  const file = join(folder, `${member}.yaml`);
+  await writeFile(file, settingsText(platform, place));
+  const child = spawn(process.execPath, ['packages/daemon/dist/main.js', '--settings', file]);
+  const output: string[] = [];
+  child.stderr.on('data', (chunk: Buffer) => output.push(chunk.toString()));
+  const listed = { id: member, address: `${HOST}:${peerPort}`, zone, state: 'live' } as const;
+  listedInstances.push(listed);
+  platform.instances.setInstances(listedInstances);
+  return { url: `http://${HOST}:${port}`, child, output };
+}
+
+const listedInstances: Parameters<StandInPlatform['instances']['setInstances']>[0][number][] = [];
+
+interface CliResult {
+  readonly code: number | null;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+async function cli(url: string, ...args: readonly string[]): Promise<CliResult> {
+  const flags = ['--server', url, '--token', TOKEN];
+  const child = spawn(process.execPath, ['packages/cli/bin/run.js', ...args, ...flags]);
+  let [stdout, stderr] = ['', ''];
+  child.stdout.on('data', (chunk: Buffer) => (stdout += chunk.toString()));
+  child.stderr.on('data', (chunk: Buffer) => (stderr += chunk.toString()));
+  const [code] = (await once(child, 'close')) as [number | null];
+  return { code, stdout, stderr };
+}
+
+async function ready({ url }: Process): Promise<true | undefined> {
+  const res = await request(`${url}/readyz`);
+  await res.body.dump();
+  return res.statusCode === 200 ? true : undefined;
+}
+
+beforeAll(async () => {
+  folder = await mkdtemp(join(tmpdir(), 'whole-path-'));
+  platform = await startPlatform();
+  const names = ['web-1', 'web-2'];
+  upstreams = await Promise.all(
+    names.map((name) => startUpstream({ name, host: HOST, port: 0, workMs: 5 })),
+  );
+  const capacity = { processors: 32, memoryMb: 131_072, accelerators: 0 };
+  worker = await startWorker({ host: HOST, port: 0, capacity });
+  entries = [await startDaemon('entry-1', 'zone-a'), await startDaemon('entry-2', 'zone-b')];
+  await Promise.all(entries.map((entry) => until('ready entry', 15_000, () => ready(entry))));
+  const example = await readFile('examples/fleet.yaml', 'utf8');
+  const file = join(folder, 'fleet.yaml');
+  const filled = example
+    .replace('127.0.0.1:7101', upstreams[0]?.address ?? '')
+    .replace('127.0.0.1:7102', upstreams[1]?.address ?? '')
+    .replace('127.0.0.1:7201', worker.address);
+  await writeFile(file, filled);
+  const applied = await cli(entries[0]?.url ?? '', 'apply', '-f', file);
+  expect(applied).toMatchObject({ code: 0 });
+}, 60_000);
+
+afterAll(async () => {
+  for (const { child } of entries) {
+    child.kill('SIGKILL');
+  }
+  await Promise.all([platform, worker, ...upstreams].map((each) => each.close()));
+  await rm(folder, { recursive: true, force: true });
+});
+
+async function call(url: string, key: string, name: string) {
+  const res = await request(`${url}/q/site/hello`, {
+    headers: { authorization: `Bearer ${key}`, 'x-request': name },
+  });
+  return { res, text: await res.body.text() };
+}
+
+test('a change that an operator applies at one entry is in force at both', async () => {
+  for (const { url } of entries) {
+    const team = await until('team', 5_000, async () => {
+      const got = await cli(url, 'get', 'team', 'blue', '-o', 'json');
+      return got.code === 0 ? (JSON.parse(got.stdout) as { spec: { share: number } }) : undefined;
+    });
+    expect(team.spec.share).toBe(2);
+  }
+  const status = await cli(entries[0]?.url ?? '', 'rollout', 'status', '-o', 'json');
+  const { members } = JSON.parse(status.stdout) as { members: readonly { state: string }[] };
+  expect(members.map(({ state }) => state)).toEqual(['in-force', 'in-force']);
+});
+
+test('a caller gets the whole answer of an upstream through either entry', async () => {
+  for (const { url } of entries) {
+    const echo = await until('answer', 10_000, async () => {
+      const { res, text } = await call(url, KEY, url);
+      return res.statusCode === 200 ? (JSON.parse(text) as UpstreamEcho) : undefined;
+    });
+    expect(echo).toMatchObject({ path: '/hello', request: url });
+  }
+});
+
+test('the wrong key is refused as not run', async () => {
+  const { res } = await call(entries[0]?.url ?? '', 'wrong', 'wrong');
+  expect([res.statusCode, res.headers['x-outcome']]).toEqual([403, 'not-run']);
+  const ran = upstreams.flatMap((upstream) => upstream.runs.map((run) => run.request));
+  expect(ran).not.toContain('wrong');
+});
+
+test('a task that is submitted at either entry is leased to a worker, run and reported', async () => {
+  for (const [i, { url }] of entries.entries()) {
+    const headers = { authorization: `Bearer ${KEY}`, 'content-type': 'application/json' };
+    const resources = { processors: 1, memoryMb: 256 };
+    const body = JSON.stringify({ id: `t${i}`, pool: 'web', command: 'run ms=50', resources });
+    const sent = await until('accepted task', 10_000, async () => {
+      const res = await request(`${url}/tasks`, { method: 'POST', headers, body });
+      const text = await res.body.text();
+      return res.statusCode === 202 ? text : undefined;
+    });
+    expect(JSON.parse(sent)).toMatchObject({ type: 'accepted', id: `web:t${i}` });
+    const state = await until('finished task', 15_000, async () => {
+      const res = await request(`${url}/tasks/web:t${i}`, { headers });
+      const view = (await res.body.json()) as { state: string };
+      return view.state === 'finished' ? view.state : undefined;
+    });
+    expect(state).toBe('finished');
+  }
+  expect(worker.runs.length).toBe(2);
+});
+
+test('SIGTERM under traffic cuts no request and ends with status 0', async () => {
+  const [entry] = entries;
+  const url = entry?.url ?? '';
+  const results: string[] = [];
+  let stopped = false;
+  const caller = async (): Promise<void> => {
+    while (!stopped) {
+      const outcome = await call(url, KEY, 'traffic').then(
+        ({ res }) => String(res.statusCode),
+        (err: unknown) => (err as { code?: string }).code ?? 'broken',
+      );
+      results.push(outcome);
+      stopped ||= outcome === 'ECONNREFUSED';
+    }
+  };
+  const callers = Array.from({ length: 8 }, caller);
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  entry?.child.kill('SIGTERM');
+  const exited = once(entry?.child!, 'exit');
+  await Promise.all(callers);
+  const [code] = (await exited) as [number];
+  expect(new Set(results.filter((result) => result !== 'ECONNREFUSED'))).toEqual(new Set(['200']));
+  expect(code).toBe(0);
+});
