--- a/packages/daemon/src/entry/coordination.ts
+++ b/packages/daemon/src/entry/coordination.ts
@@ -9,36 +9,18 @@
   OwnershipKeeper,
   PeerMesh,
   SessionKeeper,
-  type AuditRecord,
   type Broadcast,
   type ConfigEvent,
-  type JsonValue,
   type ListedInstance,
   type MemberWatchEvent,
-  type OwnershipEvent,
   type PeerListener,
-  type PeerReport,
-  type RequestTopic,
   type SessionEvent,
-  type ViewMember,
 } from '@turmerichoist/coordination';
-import {
-  type AppError,
-  type Clock,
-  type Configuration,
-  type MemberId,
-  type Millis,
-  type Random,
-  type Result,
-  type Revision,
-  type TeamName,
-} from '@turmerichoist/core';
-import { every, type ActorContext, type Metrics } from '@turmerichoist/runtime';
-import type { Settings } from '../settings/index.js';
-import { FreshnessTransport } from './freshness-transport.js';
+import type { AppError, MemberId, Millis, Result, Revision } from '@turmerichoist/core';
+import { every } from '@turmerichoist/runtime';
 import type { CoordinationOptions } from './coordination-listener.js';
 import { declaredLimits } from './declared-limits.js';
-import type { Platform } from './platform.js';
+import { FreshnessTransport } from './freshness-transport.js';
 import { recipient } from './recipient.js';
 
 /** Period at which heartbeats get a new status of this entry. */
--- a/packages/stand-ins/test/whole-path.test.ts
+++ b/packages/stand-ins/test/whole-path.test.ts
@@ -197,10 +197,10 @@
   };
   const callers = Array.from({ length: 8 }, caller);
   await new Promise((resolve) => setTimeout(resolve, 300));
+  const exited = new Promise((resolve) => entry?.child.once('exit', resolve));
   entry?.child.kill('SIGTERM');
-  const exited = once(entry?.child!, 'exit');
   await Promise.all(callers);
-  const [code] = (await exited) as [number];
+  const code = await exited;
   expect(new Set(results.filter((result) => result !== 'ECONNREFUSED'))).toEqual(new Set(['200']));
   expect(code).toBe(0);
 });
