--- a/packages/core/src/fleet/bookkeeping.ts
+++ b/packages/core/src/fleet/bookkeeping.ts
@@ -1,22 +1,15 @@
-import type { InstanceName, PoolName } from '../types/index.js';
+import type { InstanceName } from '../types/index.js';
 import type { RoundContext } from './round-context.js';
 import type { BudgetEntry, BudgetRow } from './rows.js';
 import type { WaitReason } from './wait-reasons.js';
 
 /** Records failures of the pool's instances in its budget row, and their end. */
-export function recordFailures({ batch, view, role, fence }: RoundContext): void {
+export function recordFailures({ batch, view, role }: RoundContext): void {
   const row = batch.budget(role);
   const kept = row.taken.filter(({ cause, instance }) => {
     return cause !== 'failure' || !view.isUp(instance);
   });
-  const known = new Set(kept.map((entry) => entry.instance));
-  const failed = view
-    .instancesOf(role)
-    .filter(({ name }) => view.isReportedDown(name) && !known.has(name))
-    .map(({ name }): BudgetEntry => {
-      const boot = view.boot(name) ?? 0;
-      return { ...fence, instance: name, cause: 'failure', boot, pools: [role] };
-    });
+  const failed = batch.newFailures(role, row);
   if (failed.length > 0 || kept.length < row.taken.length) {
     batch.editBudget(role, (current) => ({ ...current, taken: [...kept, ...failed] }));
   }
@@ -30,6 +23,15 @@
     this.#pending.set(instance, on);
   }
 
+  /** Drops requests for instances that `isOwn` doesn't hold for: another owner answers for them. */
+  keepOnly(isOwn: (instance: InstanceName) => boolean): void {
+    for (const name of this.#pending.keys()) {
+      if (!isOwn(name)) {
+        this.#pending.delete(name);
+      }
+    }
+  }
+
   /** Writes pending requests of the pool to its row, and takes budget for those that wait. */
   plan(context: RoundContext): void {
     this.#record(context);
@@ -56,22 +58,22 @@
     return isWanted ? { type: 'operator-hold' } : undefined;
   }
 
+  /** A request is done when the stored row has it and no change of the row is on its way. */
   #record({ batch, ledger, role, view }: RoundContext): void {
+    if (!batch.canEdit(`budget/${role}`)) {
+      return;
+    }
     for (const [name, on] of this.#pending) {
-      const pool = view.instance(name)?.spec.pool;
-      if (pool === undefined || ledger.budget(role).requested.includes(name) === on) {
-        this.#forgetIfOwn(name, pool, role);
-      } else if (pool === role) {
+      if (view.instance(name)?.spec.pool !== role) {
+        continue;
+      }
+      if (ledger.budget(role).requested.includes(name) === on) {
+        this.#pending.delete(name);
+      } else {
         batch.editBudget(role, (row) => withRequest(row, name, on));
       }
     }
   }
-
-  #forgetIfOwn(name: InstanceName, pool: PoolName | undefined, role: PoolName): void {
-    if (pool === undefined || pool === role) {
-      this.#pending.delete(name);
-    }
-  }
 }
 
 function withRequest(row: BudgetRow, name: InstanceName, on: boolean): BudgetRow {
--- a/packages/core/src/fleet/budget-ledger.ts
+++ b/packages/core/src/fleet/budget-ledger.ts
@@ -1,5 +1,5 @@
 import type { InstanceName, PlanName, PoolName, ZoneName } from '../types/index.js';
-import type { FleetView } from './fleet-view.js';
+import { groupBy, type FleetView } from './fleet-view.js';
 import {
   EMPTY_BUDGET_ROW,
   rowKey,
@@ -25,6 +25,8 @@
   readonly #rows = new Map<RowKey, StoredRow>();
   readonly #open = new Map<number, FleetTransaction>();
   readonly #busy = new Map<RowKey, FleetTransaction>();
+  /** Planned entries by role. Made when needed, and again after a row changed. */
+  #byRole: ReadonlyMap<PoolName, readonly BudgetEntry[]> | undefined;
 
   constructor(view: FleetView) {
     this.#view = view;
@@ -35,6 +37,7 @@
    * version 0 means that the row was deleted. A wrong guess costs one conflict.
    */
   load(rows: readonly StoredRow[]): void {
+    this.#byRole = undefined;
     for (const row of rows) {
       const known = this.#rows.get(rowKey(row));
       if (known === undefined || row.version === 0 || row.version >= known.version) {
@@ -109,11 +112,14 @@
 
   /** Planned entries that a role took, each once, whatever rows hold it. */
   plannedEntriesOf(role: PoolName): readonly BudgetEntry[] {
+    this.#byRole ??= groupBy(this.#plannedEntries(), (entry) => entry.role);
+    return this.#byRole.get(role) ?? [];
+  }
+
+  #plannedEntries(): readonly BudgetEntry[] {
     const found = new Map<string, BudgetEntry>();
-    for (const entry of this.entries()) {
-      if (entry.role === role && isPlanned(entry)) {
-        found.set(`${entry.instance} ${entry.cause}`, entry);
-      }
+    for (const entry of this.entries().filter(isPlanned)) {
+      found.set(`${entry.instance} ${entry.cause}`, entry);
     }
     return [...found.values()];
   }
--- a/packages/core/src/fleet/disruptions.ts
+++ b/packages/core/src/fleet/disruptions.ts
@@ -146,7 +146,7 @@
     const { now, fence, waits } = context;
     const { instance } = entry;
     const subject = { kind: 'instance', name: instance } as const;
-    const obstacle = this.#obstacle(entry, progress, context);
+    const obstacle = this.#obstacle(entry, context);
     if (obstacle !== undefined) {
       waits.note(subject, obstacle, now);
       return [];
@@ -163,12 +163,8 @@
    * A drain that has not begun stays back while failures that came after the take exceed the budget.
    * One that the instance itself reports goes on, since the instance is unavailable already.
    */
-  #obstacle(
-    entry: BudgetEntry,
-    progress: Progress,
-    { ledger }: RoundContext,
-  ): WaitReason | undefined {
-    if (progress.drainSentAt !== undefined || this.#draining.has(entry.instance)) {
+  #obstacle(entry: BudgetEntry, { ledger }: RoundContext): WaitReason | undefined {
+    if (this.#draining.has(entry.instance)) {
       return undefined;
     }
     for (const pool of entry.pools) {
--- a/packages/core/src/fleet/fleet-decider.ts
+++ b/packages/core/src/fleet/fleet-decider.ts
@@ -89,9 +89,12 @@
         this.#disruptions.drainFinished(event.instance, event.fence);
         return false;
       case 'transaction-committed':
-      case 'transaction-conflicted':
         this.#ledger.settle(event.id, event.rows);
         return true;
+      case 'transaction-conflicted':
+        // The next tick tries again. At once would make two owners, or a former one, race in a loop.
+        this.#ledger.settle(event.id, event.rows);
+        return false;
       case 'transaction-unknown':
         // The transaction stays open, so what it takes counts and its rows are not written.
         return false;
@@ -103,9 +106,11 @@
         return false;
       case 'operator-drain':
         this.#requests.request(event.instance, event.on);
+        this.#requests.keepOnly((name) => this.#owns(name));
         return true;
       case 'ownership-gained':
         this.#ledger.load(event.rows);
+        this.#lose(event.fence.role);
         this.#owned.set(event.fence.role, event.fence);
         return true;
       case 'ownership-lost':
@@ -131,6 +136,12 @@
     this.#owned.delete(role);
     this.#disruptions.forget(role);
     this.#zones.forget(role);
+    this.#requests.keepOnly((name) => this.#owns(name));
+  }
+
+  #owns(instance: InstanceName): boolean {
+    const pool = this.#view.instance(instance)?.spec.pool;
+    return pool !== undefined && this.#owned.has(pool);
   }
 
   /** Plans for each owned role in turn. The first one differs from round to round. */
--- a/packages/core/src/fleet/messages.ts
+++ b/packages/core/src/fleet/messages.ts
@@ -48,6 +48,7 @@
   /** Rows that others wrote. */
   | { readonly type: 'rows-read'; readonly rows: readonly StoredRow[] }
   | { readonly type: 'demand'; readonly demand: PoolDemand }
+  /** For the owner of the instance's pool; others ignore it. */
   | {
       readonly type: 'operator-drain';
       readonly instance: InstanceName;
--- a/packages/core/src/fleet/row-batch.ts
+++ b/packages/core/src/fleet/row-batch.ts
@@ -70,6 +70,18 @@
     return true;
   }
 
+  /** Entries for instances of the pool that are reported down and that the row doesn't have. */
+  newFailures(pool: PoolName, row: BudgetRow): readonly BudgetEntry[] {
+    const known = new Set(row.taken.map((entry) => entry.instance));
+    return this.#view
+      .instancesOf(pool)
+      .filter(({ name }) => this.#view.isReportedDown(name) && !known.has(name))
+      .map(({ name }) => {
+        const boot = this.#view.boot(name) ?? 0;
+        return { ...this.fence, instance: name, cause: 'failure', boot, pools: [pool] };
+      });
+  }
+
   /** Takes a unit of every pool touched, or none and says what is missing. */
   tryTake(take: Take): WaitReason | undefined {
     const byPool = this.#poolsOf(take);
@@ -80,7 +92,7 @@
       }
     }
     for (const [pool, names] of byPool) {
-      this.editBudget(pool, (row) => this.#withTaken(row, names, take));
+      this.editBudget(pool, (row) => this.#withTaken(pool, row, names, take));
     }
     this.#noteMoves(take);
     return undefined;
@@ -154,11 +166,18 @@
     return this.#ledger.shortage(pool, names, row);
   }
 
-  #withTaken(row: BudgetRow, names: readonly InstanceName[], take: Take): BudgetRow {
+  #withTaken(
+    pool: PoolName,
+    row: BudgetRow,
+    names: readonly InstanceName[],
+    take: Take,
+  ): BudgetRow {
     const entries = names.map((name) => this.#entry(name, take));
+    // Others may not know these failures yet. With them in the row, they can't take past the budget.
     const { reserved, ...rest } = row;
     const kept = reserved === undefined || isReservedFor(reserved, take) ? {} : { reserved };
-    return { ...rest, ...kept, taken: [...row.taken, ...entries] };
+    const failed = this.newFailures(pool, row);
+    return { ...rest, ...kept, taken: [...row.taken, ...entries, ...failed] };
   }
 
   #entry(instance: InstanceName, take: Take): BudgetEntry {
--- /dev/null
+++ b/packages/measure/src/fleet/pools.ts
@@ -0,0 +1,130 @@
+import {
+  FixedBuffer,
+  FleetDecider,
+  FleetSimulation,
+  ProportionalBorrowing,
+  RecentDemand,
+  SeededRandom,
+  type FleetDecision,
+  type PoolPlanner,
+} from '@turmerichoist/core';
+import { configurationOf, poolName, type Deployment } from './deployments.js';
+import { renderTable } from './table.js';
+
+const TICK_MS = 5_000;
+const SAMPLE_MS = 30_000;
+const HOUR_MS = 3_600_000;
+const DAYS_MS = 48 * HOUR_MS;
+const BURST_MS = 2_400_000;
+const GAP_MS = 1_200_000;
+const SLOTS = 8;
+/** Mean demand as a part of the pool's capacity. Five times that is twice what the pool holds. */
+const MEAN_PART = 0.4;
+const BURST_FACTOR = 5;
+const QUIET_FACTOR = 1 / 20;
+const NOISE = 0.2;
+/** Bursts begin up to this much early or late. */
+const JITTER_MS = 240_000;
+
+interface Totals {
+  heldHours: number;
+  unmetHours: number;
+  demandHours: number;
+  moves: number;
+}
+
+/** Queues burst in turn; each planner gets the same demand. */
+export function measurePools(deployment: Deployment, seed: number): string {
+  const planners: readonly (readonly [string, PoolPlanner])[] = [
+    ['FixedBuffer(1)', new FixedBuffer(1)],
+    ['ProportionalBorrowing', new ProportionalBorrowing()],
+    ['RecentDemand', new RecentDemand()],
+  ];
+  const rows = planners.map(([name, planner]) => {
+    const totals = runPlanner(deployment, seed, planner);
+    const unmetPart = (100 * totals.unmetHours) / totals.demandHours;
+    return [
+      name,
+      totals.heldHours.toFixed(2),
+      totals.moves,
+      totals.unmetHours.toFixed(2),
+      unmetPart.toFixed(2),
+    ];
+  });
+  const headings = ['planner', 'idle borrowed instance-h', 'moves', 'unmet instance-h', 'unmet %'];
+  return renderTable(headings, rows);
+}
+
+function runPlanner(deployment: Deployment, seed: number, planner: PoolPlanner): Totals {
+  const totals: Totals = { heldHours: 0, unmetHours: 0, demandHours: 0, moves: 0 };
+  const decider = new FleetDecider({ poolPlanner: planner });
+  const simulation = new FleetSimulation({
+    cfg: configurationOf(deployment),
+    decider,
+    drainMs: 60_000,
+    rebootMs: 180_000,
+    tickMs: TICK_MS,
+    commitMs: 10,
+    startWallMs: 0,
+    observe: (decision) => {
+      totals.moves += movesOf(decision);
+    },
+  });
+  simulation.start();
+  const random = new SeededRandom(seed);
+  const bursts = burstStarts(deployment.pools - 1, random);
+  const sample = (): void => {
+    for (let pool = 0; pool < deployment.pools - 1; pool += 1) {
+      const demand = demandAt(simulation.now, bursts[pool] ?? [], random);
+      samplePool(poolName(pool), demand, simulation, decider, totals);
+    }
+    simulation.at(simulation.now + SAMPLE_MS, sample);
+  };
+  sample();
+  simulation.run(DAYS_MS);
+  return totals;
+}
+
+function movesOf(decision: FleetDecision): number {
+  return decision.type === 'move-instances' ? decision.txn.poolChanges.length : 0;
+}
+
+function burstStarts(pools: number, random: SeededRandom): readonly (readonly number[])[] {
+  const period = pools * (BURST_MS + GAP_MS);
+  return Array.from({ length: pools }, (_, pool) =>
+    Array.from({ length: Math.ceil(DAYS_MS / period) + 1 }, (__, round) => {
+      const jitter = (random.next() * 2 - 1) * JITTER_MS;
+      return HOUR_MS + round * period + pool * (BURST_MS + GAP_MS) + jitter;
+    }),
+  );
+}
+
+/** Demand as a part of the capacity of the pool's declared size. */
+function demandAt(now: number, starts: readonly number[], random: SeededRandom): number {
+  const isBurst = starts.some((start) => now >= start && now < start + BURST_MS);
+  const noise = 1 + (random.next() * 2 - 1) * NOISE;
+  return MEAN_PART * (isBurst ? BURST_FACTOR : QUIET_FACTOR) * noise;
+}
+
+function samplePool(
+  pool: string,
+  part: number,
+  simulation: FleetSimulation,
+  decider: FleetDecider,
+  totals: Totals,
+): void {
+  const size = simulation.cfg.spec('pool', pool)?.size ?? 0;
+  const members = simulation.cfg.list('instance').filter((each) => each.spec.pool === pool);
+  const available = members.filter((each) => decider.mayStart(each.name)).length;
+  const demand = part * size;
+  const hours = SAMPLE_MS / HOUR_MS;
+  const borrowed = Math.max(0, members.length - size);
+  totals.demandHours += demand * hours;
+  totals.unmetHours += Math.max(0, demand - available) * hours;
+  totals.heldHours += Math.min(borrowed, Math.max(0, members.length - demand)) * hours;
+  const running = Math.min(demand, available) * SLOTS;
+  const waiting = Math.max(0, demand - available) * SLOTS;
+  const capacity = members.length * SLOTS;
+  const work = { pool, running, waiting, capacity, instances: members.length };
+  simulation.deliver({ type: 'demand', demand: work });
+}
