feat(tasks): focused tests, lanes within a team, earlier log compaction

Cause: a team's accelerator tasks waited behind its plain tasks, for which there was no room; the log held four events for each kept task before it was compacted. Change: each team and class has a lane for each set of constraints and need of accelerators. The log is compacted from two events for each task.

--- a/packages/core/src/tasks/explain.ts
+++ b/packages/core/src/tasks/explain.ts
@@ -77,7 +77,7 @@
 
   #firstWait(team: TeamName, now: Millis): TeamExplanation['waits'] {
     for (const workClass of WORK_CLASSES) {
-      const [id] = this.#state.queues.peek(workClass, team, 1);
+      const [id] = this.#state.queues.heads(workClass, team, 1).flat();
       const record = id === undefined ? undefined : this.#state.log.get(id);
       const wait = record === undefined ? undefined : this.#waitOf(record, now);
       if (id !== undefined && wait !== undefined) {
--- a/packages/core/src/tasks/log-compactor.ts
+++ b/packages/core/src/tasks/log-compactor.ts
@@ -2,9 +2,9 @@
 import type { FillResult } from './append-queue.js';
 import type { TaskStore } from './task-store.js';
 
-/** Events that the log may hold beyond four for each task before a compaction starts. */
-const COMPACT_MIN_EVENTS = 5_000;
-const COMPACT_EVENTS_PER_TASK = 4;
+/** Events that the log may hold beyond two for each task before a compaction starts. */
+const COMPACT_MIN_EVENTS = 2_000;
+const COMPACT_EVENTS_PER_TASK = 2;
 /** Records repeated in one batch, so that a compaction does not delay other events. */
 const RECORDS_PER_BATCH = 50;
 
--- a/packages/core/src/tasks/scheduler.ts
+++ b/packages/core/src/tasks/scheduler.ts
@@ -2,6 +2,7 @@
   WORK_CLASSES,
   type InstanceName,
   type Millis,
+  type TaskId,
   type TeamName,
   type WorkClass,
 } from '../types/index.js';
@@ -20,9 +21,9 @@
 const MAX_CLAIMS = 50;
 /** Waiting log events at which no more leases are planned: their checks would be out of date. */
 const MAX_BACKLOG = 500;
-/** Waiting tasks of a team that are tried when the first does not fit. */
+/** Waiting tasks of a team's lane that are tried when the first does not fit. */
 const LOOK_AHEAD = 4;
-/** Age of a team's first task from which the tasks behind it no longer pass it. */
+/** Age of a lane's first task from which the tasks behind it no longer pass it. */
 const NO_PASSING_MS = 10_000;
 /** Teams that found no room are tried again at least this often. */
 const RETRY_MS = 500;
@@ -110,7 +111,7 @@
     const { queues, log, table, placement } = this.#state;
     for (const workClass of ['archive', 'normal'] as const) {
       const team = queues.firstTeam(workClass);
-      const ids = team === undefined ? [] : queues.peek(workClass, team, LOOK_AHEAD);
+      const ids = team === undefined ? [] : queues.heads(workClass, team, LOOK_AHEAD).flat();
       for (const id of ids) {
         const record = log.get(id);
         const able =
@@ -155,7 +156,16 @@
   }
 
   #serveTeam(workClass: WorkClass, team: TeamName, now: Millis): Served {
-    const ids = this.#state.queues.peek(workClass, team, LOOK_AHEAD);
+    for (const lane of this.#state.queues.heads(workClass, team, LOOK_AHEAD)) {
+      const served = this.#serveLane(lane, now);
+      if (served !== 'blocked') {
+        return served;
+      }
+    }
+    return 'blocked';
+  }
+
+  #serveLane(ids: readonly TaskId[], now: Millis): Served {
     for (const [position, id] of ids.entries()) {
       const record = this.#state.log.get(id);
       if (record === undefined) {
@@ -186,7 +196,11 @@
       this.#start(record, worker, size, now);
       return 'started';
     }
-    return first ? this.#makeRoom(record, size, now) : 'blocked';
+    if (first) {
+      return this.#makeRoom(record, size, now);
+    }
+    this.#waits.note(task.id, 'capacity', now);
+    return 'blocked';
   }
 
   #makeRoom(record: TaskRecord, size: Resources, now: Millis): Served {
--- a/packages/core/src/tasks/team-queues.ts
+++ b/packages/core/src/tasks/team-queues.ts
@@ -8,12 +8,13 @@
 import { RankedKeys } from './ranked-keys.js';
 import type { ShareLedger } from './share-ledger.js';
 import type { TaskSpec } from './model.js';
+import { constraintKey } from './placement-index.js';
 
 /** Removed entries that a queue may hold before it is rewritten. */
 const COMPACT_AFTER = 64;
 
-/** Tasks of one team and class that wait, oldest first; tasks that ran before come first. */
-class TaskQueue {
+/** Waiting tasks that the same workers could run, oldest first; tasks that ran before come first. */
+class Lane {
   #order: TaskId[] = [];
   #head = 0;
   readonly #present = new Map<TaskId, Millis>();
@@ -72,6 +73,56 @@
   }
 }
 
+/**
+ * Tasks of one team and class that wait. Tasks with other constraints, or with other needs of
+ * accelerators, wait in a lane of their own, since room for one is no room for the other.
+ */
+class TaskQueue {
+  readonly #lanes = new Map<string, Lane>();
+
+  get size(): number {
+    let size = 0;
+    for (const lane of this.#lanes.values()) {
+      size += lane.size;
+    }
+    return size;
+  }
+
+  since(task: TaskSpec): Millis | undefined {
+    return this.#lanes.get(laneOf(task))?.since(task.id);
+  }
+
+  add(task: TaskSpec, since: Millis, first: boolean): void {
+    const key = laneOf(task);
+    const lane = this.#lanes.get(key) ?? new Lane();
+    this.#lanes.set(key, lane);
+    if (first) {
+      lane.pushFront(task.id, since);
+    } else {
+      lane.push(task.id, since);
+    }
+  }
+
+  remove(task: TaskSpec): void {
+    const key = laneOf(task);
+    const lane = this.#lanes.get(key);
+    lane?.remove(task.id);
+    if (lane?.size === 0) {
+      this.#lanes.delete(key);
+    }
+  }
+
+  /** The first `count` tasks of each lane. */
+  heads(count: number): readonly (readonly TaskId[])[] {
+    return [...this.#lanes.values()].map((lane) => lane.peek(count));
+  }
+}
+
+function laneOf({ resources, constraints }: TaskSpec): string {
+  const kind = resources.accelerators > 0 ? 'accelerated' : 'plain';
+  return `${kind} ${constraintKey(constraints)}`;
+}
+
 interface ClassQueues {
   readonly teams: Map<TeamName, TaskQueue>;
   /** Teams with waiting tasks that have not been passed over since the last `unpark`. */
@@ -96,11 +147,7 @@
     const queues = this.#classes[task.workClass];
     const queue = queues.teams.get(task.team) ?? new TaskQueue();
     queues.teams.set(task.team, queue);
-    if (first) {
-      queue.pushFront(task.id, since);
-    } else {
-      queue.push(task.id, since);
-    }
+    queue.add(task, since, first);
     queues.parked.delete(task.team);
     queues.ranked.set(task.team, this.#ledger.rank(task.team));
   }
@@ -108,7 +155,7 @@
   remove(task: TaskSpec): void {
     const queues = this.#classes[task.workClass];
     const queue = queues.teams.get(task.team);
-    queue?.remove(task.id);
+    queue?.remove(task);
     if (queue?.size === 0) {
       queues.teams.delete(task.team);
       queues.parked.delete(task.team);
@@ -117,7 +164,7 @@
   }
 
   since(task: TaskSpec): Millis | undefined {
-    return this.#classes[task.workClass].teams.get(task.team)?.since(task.id);
+    return this.#classes[task.workClass].teams.get(task.team)?.since(task);
   }
 
   waiting(team: TeamName, workClass: WorkClass): number {
@@ -133,8 +180,9 @@
     return this.#classes[workClass].ranked.first();
   }
 
-  peek(workClass: WorkClass, team: TeamName, count: number): readonly TaskId[] {
-    return this.#classes[workClass].teams.get(team)?.peek(count) ?? [];
+  /** The first `count` waiting tasks of each lane of the team. */
+  heads(workClass: WorkClass, team: TeamName, count: number): readonly (readonly TaskId[])[] {
+    return this.#classes[workClass].teams.get(team)?.heads(count) ?? [];
   }
 
   /** Passes a team over until `unpark`. */
--- /dev/null
+++ b/packages/core/test/support/fleet-fixtures.ts
@@ -0,0 +1,67 @@
+import type { Resources, StopMode, TaskDecision, TaskSpec, TeamName } from '@turmerichoist/core';
+import { TaskFleet, type TaskFleetOptions } from '@turmerichoist/stand-ins';
+import { NO_LIMIT, POOL, configOf, type TeamShape, type WorkerShape } from './task-fixtures.js';
+
+export const TEAMS: readonly TeamShape[] = [{ name: 'a' }, { name: 'b' }];
+
+/** A fleet whose teams may use all of it. */
+export function fleetOf(
+  workers: readonly WorkerShape[],
+  teams: readonly TeamShape[] = TEAMS,
+  options: Partial<TaskFleetOptions> = {},
+): TaskFleet {
+  const cfg = configOf(workers, teams);
+  const allowances = allowAll(teams);
+  return new TaskFleet({ pool: POOL, cfg, allowances, ...options });
+}
+
+export function allowAll(
+  teams: readonly TeamShape[],
+  changes: Readonly<Record<TeamName, Partial<Resources>>> = {},
+): ReadonlyMap<TeamName, Resources> {
+  return new Map(teams.map(({ name }) => [name, { ...NO_LIMIT, ...changes[name] }]));
+}
+
+/** Workers `w0`, `w1`, ... over zones `z1` to `z3`. */
+export function workersOf(count: number, shape: Partial<WorkerShape> = {}): readonly WorkerShape[] {
+  return Array.from({ length: count }, (_, i) => ({
+    name: `w${i}`,
+    zone: `z${(i % 3) + 1}`,
+    ...shape,
+  }));
+}
+
+export function submitAll(fleet: TaskFleet, tasks: readonly TaskSpec[]): void {
+  for (const task of tasks) {
+    fleet.submit(task);
+  }
+}
+
+type Of<T extends TaskDecision['type']> = Extract<TaskDecision, { type: T }>;
+
+export function decisionsOf<T extends TaskDecision['type']>(
+  fleet: TaskFleet,
+  type: T,
+): readonly Of<T>[] {
+  return fleet.decisions.flatMap(({ decision }) =>
+    decision.type === type ? [decision as Of<T>] : [],
+  );
+}
+
+/** Workers to which the task was leased, in order. */
+export function leasedTo(fleet: TaskFleet, id: string): readonly string[] {
+  return decisionsOf(fleet, 'lease').flatMap(({ worker, leases }) =>
+    leases.some((order) => order.id === id) ? [worker] : [],
+  );
+}
+
+/** Stop orders as `mode id`, in order. */
+export function stopsOf(fleet: TaskFleet, ...modes: readonly StopMode[]): readonly string[] {
+  return decisionsOf(fleet, 'stop')
+    .filter(({ mode }) => modes.includes(mode))
+    .map(({ mode, id }) => `${mode} ${id}`);
+}
+
+export function stateOf(fleet: TaskFleet, id: string): string | undefined {
+  return fleet.decider.whyTask(id, fleet.now)?.state;
+}
--- /dev/null
+++ b/packages/core/test/tasks-leases.test.ts
@@ -0,0 +1,190 @@
+import { expect, test } from '@jest/globals';
+import { LEASE_TTL_MS, type TaskLogEvent } from '@turmerichoist/core';
+import { TaskFleet } from '@turmerichoist/stand-ins';
+import {
+  TEAMS,
+  allowAll,
+  decisionsOf,
+  fleetOf,
+  leasedTo,
+  stateOf,
+  stopsOf,
+  workersOf,
+} from './support/fleet-fixtures.js';
+import { POOL, configOf, taskOf } from './support/task-fixtures.js';
+
+const LONG = 'run ms=600000';
+
+function withRunning(idempotent: boolean): TaskFleet {
+  const fleet = fleetOf(workersOf(2));
+  fleet.submit(taskOf({ id: 'x', idempotent, command: LONG }));
+  fleet.step(20_000);
+  return fleet;
+}
+
+test('an idempotent task gets a second copy only after its lease has surely ended', () => {
+  const fleet = withRunning(true);
+  const [first = ''] = leasedTo(fleet, 'x');
+  fleet.unreachable.add(first);
+  fleet.step(LEASE_TTL_MS - 1_000);
+  expect(leasedTo(fleet, 'x')).toHaveLength(1);
+  fleet.step(20_000);
+  expect(leasedTo(fleet, 'x')).toHaveLength(2);
+  const [run] = fleet.models.get(first)?.runs ?? [];
+  fleet.models.get(first)?.advance(fleet.now);
+  const ended = fleet.models.get(first)?.runs[0]?.endedAt ?? Infinity;
+  const second = [...fleet.models.values()].flatMap(({ runs }) => runs).find((r) => r !== run);
+  const other = fleet.decisions.filter(({ decision }) => decision.type === 'lease')[1];
+  expect(second).toBeDefined();
+  expect(other?.at).toBeGreaterThan(ended);
+});
+
+test('a non-idempotent task whose fate is unknown is reported as unknown and not run again', () => {
+  const fleet = withRunning(false);
+  fleet.unreachable.add(leasedTo(fleet, 'x')[0] ?? '');
+  fleet.step(60_000);
+  expect([stateOf(fleet, 'x'), leasedTo(fleet, 'x').length]).toEqual(['unknown', 1]);
+});
+
+test('a running task is renewed for as long as it runs', () => {
+  const fleet = withRunning(true);
+  fleet.step(60_000);
+  expect([stateOf(fleet, 'x'), leasedTo(fleet, 'x').length]).toEqual(['running', 1]);
+});
+
+test('a task that was cancelled while its lease was being logged never starts', () => {
+  const fleet = fleetOf(workersOf(1));
+  fleet.submit(taskOf({ id: 'x' }));
+  fleet.step(50);
+  fleet.holdsAppends = true;
+  fleet.step(50);
+  expect(fleet.log.map(({ type }) => type)).toContain('leased');
+  fleet.cancel('a', ['x']);
+  fleet.holdsAppends = false;
+  fleet.step(1_000);
+  expect([stateOf(fleet, 'x'), leasedTo(fleet, 'x')]).toEqual(['cancelled', []]);
+});
+
+test('a running task is stopped when it is cancelled, and only by its own team', () => {
+  const fleet = withRunning(true);
+  fleet.cancel('b', ['x']);
+  fleet.step(1_000);
+  expect(stateOf(fleet, 'x')).toBe('running');
+  fleet.cancel('a', ['x']);
+  fleet.step(1_000);
+  expect([stateOf(fleet, 'x'), stopsOf(fleet, 'stop')]).toEqual(['cancelled', ['stop x']]);
+});
+
+/** Plans a lease, and changes something before its log event is confirmed. */
+function changedWhileLogging(change: (fleet: TaskFleet) => void): TaskFleet {
+  const fleet = fleetOf(workersOf(1));
+  fleet.submit(taskOf({ id: 'x' }));
+  fleet.step(50);
+  fleet.holdsAppends = true;
+  fleet.step(50);
+  expect(fleet.log.some(({ type }) => type === 'leased')).toBe(true);
+  change(fleet);
+  fleet.holdsAppends = false;
+  fleet.step(1_000);
+  return fleet;
+}
+
+test('a zone that goes out while a lease is being logged gets no start', () => {
+  const fleet = changedWhileLogging((changed) => {
+    changed.give({ type: 'config-changed', cfg: configOf(workersOf(1), TEAMS, ['z1']) });
+  });
+  expect([stateOf(fleet, 'x'), leasedTo(fleet, 'x')]).toEqual(['submitted', []]);
+});
+
+test('an instance that is cordoned while a lease is being logged gets no start', () => {
+  const fleet = changedWhileLogging((changed) => {
+    const cfg = configOf(workersOf(1, { cordoned: true }), TEAMS);
+    changed.give({ type: 'config-changed', cfg });
+  });
+  expect([stateOf(fleet, 'x'), leasedTo(fleet, 'x')]).toEqual(['submitted', []]);
+});
+
+test('an allowance that is lowered while a lease is being logged stops the start', () => {
+  const fleet = changedWhileLogging((changed) => {
+    changed.give({ type: 'allowances', teams: allowAll(TEAMS, { a: { processors: 0 } }) });
+  });
+  expect([stateOf(fleet, 'x'), leasedTo(fleet, 'x')]).toEqual(['submitted', []]);
+});
+
+test('nothing starts on a configuration that is not confirmed, and nothing is sent without the role', () => {
+  const fleet = changedWhileLogging((changed) => {
+    changed.isFresh = false;
+    changed.give({ type: 'freshness', configUntil: changed.now, ownerUntil: changed.now + 500 });
+  });
+  expect(leasedTo(fleet, 'x')).toEqual([]);
+  expect(fleet.decider.whyTask('x', fleet.now)?.waits?.reason).toBe('ownership');
+  const running = withRunning(true);
+  running.isFresh = false;
+  const limit = running.now + 8_000;
+  running.step(30_000);
+  const late = running.decisions.filter(
+    ({ at, decision }) => at >= limit && ['renew', 'stop', 'lease'].includes(decision.type),
+  );
+  expect(late).toEqual([]);
+});
+
+test('running work keeps its part of a lowered allowance until it has ended', () => {
+  const fleet = fleetOf(workersOf(2));
+  fleet.submit(taskOf({ id: 'x', processors: 4, command: 'run ms=30000' }));
+  fleet.step(1_000);
+  fleet.give({ type: 'allowances', teams: allowAll(TEAMS, { a: { processors: 4 } }) });
+  fleet.submit(taskOf({ id: 'y', processors: 1 }));
+  fleet.step(10_000);
+  expect(leasedTo(fleet, 'y')).toEqual([]);
+  expect(fleet.decider.whyTask('y', fleet.now)?.waits).toMatchObject({ reason: 'team-allowance' });
+  expect(fleet.decider.charges().get('a')).toMatchObject({ processors: 4 });
+  fleet.step(30_000);
+  expect(stateOf(fleet, 'y')).toBe('finished');
+});
+
+test('a lease that a former owner logged and never sent does not hold its task for ever', () => {
+  const task = taskOf({ id: 'x' });
+  const lease = { worker: 'w0', ttlMs: LEASE_TTL_MS, resume: false, id: 'x' };
+  const log: readonly TaskLogEvent[] = [
+    { type: 'submitted', task },
+    { type: 'leased', fence: { epoch: 1, sequence: 1 }, ...lease },
+  ];
+  const fleet = fleetOf(workersOf(2));
+  fleet.give({ type: 'ownership-gained', epoch: 2, log, nextBatch: 5 });
+  fleet.step(LEASE_TTL_MS);
+  expect(decisionsOf(fleet, 'lease')).toEqual([]);
+  fleet.step(10_000);
+  expect(stateOf(fleet, 'x')).toBe('finished');
+});
+
+test('a restarted worker has lost its tasks, which are not waited for', () => {
+  const fleet = withRunning(true);
+  const [first = ''] = leasedTo(fleet, 'x');
+  fleet.models.get(first)?.reboot(fleet.now);
+  fleet.step(1_000);
+  expect(leasedTo(fleet, 'x')).toHaveLength(2);
+});
+
+test('an order whose answer was lost is settled by the report, without a second run', () => {
+  const cfg = configOf(workersOf(1), TEAMS);
+  const fleet = new TaskFleet({ pool: POOL, cfg, allowances: allowAll(TEAMS) });
+  fleet.submit(taskOf({ id: 'x', idempotent: false, command: 'run ms=2000' }));
+  fleet.step(50);
+  fleet.unreachable.add('w0');
+  fleet.step(200);
+  expect(leasedTo(fleet, 'x')).toHaveLength(1);
+  fleet.unreachable.delete('w0');
+  fleet.step(15_000);
+  expect(stateOf(fleet, 'x')).toBe('finished');
+  expect(fleet.models.get('w0')?.runs).toHaveLength(1);
+});
+
+test('a run that no lease stands for is stopped on the worker that reports it', () => {
+  const fleet = fleetOf(workersOf(1));
+  const resources = { processors: 1, memoryMb: 1, accelerators: 0 };
+  const fence = { epoch: 1, sequence: 99 };
+  const order = { id: 'stray', fence, ttlMs: 60_000, validBeforeMs: Infinity, incarnation: '1' };
+  fleet.models.get('w0')?.lease({ ...order, command: LONG, resources, resume: false }, fleet.now);
+  fleet.step(1_000);
+  expect(fleet.models.get('w0')?.runs[0]?.outcome).toBe('stopped');
+});
