--- a/packages/core/test/fleet-world.ts
+++ b/packages/core/test/fleet-world.ts
@@ -1,7 +1,7 @@
 import { FleetDecider, ProportionalBorrowing } from '@turmerichoist/core';
 import type {
   BudgetRow,
-  Fence,
+  OwnerFence as Fence,
   FleetDecision,
   FleetEvent,
   FleetTransaction,
