--- /dev/null
+++ b/packages/coordination/src/io/quota/index.ts
@@ -0,0 +1,1 @@
+export * from './grant-broker.js';
--- a/packages/coordination/src/state/membership/outage.ts
+++ b/packages/coordination/src/state/membership/outage.ts
@@ -1,7 +1,7 @@
 import type { MemberId, Millis } from '@turmerichoist/core';
 
-/** Longest time that a configuration counts as confirmed, and that the outage rule extends it. */
-export const CONFIG_FRESH_MS: Millis = 8_000;
+/** How long the outage rule extends a configuration; equal to `CONFIG_FRESH_MS` (design 4.8). */
+export const OUTAGE_EXTENSION_MS: Millis = 8_000;
 
 /** What the outage rule needs to know of one member that counts. */
 export interface OutageWitness {
@@ -33,6 +33,6 @@
     }
     oldest = Math.min(oldest, report.datedAt);
   }
-  const until = oldest + CONFIG_FRESH_MS;
+  const until = oldest + OUTAGE_EXTENSION_MS;
   return until > now ? until : undefined;
 }
