--- a/packages/coordination/src/state/quota/plan.ts
+++ b/packages/coordination/src/state/quota/plan.ts
@@ -132,8 +132,6 @@
   return (
     account.inDoubt ||
     target > held ||
-    // Units that others have returned are seen only by reading the row again.
-    Math.min(account.need, raiseCeiling(row)) > held ||
     lower < held ||
     behind ||
     row.grants.some((grant) => isAdoptable(grant, context))
--- a/packages/coordination/src/state/quota/policy.ts
+++ b/packages/coordination/src/state/quota/policy.ts
@@ -76,12 +76,7 @@
     const own = input.running + input.waiting;
     const level = fairLevel([own, ...needs.values()], raiseCeiling(input.row));
     // Rounded up, so that the parts of all add up to the limit at least and none stays unused.
-    const part = Math.ceil(level);
-    // What no one has taken may be used; the needs of the others are known only with a delay.
-    const room = Math.max(0, raiseCeiling(input.row) - grantedUnits(input.row));
-    return level < 1
-      ? this.#turn(input, wish)
-      : Math.min(wish, room > 0 ? Math.max(part, input.held + room) : part);
+    return level < 1 ? this.#turn(input, wish) : Math.min(wish, Math.ceil(level));
   }
 
   /** With less than one unit for each entry, a unit goes on to another after each piece of work. */
