fix(coordination): report when the member rows were read to the grant ledger

Cause: the ledger counts observations from the time of the read, which the entry did not pass on. A test of retries sent six requests at once, of which a budget of three retries a second allows three. Change: readAt comes with the rows; the test sends its requests at the rate of the budget and still expects every one to be answered.

--- a/packages/daemon/src/entry/coordination.ts
+++ b/packages/daemon/src/entry/coordination.ts
@@ -322,7 +322,7 @@
     const self = this.#options.settings.member;
     this.membership.post({ type: 'rows', rows: event.rows });
     const sessions = event.rows.map(({ member, incarnation }) => ({ member, incarnation }));
-    this.broker.post({ type: 'members', rows: sessions });
+    this.broker.post({ type: 'members', rows: sessions, readAt: event.sentAt });
     for (const { member, incarnation } of event.expired) {
       this.membership.post({ type: 'expired', member, incarnation });
       this.broker.post({ type: 'expired', member, incarnation, at: event.sentAt });
--- a/packages/daemon/test/request-path.test.ts
+++ b/packages/daemon/test/request-path.test.ts
@@ -82,6 +82,8 @@
   fixture.upstreams[0]?.setFaults({ reset: true });
   const statuses: number[] = [];
   for (let i = 0; i < 6; i += 1) {
+    // The retry budget is 3 a second when there are few requests, so they come at that rate.
+    await new Promise((resolve) => setTimeout(resolve, 350));
     const res = await request(`${fixture.url}/q/site/`, { headers: auth });
     await res.body.dump();
     statuses.push(res.statusCode);
