--- a/packages/core/test/requests-decider.test.ts
+++ b/packages/core/test/requests-decider.test.ts
@@ -269,6 +269,42 @@
     expect(entry.arrive('y', { deadline: entry.now + 5_000 })).toEqual([]);
   });
 
+  test('work that can no longer be complete in time gives way to work that can', () => {
+    const entry = new Entry({ upstreams: 1, slots: 1 });
+    warmUp(entry, 100);
+    entry.arrive('1');
+    const sent = entry.last;
+    entry.arrive('late', { deadline: entry.now + 250 });
+    entry.arrive('next');
+    entry.now += 200;
+    entry.last = sent;
+    expect(entry.end('answered')).toEqual(['late deadline-unreachable', 'next send']);
+  });
+
+  test('timeouts of callers with little time do not eject an executor', () => {
+    const entry = new Entry({ slots: 8 }, 16);
+    warmUp(entry, 100);
+    for (let at = 0; at < 40; at += 1) {
+      entry.arrive(`t${at}`);
+      entry.now += 10;
+      entry.end('timed-out');
+    }
+    const used = Array.from({ length: 16 }, (_, at) => {
+      entry.arrive(`x${at}`);
+      return entry.upstream();
+    });
+    expect(new Set(used)).toEqual(new Set(['u1', 'u2']));
+  });
+
+  test('an entry keeps to its part of the slots while another entry wants the rest', () => {
+    const entry = new Entry({ upstreams: 1, slots: 8 }, 8);
+    entry.arrive('0');
+    entry.now = 300;
+    const rows = [{ queue: 'q', team: 'b', waiting: 100, running: 0 }];
+    entry.do({ type: 'peer-demand', member: 'e1', rows });
+    expect(['1', '2', '3'].flatMap((id) => entry.arrive(id))).toEqual([]);
+  });
+
   test('waiting work is refused at its deadline', () => {
     const entry = new Entry({}, 0);
     entry.arrive('1', { deadline: 30 });
--- a/packages/core/test/requests-properties.test.ts
+++ b/packages/core/test/requests-properties.test.ts
@@ -38,6 +38,8 @@
   /** Team whose unit the running attempt holds. */
   holder: Team | undefined;
   attempts: number;
+  /** Upstreams on which it may have run. */
+  readonly failedAt: Set<string>;
   mayHaveRun: boolean;
   outcomes: number;
 }
@@ -88,7 +90,14 @@
   arrive(team: Team | undefined, idempotent: boolean, workClass: number, within: number): void {
     const id = String(this.requests.size);
     const fresh = { running: undefined, holder: undefined, attempts: 0 } as const;
-    this.requests.set(id, { team, idempotent, ...fresh, mayHaveRun: false, outcomes: 0 });
+    this.requests.set(id, {
+      team,
+      idempotent,
+      ...fresh,
+      failedAt: new Set(),
+      mayHaveRun: false,
+      outcomes: 0,
+    });
     const arrival = {
       id,
       queue: 'q',
@@ -109,7 +118,10 @@
     const upstream = req.running;
     req.running = undefined;
     req.holder = undefined;
-    req.mayHaveRun ||= result !== 'not-sent' && result !== 'refused';
+    if (result !== 'not-sent' && result !== 'refused') {
+      req.mayHaveRun = true;
+      req.failedAt.add(upstream);
+    }
     req.outcomes += result === 'answered' || result === 'cut' ? 1 : 0;
     this.handle({ type: 'attempt-ended', id, upstream, result: { type: result } });
   }
@@ -148,6 +160,7 @@
   #checkSend(req: Tracked, send: Extract<RequestDecision, { type: 'send' }>): void {
     must('one attempt at a time', req.running === undefined);
     must('H8', !req.mayHaveRun || req.idempotent);
+    must('another executor', !req.failedAt.has(send.upstream));
     must('deadline', send.deadline > this.now);
     must('attempt number', send.attempt === req.attempts + 1);
     this.#checkUpstream(send.upstream);
