perf(requests): group the demand of other entries by queue once

Cause: each computation of the local weights scanned all rows of all entries for each queue. Change: rows are grouped when they arrive. A late start that is refused carries a Retry-After. The saving itself was not measured. Conclusion: kept, since the cost of a scan grows with the square of the queues.

--- a/packages/core/src/requests/fleet-shares.ts
+++ b/packages/core/src/requests/fleet-shares.ts
@@ -35,15 +35,15 @@
   readonly slots: SlotInterval | undefined;
 }
 
-interface PeerRows {
+interface PeerDemand {
   readonly at: Millis;
-  readonly rows: readonly DemandRow[];
+  readonly byQueue: ReadonlyMap<QueueName, Totals>;
 }
 
 /** Demand over all entries, and what follows from it for this one. */
 export class FleetShares {
   readonly #self: MemberId;
-  readonly #peers = new Map<MemberId, PeerRows>();
+  readonly #peers = new Map<MemberId, PeerDemand>();
 
   constructor(self: MemberId) {
     this.#self = self;
@@ -51,7 +51,7 @@
 
   /** Replaces the rows of another entry. */
   replace(member: MemberId, rows: readonly DemandRow[], now: Millis): void {
-    this.#peers.set(member, { at: now, rows });
+    this.#peers.set(member, { at: now, byQueue: totalsByQueue(rows) });
   }
 
   /**
@@ -107,10 +107,10 @@
   /** Demand for the queue of each entry that has any, and of this one. */
   #demands(input: ShareInput): ReadonlyMap<MemberId, Totals> {
     const demands = new Map<MemberId, Totals>();
-    demands.set(this.#self, demandFor(input.queue, input.own));
+    demands.set(this.#self, totalsByQueue(input.own).get(input.queue) ?? new Map());
     for (const [member, peer] of this.#peers) {
-      const demand = demandFor(input.queue, peer.rows);
-      if (demand.size > 0) {
+      const demand = peer.byQueue.get(input.queue);
+      if (demand !== undefined) {
         demands.set(member, demand);
       }
     }
@@ -142,14 +142,15 @@
   return weights.reduce((all, weight) => all + weight, 0);
 }
 
-function demandFor(queue: QueueName, rows: readonly DemandRow[]): Totals {
-  const totals = new Map<TeamName, number>();
+/** Waiting plus running work of each team, grouped once so that each queue finds its own rows. */
+function totalsByQueue(rows: readonly DemandRow[]): ReadonlyMap<QueueName, Totals> {
+  const queues = new Map<QueueName, Map<TeamName, number>>();
   for (const row of rows) {
-    if (row.queue === queue) {
-      totals.set(row.team, (totals.get(row.team) ?? 0) + row.waiting + row.running);
-    }
+    const totals = queues.get(row.queue) ?? new Map<TeamName, number>();
+    totals.set(row.team, (totals.get(row.team) ?? 0) + row.waiting + row.running);
+    queues.set(row.queue, totals);
   }
-  return totals;
+  return queues;
 }
 
 function sum(parts: readonly Totals[]): Totals {
--- a/packages/core/src/requests/scheduler.ts
+++ b/packages/core/src/requests/scheduler.ts
@@ -179,7 +179,8 @@
         return;
       }
       if (lane.waiting > 0 && lane.startsTooLate(req, now)) {
-        this.#options.sink.refuse(req, appError('deadline-unreachable', 'others wait'));
+        const drained = lane.timeToDrain(1);
+        this.#options.sink.refuse(req, appError('deadline-unreachable', 'others wait', drained));
       } else {
         this.#start(lane, req, executor, now);
       }
