--- /dev/null
+++ b/packages/measure/src/tasks/decision-time.ts
@@ -0,0 +1,85 @@
+import { SeededRandom, type Millis } from '@turmerichoist/core';
+import { TaskFleet, type TaskFleetOptions } from '@turmerichoist/stand-ins';
+import { POOL, allowancesOf, configurationOf, type Deployment } from './deployments.js';
+import { Workload } from './workload.js';
+
+const MEAN_RUN_MS = 20_000;
+const FILL_MS = 15_000;
+const RUN_MS = 10_000;
+const STEP_MS = 50;
+const BACKLOG_PER_WORKER = 60;
+const SIZES: readonly (readonly [workers: number, teams: number])[] = [
+  [35, 6],
+  [35, 300],
+  [190, 50],
+  [370, 150],
+  [740, 6],
+  [740, 300],
+];
+
+export interface DecisionTime {
+  readonly workers: number;
+  readonly teams: number;
+  readonly starts: number;
+  /** Time spent in the decider for everything, divided by the leases planned. */
+  readonly microsPerStart: number;
+  /** Time of the scheduling ticks alone, divided by the leases planned. */
+  readonly tickMicrosPerStart: number;
+  /** Part of one core that the decider needs at this rate. */
+  readonly core: number;
+}
+
+/** Measures the decider on a full fleet with every team waiting, from small to full size. */
+export function measureDecisionTime(
+  deployment: Deployment,
+  seed: number,
+  clock: () => Millis,
+): readonly DecisionTime[] {
+  return SIZES.map(([workers, teams]) =>
+    measureOne({ ...deployment, workers, teams, zones: workers > 100 ? 8 : 3 }, seed, clock),
+  );
+}
+
+function measureOne(deployment: Deployment, seed: number, clock: () => Millis): DecisionTime {
+  const workload = new Workload(new SeededRandom(seed));
+  const spent = { all: 0, ticks: 0 };
+  const observe: TaskFleetOptions['observe'] = (event, decide) => {
+    const before = clock();
+    const decisions = decide();
+    const took = clock() - before;
+    spent.all += took;
+    spent.ticks += event.type === 'tick' ? took : 0;
+    return decisions;
+  };
+  const cfg = configurationOf(deployment);
+  const allowances = allowancesOf(deployment);
+  const timing = { stepMs: STEP_MS, reportMs: 500 };
+  const fleet = new TaskFleet({ pool: POOL, cfg, allowances, observe, ...timing });
+  let open = 0;
+  let starts = 0;
+  for (let now = 0; now < FILL_MS + RUN_MS; now += STEP_MS) {
+    if (now === FILL_MS) {
+      spent.all = 0;
+      spent.ticks = 0;
+      starts = 0;
+    }
+    for (; open < deployment.workers * BACKLOG_PER_WORKER; open += 1) {
+      fleet.submit(workload.task(open % deployment.teams, 'normal', MEAN_RUN_MS).spec);
+    }
+    fleet.step(STEP_MS);
+    starts += fleet.log.filter(({ type }) => type === 'leased').length;
+    open -= fleet.log.filter(({ type }) => type === 'ended').length;
+    fleet.log.length = 0;
+    fleet.decisions.length = 0;
+    fleet.answers.length = 0;
+  }
+  const { workers, teams } = deployment;
+  return {
+    workers,
+    teams,
+    starts,
+    microsPerStart: (spent.all * 1_000) / Math.max(1, starts),
+    tickMicrosPerStart: (spent.ticks * 1_000) / Math.max(1, starts),
+    core: spent.all / RUN_MS,
+  };
+}
--- a/packages/stand-ins/src/worker/task-fleet.ts
+++ b/packages/stand-ins/src/worker/task-fleet.ts
@@ -31,8 +31,13 @@
   readonly stepMs?: Millis;
   /** Age of the usage figures in reports. */
   readonly lagMs?: Millis;
+  /** Called round every call of the decider, for example to measure it. */
+  readonly observe?: Observe;
 }
 
+type Decide = () => readonly TaskDecision[];
+type Observe = (event: TaskEvent, decide: Decide) => readonly TaskDecision[];
+
 interface Pending {
   readonly at: Millis;
   readonly event: TaskEvent;
@@ -64,6 +69,7 @@
       reportMs: DEFAULT_REPORT_MS,
       stepMs: DEFAULT_STEP_MS,
       lagMs: 0,
+      observe: (_, decide) => decide(),
       ...options,
     };
     this.decider = new TaskDecider(options.pool);
@@ -121,7 +127,8 @@
 
   /** Gives one event to the decider and carries out its decisions. */
   give(event: TaskEvent): void {
-    for (const decision of this.decider.handle(event, this.now)) {
+    const decide = (): readonly TaskDecision[] => this.decider.handle(event, this.now);
+    for (const decision of this.#options.observe(event, decide)) {
       this.decisions.push({ at: this.now, decision });
       this.#carryOut(decision);
     }
