--- a/packages/core/src/tasks/scheduler.ts
+++ b/packages/core/src/tasks/scheduler.ts
@@ -19,6 +19,11 @@
 const MAX_STARTS = 400;
 /** Tasks for which room is made in one round. */
 const MAX_CLAIMS = 50;
+/**
+ * Searches for room to make for other than urgent work in one round. The teams farthest below their
+ * shares come first, and where they find nothing to call back, the others find nothing either.
+ */
+const MAX_SEARCHES = 4;
 /** Waiting log events at which no more leases are planned: their checks would be out of date. */
 const MAX_BACKLOG = 500;
 /** Waiting tasks of a team's lane that are tried when the first does not fit. */
@@ -46,6 +51,7 @@
   #archiveDebt = 0;
   #budget = 0;
   #claimBudget = 0;
+  #searchBudget = 0;
   #failed: Failed = new Map();
 
   constructor(state: PoolState, keeper: LeaseKeeper, rooms: RoomMaker, waits: WaitReasons) {
@@ -64,6 +70,7 @@
     }
     this.#budget = MAX_STARTS;
     this.#claimBudget = MAX_CLAIMS;
+    this.#searchBudget = MAX_SEARCHES;
     this.#failed = new Map();
     this.#unparkIfDue(now);
     this.#startKept(now);
@@ -205,7 +212,8 @@
 
   #makeRoom(record: TaskRecord, size: Resources, now: Millis): Served {
     const { task } = record;
-    if (this.#claimBudget === 0) {
+    if (this.#claimBudget === 0 || !this.#maySearch(task.workClass)) {
+      this.#waits.note(task.id, 'capacity', now);
       return 'blocked';
     }
     const since = this.#state.queues.since(task) ?? now;
@@ -218,6 +226,13 @@
     return this.#startOn(record, worker, now) ? 'started' : 'claimed';
   }
 
+  #maySearch(workClass: WorkClass): boolean {
+    if (workClass !== 'urgent') {
+      this.#searchBudget -= 1;
+    }
+    return workClass === 'urgent' || this.#searchBudget >= 0;
+  }
+
   #startOn(record: TaskRecord, worker: InstanceName | undefined, now: Millis): boolean {
     const { placement, ledger, table } = this.#state;
     const { task } = record;
