--- a/packages/coordination/src/state/quota/types.ts
+++ b/packages/coordination/src/state/quota/types.ts
@@ -9,7 +9,7 @@
   readonly waiting: number;
 }
 
-/** Units that a member lacks for a team. */
+/** Units that a member needs in all for a team, when it holds fewer. */
 export interface Want {
   readonly team: TeamName;
   readonly units: number;
