perf(quota): revert the publication of whole needs

Change: reverts it. Conclusion: doubly counted wants are not the reason for the unused part in bursts.

--- a/packages/coordination/src/state/quota/grant-ledger.ts
+++ b/packages/coordination/src/state/quota/grant-ledger.ts
@@ -366,8 +366,8 @@
       const row = account.row(this.#limits.get(team));
       if (account.known && account.need > 0 && grantedUnits(row) >= raiseCeiling(row)) {
         // Also what is beyond the own fair part: others return idle units only when they are wanted.
-        const units = Math.min(account.need, raiseCeiling(row));
-        missing.push(...(units > this.#held(team) ? [{ team, units }] : []));
+        const units = Math.min(account.need, raiseCeiling(row)) - this.#held(team);
+        missing.push(...(units > 0 ? [{ team, units }] : []));
       }
     }
     const wants = this.#ownWants.update(missing, now);
--- a/packages/coordination/src/state/quota/policy.ts
+++ b/packages/coordination/src/state/quota/policy.ts
@@ -12,7 +12,7 @@
   readonly held: number;
   readonly row: QuotaRow;
   readonly self: MemberId;
-  /** Units that each other entry needs in all, where it holds fewer. */
+  /** Units that each other entry lacks. */
   readonly wants: ReadonlyMap<MemberId, number>;
   readonly stopping: boolean;
   readonly now: Millis;
@@ -70,7 +70,7 @@
     const needs = new Map(input.wants);
     for (const { member, units } of input.row.grants) {
       if (member !== input.self) {
-        needs.set(member, Math.max(needs.get(member) ?? 0, units));
+        needs.set(member, (needs.get(member) ?? 0) + units);
       }
     }
     const own = input.running + input.waiting;
--- a/packages/coordination/src/state/quota/types.ts
+++ b/packages/coordination/src/state/quota/types.ts
@@ -9,7 +9,7 @@
   readonly waiting: number;
 }
 
-/** Units that a member needs in all for a team, when it holds fewer. */
+/** Units that a member lacks for a team. */
 export interface Want {
   readonly team: TeamName;
   readonly units: number;
--- a/packages/coordination/src/state/quota/wants.ts
+++ b/packages/coordination/src/state/quota/wants.ts
@@ -2,7 +2,7 @@
 import { GRANT_ROUND_MS, WANT_REPEAT_MS, WANT_STALE_MS } from './constants.js';
 import type { Want } from './types.js';
 
-/** Needs of other entries that hold too few units. */
+/** Units that other entries lack. */
 export class PeerWants {
   readonly #members = new Map<
     MemberId,
@@ -15,7 +15,7 @@
     this.#members.set(member, { units, at: now });
   }
 
-  /** Units that each member needs, where that is recent and more than none. */
+  /** Units that each member lacks, where that is recent and more than none. */
   of(team: TeamName, now: Millis): ReadonlyMap<MemberId, number> {
     const wants = new Map<MemberId, number>();
     for (const [member, { units, at }] of this.#members) {
