--- a/packages/coordination/test/quota-ledger.test.ts
+++ b/packages/coordination/test/quota-ledger.test.ts
@@ -204,6 +204,16 @@
   expect(d.others).toContainEqual({ type: 'want', wants: [{ team: 'a', units: 2 }] });
 });
 
+test('a backlog at one entry does not keep another entry from its fair part', () => {
+  const table = new MemoryTable();
+  const d = new Driver(table).demand({ a: [0, 14] }).limits({ a: 4 });
+  d.send({ type: 'peer-want', member: 'x', wants: [{ team: 'a', units: 2 }] });
+  d.pass(100, { a: [4, 10] });
+  expect([d.units('a'), d.inRow('a')]).toEqual([2, 4]);
+  d.pass(2 * GRANT_ROUND_MS, { a: [2, 10] });
+  expect(d.inRow('a')).toBe(2);
+});
+
 test('a lower limit stops raises at once and is in force only when the grants fit into it', () => {
   const table = new MemoryTable();
   const d = new Driver(table).demand({ a: [0, 6] }).limits({ a: 6 });
