--- /dev/null
+++ b/packages/coordination/src/state/audit-export.ts
@@ -0,0 +1,51 @@
+import { z } from 'zod';
+import { Ok, fail, type AppError, type Result, type Revision } from '@turmerichoist/core';
+import type { JsonValue, Row } from '../store/types.js';
+import { auditRecordSchema, type AuditRecord } from './audit-record.js';
+import { revisionText } from './config-log.js';
+
+export const AUDIT_PREFIX = 'audit/';
+export const REFUSED_PREFIX = 'audit-refused/';
+export const EXPORTED_KEY = 'audit/exported';
+
+const batchSchema = z.object({ records: z.array(auditRecordSchema) });
+const exportedSchema = z.object({ revision: z.int().min(0) });
+
+/** Name of the object with the records of the revisions `from` to `to`. */
+export function auditName(from: Revision, to: Revision): string {
+  return `${AUDIT_PREFIX}${revisionText(from)}-${revisionText(to)}`;
+}
+
+/** Name of the object with the records of one row of refusals. */
+export function refusedName(row: Row): string {
+  return `${AUDIT_PREFIX}${row.key.replace('/', '-')}`;
+}
+
+export function encodeBatch(records: readonly AuditRecord[]): Uint8Array {
+  return new TextEncoder().encode(JSON.stringify({ records }));
+}
+
+/** Decodes an exported batch. Fails with `store-rejected` when it is damaged. */
+export function decodeBatch(bytes: Uint8Array): Result<readonly AuditRecord[], AppError> {
+  try {
+    const parsed = batchSchema.safeParse(JSON.parse(new TextDecoder().decode(bytes)));
+    return parsed.success ? Ok(parsed.data.records) : fail('store-rejected', 'audit batch');
+  } catch {
+    return fail('store-rejected', 'the audit batch is incomplete');
+  }
+}
+
+/** The value of a row with refusals. */
+export function refusedValue(records: readonly AuditRecord[]): JsonValue {
+  return { records } as unknown as JsonValue;
+}
+
+/** The refusals in a row; none when it has another form. */
+export function refusedRecords(row: Row): readonly AuditRecord[] {
+  return batchSchema.safeParse(row.value).data?.records ?? [];
+}
+
+/** Revision up to which the log is exported; 0 when nothing is. */
+export function exportedRevision(row: Row | undefined): Revision {
+  return exportedSchema.safeParse(row?.value).data?.revision ?? 0;
+}
--- /dev/null
+++ b/packages/coordination/src/state/ownership.ts
@@ -0,0 +1,265 @@
+import { createHash } from 'node:crypto';
+import { z } from 'zod';
+import {
+  Ok,
+  fail,
+  type AppError,
+  type Incarnation,
+  type MemberId,
+  type Millis,
+  type Result,
+} from '@turmerichoist/core';
+import type { Condition, JsonValue, Row, RowVersion, Write } from '../store/types.js';
+import type { SessionObserver } from './session.js';
+
+export const OWNER_PREFIX = 'owner/';
+
+/** Identifies a part of the work that one member does at a time, for example that of a pool. */
+export type Role = string;
+
+const ownerSchema = z.object({
+  member: z.string(),
+  incarnation: z.string(),
+  /** Fencing token; rises with each claim. */
+  epoch: z.int().min(1),
+  /** Whether the owner has given the role up. */
+  released: z.boolean().default(false),
+});
+
+export type OwnerValue = Readonly<z.output<typeof ownerSchema>>;
+
+export function ownerKey(role: Role): string {
+  return OWNER_PREFIX + role;
+}
+
+const WEIGHT_BYTES = 6;
+
+function weight(role: Role, memberId: MemberId): number {
+  const digest = createHash('sha256').update(`${role}\n${memberId}`).digest();
+  return digest.readUIntBE(0, WEIGHT_BYTES);
+}
+
+/** The member that rendezvous hashing chooses for a role; undefined when there is none. */
+export function firstChoice(role: Role, members: readonly MemberId[]): MemberId | undefined {
+  const ranked = members.map((memberId) => ({ memberId, weight: weight(role, memberId) }));
+  return ranked.toSorted((a, b) => b.weight - a.weight)[0]?.memberId;
+}
+
+/** A role that this member holds. */
+export interface Holding {
+  readonly role: Role;
+  readonly epoch: number;
+  /** Version of the `owner/<role>` row. */
+  readonly version: RowVersion;
+}
+
+/** The condition that every transaction of an owner carries. */
+export function fenceOf({ role, version }: Holding): Condition {
+  return { key: ownerKey(role), version };
+}
+
+/** A row to write so as to claim or release a role. */
+export interface OwnerUpdate {
+  readonly role: Role;
+  readonly epoch: number;
+  readonly condition: Condition;
+  readonly write: Write;
+}
+
+export type OwnershipDecision =
+  | { readonly type: 'owned'; readonly holding: Holding }
+  | { readonly type: 'lost'; readonly role: Role }
+  | { readonly type: 'claim'; readonly update: OwnerUpdate };
+
+interface OwnerRow {
+  readonly version: RowVersion;
+  readonly value: OwnerValue;
+}
+
+/** Decides which roles this member claims, holds and has lost. */
+export class OwnershipState {
+  readonly #memberId: MemberId;
+  #roles: readonly Role[] = [];
+  #incarnation: Incarnation | undefined;
+  /** Sessions that this process itself has ended; nobody acts under them any longer. */
+  #ended: ReadonlySet<Incarnation> = new Set();
+  #held: ReadonlyMap<Role, Holding> = new Map();
+  #choices: ReadonlyMap<Role, MemberId | undefined> = new Map();
+  #choicesFor = '';
+
+  constructor(memberId: MemberId) {
+    this.#memberId = memberId;
+  }
+
+  get held(): readonly Holding[] {
+    return [...this.#held.values()];
+  }
+
+  /** Sets the roles that exist. Roles that are gone are lost. */
+  setRoles(roles: readonly Role[]): readonly OwnershipDecision[] {
+    this.#roles = roles;
+    this.#choicesFor = '';
+    const gone = this.held.filter(({ role }) => !roles.includes(role));
+    return gone.flatMap(({ role }) => this.#lose(role));
+  }
+
+  /** A session is valid; a new one starts without roles. */
+  sessionValid(incarnation: Incarnation): void {
+    this.#incarnation = incarnation;
+  }
+
+  sessionEnded(incarnation: Incarnation): readonly OwnershipDecision[] {
+    this.#ended = new Set([...this.#ended, incarnation]);
+    this.#incarnation = undefined;
+    return this.held.flatMap(({ role }) => this.#lose(role));
+  }
+
+  /** Compares the `owner/` rows of one read with what is held. */
+  plan(rows: readonly Row[], observer: SessionObserver): readonly OwnershipDecision[] {
+    const owners = new Map(rows.map((row) => [row.key, decodeOwner(row)]));
+    this.#choose(observer.live().map(({ memberId }) => memberId));
+    return this.#roles.flatMap((role) =>
+      this.#planRole(role, owners.get(ownerKey(role)), observer),
+    );
+  }
+
+  /** A claim has committed and gave the row `version`. */
+  claimed(update: OwnerUpdate, version: RowVersion | undefined): readonly OwnershipDecision[] {
+    const { incarnation } = update.write.value as { incarnation: Incarnation };
+    if (version === undefined || incarnation !== this.#incarnation) {
+      return [];
+    }
+    return this.#own({ role: update.role, epoch: update.epoch, version });
+  }
+
+  /** The updates that give up all roles. They are lost at once. */
+  releaseAll(): readonly OwnerUpdate[] {
+    const updates = this.held.map((holding) => this.#update(holding, holding.version, true));
+    this.#held = new Map();
+    return updates;
+  }
+
+  #planRole(
+    role: Role,
+    owner: OwnerRow | undefined,
+    observer: SessionObserver,
+  ): readonly OwnershipDecision[] {
+    const held = this.#held.get(role);
+    if (held !== undefined && owner !== undefined && owner.version <= held.version) {
+      // An equal version confirms the holding; a lower one comes from a read before the claim.
+      return [];
+    }
+    const lost = this.#lose(role);
+    if (this.#incarnation === undefined) {
+      return lost;
+    }
+    if (owner !== undefined && this.#isOwn(owner.value)) {
+      // A claim whose answer was lost.
+      return this.#own({ role, epoch: owner.value.epoch, version: owner.version });
+    }
+    if (this.#choices.get(role) !== this.#memberId || !this.#isFree(owner, observer)) {
+      return lost;
+    }
+    const epoch = (owner?.value.epoch ?? 0) + 1;
+    const update = this.#update({ role, epoch }, owner?.version ?? 0, false);
+    return [...lost, { type: 'claim', update }];
+  }
+
+  #isOwn(owner: OwnerValue): boolean {
+    return (
+      owner.member === this.#memberId && owner.incarnation === this.#incarnation && !owner.released
+    );
+  }
+
+  #isFree(owner: OwnerRow | undefined, observer: SessionObserver): boolean {
+    if (owner === undefined || owner.value.released || this.#ended.has(owner.value.incarnation)) {
+      return true;
+    }
+    return observer.hasExpired(owner.value.member, owner.value.incarnation);
+  }
+
+  #update(
+    { role, epoch }: Pick<Holding, 'role' | 'epoch'>,
+    version: RowVersion,
+    released: boolean,
+  ): OwnerUpdate {
+    const key = ownerKey(role);
+    const value: OwnerValue = {
+      member: this.#memberId,
+      incarnation: this.#incarnation ?? '',
+      epoch,
+      released,
+    };
+    const write = { key, value: value as unknown as JsonValue };
+    return { role, epoch, condition: { key, version }, write };
+  }
+
+  #own(holding: Holding): readonly OwnershipDecision[] {
+    this.#held = new Map([...this.#held, [holding.role, holding]]);
+    return [{ type: 'owned', holding }];
+  }
+
+  #lose(role: Role): readonly OwnershipDecision[] {
+    if (!this.#held.has(role)) {
+      return [];
+    }
+    this.#held = new Map([...this.#held].filter(([held]) => held !== role));
+    return [{ type: 'lost', role }];
+  }
+
+  /** Hashes only when the members or the roles have changed. */
+  #choose(members: readonly MemberId[]): void {
+    const key = members.join('\n');
+    if (key === this.#choicesFor) {
+      return;
+    }
+    this.#choicesFor = key;
+    this.#choices = new Map(this.#roles.map((role) => [role, firstChoice(role, members)]));
+  }
+}
+
+function decodeOwner(row: Row): OwnerRow | undefined {
+  const parsed = ownerSchema.safeParse(row.value);
+  return parsed.success ? { version: row.version, value: parsed.data } : undefined;
+}
+
+export type RoleEvent =
+  | { readonly type: 'owned'; readonly holding: Holding }
+  | { readonly type: 'lost'; readonly role: Role }
+  | { readonly type: 'session'; readonly validUntil: Millis }
+  | { readonly type: 'session-ended' };
+
+/** What an owner asks right before each act. Fed with the events of the two keepers. */
+export class RoleGuard {
+  #held: ReadonlyMap<Role, Holding> = new Map();
+  #validUntil: Millis = -Infinity;
+
+  handle(event: RoleEvent): void {
+    switch (event.type) {
+      case 'owned':
+        this.#held = new Map([...this.#held, [event.holding.role, event.holding]]);
+        return;
+      case 'lost':
+        this.#held = new Map([...this.#held].filter(([role]) => role !== event.role));
+        return;
+      case 'session':
+        this.#validUntil = event.validUntil;
+        return;
+      case 'session-ended':
+        this.#validUntil = -Infinity;
+        this.#held = new Map();
+    }
+  }
+
+  /**
+   * The holding of `role`, if this member may act on it now. Errors: `not-owner`, `session-lapsed`.
+   * Acts in the store also carry `fenceOf` the holding, and acts elsewhere its epoch.
+   */
+  check(role: Role, now: Millis): Result<Holding, AppError> {
+    const holding = this.#held.get(role);
+    if (holding === undefined) {
+      return fail('not-owner', role);
+    }
+    return now < this.#validUntil ? Ok(holding) : fail('session-lapsed', role);
+  }
+}
--- a/packages/coordination/src/store/table-state.ts
+++ b/packages/coordination/src/store/table-state.ts
@@ -65,7 +65,7 @@
     }
     const version = (this.#lastVersions.get(key) ?? 0) + 1;
     this.#lastVersions.set(key, version);
-    this.#rows.set(key, { key, version, value: structuredClone(value) });
+    this.#rows.set(key, { key, version, value });
     return version;
   }
 
