fix(coordination): a replica goes on polling after its first poll

Cause: post may run the handler before it returns, so the flag that a poll waits was set after the handler had cleared it, and no further poll was sent. Change: the flag is set first. Conclusion: replicas follow the head on their own; a test guards against the symptom.

--- a/packages/coordination/src/io/config-replica.ts
+++ b/packages/coordination/src/io/config-replica.ts
@@ -83,8 +83,13 @@
 
   /** Asks for a read of the head, unless one is already waiting. */
   poll(): void {
-    if (!this.#pollWaiting) {
-      this.#pollWaiting = this.post({ type: 'poll' });
+    if (this.#pollWaiting) {
+      return;
+    }
+    // Set first: an idle mailbox handles the message, which clears the flag, before `post` returns.
+    this.#pollWaiting = true;
+    if (!this.post({ type: 'poll' })) {
+      this.#pollWaiting = false;
     }
   }
 
--- a/packages/coordination/test/config.test.ts
+++ b/packages/coordination/test/config.test.ts
@@ -145,6 +145,18 @@
   expect(replica.changesAfter(7).unwrap()).toEqual([]);
 });
 
+test('a replica that has polled once goes on polling', async () => {
+  const store = new MemoryTableStore();
+  const { writer } = configEntry('m', store, new MemoryObjects(), clock, signal);
+  const other = configEntry('n', store, new MemoryObjects(), clock, signal);
+  for (let requests = 1; requests <= 3; requests++) {
+    await writer.apply([team('a', requests)], 'ann', false, signal);
+    other.replica.poll();
+    await other.replica.idle();
+  }
+  expect(other.revisions).toEqual([1, 2, 3]);
+});
+
 test('a lower revision is never loaded', () => {
   const replica = new ReplicaState();
   replica.load(Configuration.of(7, []));
