--- /dev/null
+++ b/packages/coordination/test/readme.test.ts
@@ -0,0 +1,26 @@
+import { expect, test } from '@jest/globals';
+import { ManualClock, SeededRandom } from '@turmerichoist/core';
+import { ConfigReplica, MemoryTableStore, SettlingStore } from '@turmerichoist/coordination';
+import { silentLogger as log } from '@turmerichoist/runtime';
+import { MemoryObjects } from './support/memory-objects.js';
+
+const clock = new ManualClock();
+const random = new SeededRandom(1);
+const objects = new MemoryObjects();
+
+test('the example of the README works as printed', async () => {
+  const { signal } = new AbortController();
+  const store = new SettlingStore({ store: new MemoryTableStore(), memberId: 'm1', random });
+  const replica = new ConfigReplica({ store, objects, clock, listeners: [] }, { log, signal });
+  await replica.refresh();
+
+  const txn = {
+    txnId: 'change-1',
+    conditions: [{ key: 'greeting', version: 0 }],
+    writes: [{ key: 'greeting', value: 'hello' }],
+  };
+  const outcome = await store.commit(txn, signal);
+
+  expect(replica.cfg.revision).toBe(0);
+  expect(outcome.unwrap().committed).toBe(true);
+});
