--- a/packages/coordination/test/audit.test.ts
+++ b/packages/coordination/test/audit.test.ts
@@ -113,6 +113,21 @@
   expect(world.store.state.read([EXPORTED_KEY])).toEqual([]);
 });
 
+test('refusals stay in the table when their upload was cut short', async () => {
+  const world = setUp();
+  await fill(world);
+  const { objects } = world;
+  const cutting: ObjectStore = {
+    put: (name, bytes) =>
+      objects.put(name, name.includes('refused') ? bytes.subarray(0, 5) : bytes),
+    get: (name) => objects.get(name),
+    remove: (name) => objects.remove(name),
+    list: (prefix) => objects.list(prefix),
+  };
+  await run(world.exporter(world.store, cutting));
+  expect(world.store.state.range(REFUSED_PREFIX, '', 99)).toHaveLength(1);
+});
+
 test('log rows above the newest readable snapshot stay', async () => {
   const world = setUp();
   await fill(world);
