fix(coordination): the test of a lapsed confirmation sets up a state that has lapsed

Change: the links return only after every confirmation has run out, and no entry may be fresh then. Conclusion: the test now guards against a revived confirmation.

--- a/packages/coordination/test/freshness.test.ts
+++ b/packages/coordination/test/freshness.test.ts
@@ -231,11 +231,10 @@
 test('the outage rule does not revive an entry whose confirmation had already run out', () => {
   const world = new World();
   run(world, 5_000);
-  world.reach = [false, true, true];
+  world.reach = [false, false, false];
   world.cutLinks = new Set(['0-1', '0-2']);
   run(world, 20_000);
-  world.reach = [false, false, false];
   world.cutLinks = new Set();
   run(world, 5_000);
-  expect([world.isFresh(0), world.isFresh(1)]).toEqual([false, true]);
+  expect([0, 1, 2].map((index) => world.isFresh(index))).toEqual([false, false, false]);
 });
