--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -18,5 +18,4 @@
 export * from './state/quota/index.js';
 export * from './io/quota/index.js';
 export * from './io/member-watch.js';
-export * from './io/ownership-keeper.js';
 export * from './state/ownership.js';
