--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -1,5 +1,6 @@
 import { setMaxListeners } from 'node:events';
 import type {
+  AuditRecord,
   Broadcast,
   JsonValue,
   MemberWatchEvent,
@@ -28,6 +29,7 @@
 import { RequestPath } from '../requests/index.js';
 import type { Settings } from '../settings/index.js';
 import { PoolOwners, poolRole, TaskApi, TaskRouter, type TaskCommand } from '../tasks/index.js';
+import { AUDIT_ROLE, AuditTrail } from './audit-trail.js';
 import { ConfigurationService } from './configuration-service.js';
 import { Coordination } from './coordination.js';
 import type { CoordinationListener } from './coordination-listener.js';
@@ -60,6 +62,7 @@
   readonly #gate: IdempotencyGate;
   readonly #owners: PoolOwners;
   readonly #router: TaskRouter;
+  readonly #audit: AuditTrail;
   readonly #rollout = new RolloutTracker();
   #freshUntil: Millis = NEVER;
   #sessionUntil: Millis = NEVER;
@@ -112,10 +115,12 @@
       ask: (member, body, timeoutMs, until) =>
         mesh.request(member, { topic: 'submit', body }, timeoutMs, until),
     });
+    const memberId = settings.member;
+    this.#audit = new AuditTrail({ context, memberId, clock, platform, replica, newId });
     this.#access = new ConfigurationService({
       replica,
       writer,
-      audit: () => Promise.resolve(fail('not-ready', 'audit')),
+      audit: (filter, until) => this.#audit.query(filter, until),
       rollout: () => Ok(this.#rolloutStatus()),
     });
     this.server = this.#createServer(signal);
@@ -129,6 +134,7 @@
       return started;
     }
     this.#demand.start();
+    this.#audit.start();
     const [host = '', port = ''] = listen.split(':');
     try {
       return Ok(await this.server.listen(host, Number(port)));
@@ -155,8 +161,8 @@
 
   onConfig(cfg: Configuration): void {
     this.path.configure(cfg);
-    const roles = cfg.list('pool').map(({ name }) => poolRole(name));
-    this.coordination.ownership.post({ type: 'roles', roles });
+    const pools = cfg.list('pool').map(({ name }) => poolRole(name));
+    this.coordination.ownership.post({ type: 'roles', roles: [AUDIT_ROLE, ...pools] });
     this.#owners.post({ type: 'config-changed', cfg });
     this.#access.changed();
   }
@@ -169,6 +175,7 @@
 
   onSession(validUntil: Millis): void {
     this.#sessionUntil = validUntil;
+    this.#audit.sessionChanged(validUntil);
     this.#tellOwners();
   }
 
@@ -220,10 +227,11 @@
 
   onOwnership(event: OwnershipEvent): void {
     this.#owners.post(event);
+    this.#audit.ownershipChanged(event);
   }
 
-  onRefusal(): void {
-    // Refused changes reach the audit trail with the exporter.
+  onRefusal(record: AuditRecord): void {
+    this.#audit.refused(record);
   }
 
   #tellOwners(): void {
--- a/packages/stand-ins/test/whole-path.test.ts
+++ b/packages/stand-ins/test/whole-path.test.ts
@@ -142,6 +142,21 @@
   expect(members.map(({ state }) => state)).toEqual(['in-force', 'in-force']);
 });
 
+test('the audit trail shows who changed what, and what was refused', async () => {
+  const url = entries[1]?.url ?? '';
+  const file = join(folder, 'bad.yaml');
+  await writeFile(file, 'kind: queue\nname: lost\nspec: { pool: nowhere }\n');
+  const refused = await cli(url, 'apply', '-f', file);
+  expect(refused.code).not.toBe(0);
+  expect(refused.stderr).toContain('there is no pool/nowhere');
+  const outcomes = await until('refusal in the trail', 10_000, async () => {
+    const audit = await cli(url, 'audit', '--actor', 'operator', '-o', 'json');
+    const records = JSON.parse(audit.stdout) as { outcome: string }[];
+    return records.length > 1 ? records.map(({ outcome }) => outcome) : undefined;
+  });
+  expect(outcomes).toEqual(['refused', 'accepted']);
+});
+
 test('a caller gets the whole answer of an upstream through either entry', async () => {
   for (const { url } of entries) {
     const echo = await until('answer', 10_000, async () => {
