--- a/packages/core/test/tasks-leases.test.ts
+++ b/packages/core/test/tasks-leases.test.ts
@@ -4,7 +4,6 @@
 import {
   TEAMS,
   allowAll,
-  decisionsOf,
   fleetOf,
   leasedTo,
   stateOf,
@@ -149,14 +148,23 @@
     { type: 'submitted', task },
     { type: 'leased', fence: { epoch: 1, sequence: 1 }, ...lease },
   ];
-  const fleet = fleetOf(workersOf(2));
+  const fleet = fleetOf(workersOf(1));
   fleet.give({ type: 'ownership-gained', epoch: 2, log, nextBatch: 5 });
+  fleet.submit(taskOf({ id: 'renewed', command: LONG }));
   fleet.step(LEASE_TTL_MS);
-  expect(decisionsOf(fleet, 'lease')).toEqual([]);
+  expect(leasedTo(fleet, 'x')).toEqual([]);
   fleet.step(10_000);
   expect(stateOf(fleet, 'x')).toBe('finished');
 });
 
+test('a new owner renews the tasks that run, so that none is run again', () => {
+  const fleet = withRunning(true);
+  fleet.give({ type: 'ownership-gained', epoch: 2, log: [...fleet.log], nextBatch: 50 });
+  fleet.step(40_000);
+  expect(stateOf(fleet, 'x')).toBe('running');
+  expect([...fleet.models.values()].flatMap(({ runs }) => runs)).toHaveLength(1);
+});
+
 test('a restarted worker has lost its tasks, which are not waited for', () => {
   const fleet = withRunning(true);
   const [first = ''] = leasedTo(fleet, 'x');
