--- a/packages/core/test/tasks-leases.test.ts
+++ b/packages/core/test/tasks-leases.test.ts
@@ -173,6 +173,32 @@
   expect(leasedTo(fleet, 'x')).toHaveLength(2);
 });
 
+test('a late report of a former process of a worker does not end what runs now', () => {
+  const fleet = fleetOf(workersOf(1));
+  const model = fleet.models.get('w0');
+  const before = model?.report(0, fleet.now);
+  fleet.step(1_000);
+  model?.reboot(fleet.now);
+  fleet.step(1_000);
+  fleet.submit(taskOf({ id: 'x', command: LONG }));
+  fleet.step(5_000);
+  if (before !== undefined) {
+    const report = { ...before, worker: 'w0', requestedAt: 0 };
+    fleet.give({ type: 'worker-report', report });
+  }
+  fleet.step(1_000);
+  expect([stateOf(fleet, 'x'), leasedTo(fleet, 'x').length]).toEqual(['running', 1]);
+});
+
+test('the stop of a cancelled task does not wait for a report', () => {
+  const fleet = fleetOf(workersOf(1), TEAMS, { reportMs: 5_000 });
+  fleet.submit(taskOf({ id: 'x', command: LONG }));
+  fleet.step(5_500);
+  fleet.cancel('a', ['x']);
+  fleet.step(200);
+  expect(stopsOf(fleet, 'stop')).toEqual(['stop x']);
+});
+
 test('an order whose answer was lost is settled by the report, without a second run', () => {
   const cfg = configOf(workersOf(1), TEAMS);
   const fleet = new TaskFleet({ pool: POOL, cfg, allowances: allowAll(TEAMS) });
