feat(daemon): one place decides whether an upstream is healthy, suspect or leaving

Cause: a successful probe overwrote the sign that an upstream leaves; a suspect one got no work and so was never probed again; the platform's list was not heard; the result of renewals was reported as that of leases. Change: UpstreamStates merges probes, x-leaving and the platform's list; suspect upstreams are probed until they answer; during an outage renewals of leases go on as long as requests may.

--- a/packages/daemon/src/entry/coordination-listener.ts
+++ b/packages/daemon/src/entry/coordination-listener.ts
@@ -2,6 +2,7 @@
   AuditRecord,
   Broadcast,
   JsonValue,
+  ListedInstance,
   MemberWatchEvent,
   OwnershipEvent,
   PeerReport,
@@ -27,7 +28,10 @@
   onConfig(cfg: Configuration): void;
   /** The configuration may be used until then. */
   onFreshness(until: Millis): void;
-  onSession(validUntil: Millis): void;
+  /** Under the outage rule requests and renewals may go on until `requestsUntil`. */
+  onSession(validUntil: Millis, requestsUntil: Millis): void;
+  /** The platform's list, as just read. */
+  onInstances(instances: readonly ListedInstance[]): void;
   onUnits(serial: number, units: ReadonlyMap<TeamName, number>, validUntil: Millis): void;
   onUnitsReturned(): void;
   onView(members: readonly ViewMember[]): void;
--- a/packages/daemon/src/entry/coordination.ts
+++ b/packages/daemon/src/entry/coordination.ts
@@ -21,6 +21,7 @@
 import type { CoordinationOptions } from './coordination-listener.js';
 import { declaredLimits } from './declared-limits.js';
 import { FreshnessTransport } from './freshness-transport.js';
+import { ObservedInstances } from './observed-instances.js';
 import { recipient } from './recipient.js';
 
 /** Period at which heartbeats get a new status of this entry. */
@@ -243,7 +244,9 @@
       {
         self: settings.member,
         clock,
-        instances: platform.instances,
+        instances: new ObservedInstances(platform.instances, (instances) => {
+          listener.onInstances(instances);
+        }),
         peerAddress: (instance) => this.#peerAddress(instance),
         listener: {
           onView: (members) => {
@@ -275,10 +278,10 @@
       if (requestsUntil > validUntil) {
         this.broker.post({ type: 'outage', until: requestsUntil });
       }
-      listener.onSession(validUntil);
+      listener.onSession(validUntil, requestsUntil);
     } else {
       this.broker.post({ type: 'session', incarnation, validUntil: NEVER });
-      listener.onSession(NEVER);
+      listener.onSession(NEVER, NEVER);
     }
   }
 
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -3,6 +3,7 @@
   AuditRecord,
   Broadcast,
   JsonValue,
+  ListedInstance,
   MemberWatchEvent,
   OwnershipEvent,
   PeerReport,
@@ -18,6 +19,7 @@
   type Configuration,
   type MemberId,
   type Millis,
+  type PoolName,
   type Random,
   type Result,
   type TeamName,
@@ -65,7 +67,8 @@
   readonly #audit: AuditTrail;
   readonly #rollout = new RolloutTracker();
   #freshUntil: Millis = NEVER;
-  #sessionUntil: Millis = NEVER;
+  /** Nothing is sent to a worker after this. While no one can write, no other owner can act. */
+  #ownerUntil: Millis = NEVER;
   #unitsReturned: () => void = () => undefined;
 
   constructor(options: EntryOptions) {
@@ -148,12 +151,22 @@
     return this.#freshUntil > this.options.clock.now();
   }
 
+  /** Whether this entry decides for the tasks of the pool now. */
+  owns(pool: PoolName): boolean {
+    return this.#owners.owns(pool);
+  }
+
   /** Stops without cutting a request, as far as the settings give it time. */
   async stop(): Promise<void> {
     const returned = new Promise<void>((resolve) => {
       this.#unitsReturned = resolve;
     });
     await stopEntry(this, returned);
+    await this.abort();
+  }
+
+  /** Ends at once, as a crash would: nothing is given back and open requests break. */
+  async abort(): Promise<void> {
     this.#stop.abort();
     this.server.destroy();
     await this.options.metrics.close();
@@ -173,12 +186,16 @@
     this.#tellOwners();
   }
 
-  onSession(validUntil: Millis): void {
-    this.#sessionUntil = validUntil;
+  onSession(validUntil: Millis, requestsUntil: Millis): void {
+    this.#ownerUntil = requestsUntil;
     this.#audit.sessionChanged(validUntil);
     this.#tellOwners();
   }
 
+  onInstances(instances: readonly ListedInstance[]): void {
+    this.path.instancesListed(instances);
+  }
+
   onUnits(serial: number, units: ReadonlyMap<TeamName, number>, validUntil: Millis): void {
     this.#demand.grantsChanged(serial, units, validUntil);
   }
@@ -235,7 +252,7 @@
   }
 
   #tellOwners(): void {
-    const [configUntil, ownerUntil] = [this.#freshUntil, this.#sessionUntil];
+    const [configUntil, ownerUntil] = [this.#freshUntil, this.#ownerUntil];
     this.#owners.post({ type: 'freshness', configUntil, ownerUntil });
   }
 
--- a/packages/daemon/src/requests/request-path.ts
+++ b/packages/daemon/src/requests/request-path.ts
@@ -34,6 +34,14 @@
     this.dispatcher.post({ type: 'config-changed', cfg });
   }
 
+  /** Upstreams that the platform lists as leaving get no new work. */
+  instancesListed(
+    instances: readonly { readonly id: string; readonly state: 'live' | 'leaving' }[],
+  ): void {
+    const leaving = instances.filter(({ state }) => state === 'leaving').map(({ id }) => id);
+    this.#upstreams.post({ type: 'listed-leaving', upstreams: leaving });
+  }
+
   tell(event: RequestEvent): void {
     this.dispatcher.post(event);
   }
--- a/packages/daemon/src/tasks/worker-links.ts
+++ b/packages/daemon/src/tasks/worker-links.ts
@@ -72,7 +72,7 @@
   async send(order: Order): Promise<void> {
     const link = this.#links.get(order.worker);
     const late = this.#clock.now() >= order.sendBefore;
-    const ids = orderIds(order);
+    const ids = order.type === 'lease' ? order.leases.map(({ id, fence }) => ({ id, fence })) : [];
     if (link === undefined || late) {
       this.#report(
         order.worker,
@@ -81,7 +81,8 @@
       return;
     }
     const answer = await this.#call(link.client, order);
-    if (order.type !== 'stop') {
+    // Reports show what became of renewals and stops.
+    if (order.type === 'lease') {
       this.#report(order.worker, resultsOf(ids, answer));
     }
   }
@@ -122,17 +123,6 @@
 
 type Identity = Pick<LeaseResult, 'id' | 'fence'>;
 
-function orderIds(order: Order): readonly Identity[] {
-  switch (order.type) {
-    case 'lease':
-      return order.leases.map(({ id, fence }) => ({ id, fence }));
-    case 'renew':
-      return order.renewals.map(({ id, fence }) => ({ id, fence }));
-    case 'stop':
-      return [];
-  }
-}
-
 function resultsOf(
   ids: readonly Identity[],
   answer: Result<readonly WorkerReply[], AppError>,
--- a/packages/daemon/src/upstreams/messages.ts
+++ b/packages/daemon/src/upstreams/messages.ts
@@ -49,6 +49,8 @@
       readonly deadline: Millis;
     }
   | { readonly type: 'abort'; readonly id: RequestId }
+  /** All upstreams that the platform lists as leaving. */
+  | { readonly type: 'listed-leaving'; readonly upstreams: readonly UpstreamName[] }
   | { readonly type: 'targets'; readonly targets: readonly UpstreamTarget[] }
   | {
       readonly type: 'probed';
--- a/packages/daemon/src/upstreams/upstream-connections.ts
+++ b/packages/daemon/src/upstreams/upstream-connections.ts
@@ -51,9 +51,12 @@
     return undefined;
   }
 
-  /** Whether the path should be probed now: attempts wait and none has made progress of late. */
-  shouldProbe(): boolean {
-    if (this.#probing || !this.#isSilent()) {
+  /**
+   * Whether the path should be probed now: attempts wait and none has made progress of late, or the
+   * upstream is suspect and gets no work that would show its recovery.
+   */
+  shouldProbe(suspect: boolean): boolean {
+    if (this.#probing || !(suspect || this.#isSilent())) {
       return false;
     }
     this.#probing = true;
--- a/packages/daemon/src/upstreams/upstream-pool.ts
+++ b/packages/daemon/src/upstreams/upstream-pool.ts
@@ -3,6 +3,7 @@
 import type { AttemptEnd } from './attempt.js';
 import type { UpstreamEvent, UpstreamMessage, UpstreamTarget } from './messages.js';
 import { probe } from './probe.js';
+import { UpstreamStates, type UpstreamState } from './upstream-states.js';
 import { UpstreamConnections } from './upstream-connections.js';
 
 const TICK_MS: Millis = 250;
@@ -16,11 +17,15 @@
   readonly #upstreams = new Map<UpstreamName, UpstreamConnections>();
   /** Removed or readdressed upstreams whose open attempts still run. */
   readonly #removed = new Set<UpstreamConnections>();
+  readonly #states: UpstreamStates;
+  /** What the dispatcher was told last; upstreams that are left out are healthy. */
+  readonly #told = new Map<UpstreamName, UpstreamState>();
 
   constructor(context: ActorContext, clock: Clock, dispatcher: Recipient<UpstreamEvent>) {
     super('upstreams', context);
     this.#clock = clock;
     this.#dispatcher = dispatcher;
+    this.#states = new UpstreamStates(clock);
     every(TICK_MS, this.signal, () => this.post({ type: 'tick' }));
     this.signal.addEventListener('abort', () => void this.#destroyAll(), { once: true });
   }
@@ -41,6 +46,10 @@
       case 'probed':
         this.#probed(message.upstream, message.generation, message.alive);
         break;
+      case 'listed-leaving':
+        this.#states.listed(message.upstreams);
+        this.#tellStates();
+        break;
       case 'tick':
         this.#tick();
         break;
@@ -56,7 +65,8 @@
     }
     const onEnd = (end: AttemptEnd): void => {
       if (end.leaving) {
-        this.#tell({ type: 'upstream-state', upstream: name, state: 'leaving' });
+        this.#states.saidLeaving(name);
+        this.#tellStates();
       }
       const load = end.load === undefined ? {} : { load: end.load };
       this.#tell({ type: 'attempt-ended', id, upstream: name, result: end.result, ...load });
@@ -70,6 +80,7 @@
       const target = wanted.get(name);
       if (target === undefined || !sameTarget(target, upstream.target)) {
         upstream.retire();
+        this.#states.forget(name);
         this.#upstreams.delete(name);
         this.#removed.add(upstream);
       }
@@ -87,8 +98,9 @@
         this.#removed.delete(upstream);
       }
     }
+    this.#tellStates();
     for (const [name, upstream] of this.#upstreams) {
-      if (upstream.shouldProbe()) {
+      if (upstream.shouldProbe(this.#states.isSuspect(name))) {
         const { generation } = upstream;
         void probe(upstream.target, this.signal).then((alive) =>
           this.post({ type: 'probed', upstream: name, generation, alive }),
@@ -105,7 +117,19 @@
     if (upstream.probed(generation, alive)) {
       this.log.warn('connections went silent and were replaced', { upstream: name, generation });
     }
-    this.#tell({ type: 'upstream-state', upstream: name, state: alive ? 'healthy' : 'suspect' });
+    this.#states.probed(name, alive);
+    this.#tellStates();
+  }
+
+  /** Tells the dispatcher what has changed since it was told. */
+  #tellStates(): void {
+    for (const upstream of this.#upstreams.keys()) {
+      const state = this.#states.state(upstream);
+      if (state !== (this.#told.get(upstream) ?? 'healthy')) {
+        this.#told.set(upstream, state);
+        this.#tell({ type: 'upstream-state', upstream, state });
+      }
+    }
   }
 
   #tell(event: UpstreamEvent): void {
--- a/packages/stand-ins/src/upstream/server.ts
+++ b/packages/stand-ins/src/upstream/server.ts
@@ -40,6 +40,8 @@
   readonly runs: readonly UpstreamRun[];
   /** Largest number of requests that ran at once. */
   readonly peak: number;
+  /** Requests that run now. */
+  readonly running: number;
   setFaults(faults: Partial<UpstreamFaults>): void;
   setWorkMs(ms: Millis): void;
   /** From now on nothing arrives or leaves on the connections that are open; new ones work. */
@@ -184,6 +186,9 @@
     get peak() {
       return server.peak;
     },
+    get running() {
+      return server.running;
+    },
     setFaults: (faults) => {
       server.faults = { ...server.faults, ...faults };
     },
