feat(fleet): owners of pools run the fleet decisions

Cause: the fleet decider existed, but no process fed it or carried out what it decided, so plans, budgets and operators' drains had no effect.

Change: the actor FleetOwner runs one decider for all pools that the entry owns. It reads the budget and plan rows when it gains a pool, polls the instances, and carries out transactions and acts while the session and the configuration are valid. Workers get a cordon call, and drain, cordon and reboot carry the owner's fence; a reboot carries the boot count too. `why` answers for plans, instances and pools at every entry. A plan that begins before an instance was reported takes the boot count from the first report: it took 0, so that the first report looked like a reboot and the plan ended without one.

Moves are carried out but get no demand yet, and no test covers them here.

--- a/packages/coordination/src/state/peers/messages.ts
+++ b/packages/coordination/src/state/peers/messages.ts
@@ -66,7 +66,7 @@
   request: z.object({
     type: z.literal('request'),
     id: count,
-    topic: z.enum(['idempotency', 'submit', 'want', 'freshness', 'config']),
+    topic: z.enum(['idempotency', 'submit', 'want', 'freshness', 'config', 'why']),
     body: z.json(),
   }),
   response: z.object({
--- a/packages/core/src/fleet/plan-progress.ts
+++ b/packages/core/src/fleet/plan-progress.ts
@@ -8,10 +8,13 @@
 /** The same as a part of the affected pools, for large plans. */
 const FAILURE_RISE_PART = 0.05;
 
+/** Boots are counted from 1, so this stands for an instance that no report has shown yet. */
+const UNKNOWN_BOOT = 0;
+
 /** The plan's row at its start. */
 export function firstRow(definition: PlanDefinition, context: RoundContext): PlanRow {
   const remaining = definition.instances.map(({ name }) => {
-    return { instance: name, boot: context.view.boot(name) ?? 0 };
+    return { instance: name, boot: context.view.boot(name) ?? UNKNOWN_BOOT };
   });
   return {
     role: context.role,
@@ -34,8 +37,9 @@
   if (row.selection !== definition.selection || isCycleOver(row, definition, context)) {
     return { ...firstRow(definition, context), startedWallMs: nextStart(row, definition, context) };
   }
-  const remaining = row.remaining.filter((each) => isLeft(each, context));
-  const pruned = remaining.length < row.remaining.length ? { ...row, remaining } : row;
+  const known = withFirstBoots(row, context);
+  const remaining = known.remaining.filter((each) => isLeft(each, context));
+  const pruned = remaining.length < known.remaining.length ? { ...known, remaining } : known;
   if (row.declaredVersion === definition.declaredVersion) {
     return pruned;
   }
@@ -66,6 +70,15 @@
   return (view.boot(each.instance) ?? each.boot) <= each.boot || !view.isUp(each.instance);
 }
 
+/** An instance that was not known when the plan began counts from its first report. */
+function withFirstBoots(row: PlanRow, { view }: RoundContext): PlanRow {
+  const boot = ({ instance, boot: recorded }: RemainingInstance): number =>
+    recorded === UNKNOWN_BOOT ? (view.boot(instance) ?? UNKNOWN_BOOT) : recorded;
+  return row.remaining.every((each) => boot(each) === each.boot)
+    ? row
+    : { ...row, remaining: row.remaining.map((each) => ({ ...each, boot: boot(each) })) };
+}
+
 /** Instances of the plan's pools that are down without a planned reboot. */
 export function failuresOf(
   definition: PlanDefinition,
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -23,6 +23,7 @@
 } from '@turmerichoist/core';
 import type { Logger, Metrics } from '@turmerichoist/runtime';
 import { OperatorApi, Operators, type RolloutStatus } from '../api/index.js';
+import { FleetOwner, FleetWhy, isFleetKind } from '../fleet/index.js';
 import { HttpServer } from '../http/index.js';
 import { IdempotencyGate } from '../idempotency/index.js';
 import { RequestPath } from '../requests/index.js';
@@ -60,6 +61,8 @@
   readonly #gate: IdempotencyGate;
   readonly #owners: PoolOwners;
   readonly #router: TaskRouter;
+  readonly #fleet: FleetOwner;
+  readonly #fleetWhy: FleetWhy;
   readonly #rollout = new RolloutTracker();
   #freshUntil: Millis = NEVER;
   #sessionUntil: Millis = NEVER;
@@ -112,6 +115,21 @@
       ask: (member, body, timeoutMs, until) =>
         mesh.request(member, { topic: 'submit', body }, timeoutMs, until),
     });
+    this.#fleet = new FleetOwner(context, {
+      clock,
+      store: platform.table,
+      newId,
+      refresh: () => replica.refresh(),
+      announce: (revision) => {
+        mesh.publish({ type: 'head', revision });
+      },
+    });
+    this.#fleetWhy = new FleetWhy({
+      self: settings.member,
+      owner: this.#fleet,
+      ask: (member, body, timeoutMs, until) =>
+        mesh.request(member, { topic: 'why', body }, timeoutMs, until),
+    });
     this.#access = new ConfigurationService({
       replica,
       writer,
@@ -129,6 +147,7 @@
       return started;
     }
     this.#demand.start();
+    this.#fleet.start();
     const [host = '', port = ''] = listen.split(':');
     try {
       return Ok(await this.server.listen(host, Number(port)));
@@ -158,6 +177,7 @@
     const roles = cfg.list('pool').map(({ name }) => poolRole(name));
     this.coordination.ownership.post({ type: 'roles', roles });
     this.#owners.post({ type: 'config-changed', cfg });
+    this.#fleet.post({ type: 'config-changed', cfg });
     this.#access.changed();
   }
 
@@ -187,6 +207,7 @@
   onMembersRead({ rows, sentAt, live }: Extract<MemberWatchEvent, { type: 'members-read' }>): void {
     this.#rollout.rowsRead(rows, sentAt, live);
     this.#gate.membersChanged(live);
+    this.#fleetWhy.membersChanged(live);
     this.path.tell({ type: 'members-changed', members: live });
   }
 
@@ -213,6 +234,8 @@
         const answer = await this.#owners.command(body as unknown as TaskCommand);
         return answer.map((value) => value as JsonValue);
       }
+      case 'why':
+        return this.#fleetWhy.handle(body);
       default:
         return fail('unknown-route', topic);
     }
@@ -220,6 +243,7 @@
 
   onOwnership(event: OwnershipEvent): void {
     this.#owners.post(event);
+    this.#fleet.post(event);
   }
 
   onRefusal(): void {
@@ -229,6 +253,7 @@
   #tellOwners(): void {
     const [configUntil, ownerUntil] = [this.#freshUntil, this.#sessionUntil];
     this.#owners.post({ type: 'freshness', configUntil, ownerUntil });
+    this.#fleet.post({ type: 'freshness', configUntil, ownerUntil });
   }
 
   #rolloutStatus(): RolloutStatus {
@@ -265,6 +290,9 @@
   }
 
   #why(kind: string, name: string, signal: AbortSignal): Promise<Result<unknown, AppError>> {
+    if (isFleetKind(kind)) {
+      return this.#fleetWhy.find(kind, name, signal);
+    }
     const pool = name.split(':')[0] ?? '';
     return kind === 'task'
       ? this.#router.route({ type: 'show', pool, id: name }, signal)
--- /dev/null
+++ b/packages/daemon/src/fleet/fleet-why.ts
@@ -0,0 +1,71 @@
+import type { JsonValue } from '@turmerichoist/coordination';
+import {
+  fail,
+  type AppError,
+  type MemberId,
+  type Millis,
+  type Result,
+  type WaitSubject,
+} from '@turmerichoist/core';
+import { z } from 'zod';
+import type { FleetOwner } from './fleet-owner.js';
+
+/** Time that another entry may take to answer. */
+const ASK_TIMEOUT_MS: Millis = 2_000;
+
+const body = z.object({ kind: z.enum(['plan', 'instance', 'pool']), name: z.string() });
+
+export function isFleetKind(kind: string): kind is WaitSubject['kind'] {
+  return body.shape.kind.safeParse(kind).success;
+}
+
+export interface FleetWhyOptions {
+  readonly self: MemberId;
+  readonly owner: Pick<FleetOwner, 'why'>;
+  readonly ask: (
+    member: MemberId,
+    body: JsonValue,
+    timeoutMs: Millis,
+    signal: AbortSignal,
+  ) => Promise<Result<JsonValue, AppError>>;
+}
+
+/** Finds what a plan, an instance or a pool waits for, at the entry that owns it. */
+export class FleetWhy {
+  readonly #options: FleetWhyOptions;
+  #members: readonly MemberId[] = [];
+
+  constructor(options: FleetWhyOptions) {
+    this.#options = options;
+  }
+
+  membersChanged(members: readonly MemberId[]): void {
+    this.#members = members;
+  }
+
+  /** Answers another entry from what this one owns. Errors: `not-found`, `bad-document`. */
+  handle(raw: unknown): Result<JsonValue, AppError> {
+    const parsed = body.safeParse(raw);
+    return parsed.success
+      ? this.#options.owner.why(parsed.data.kind, parsed.data.name)
+      : fail('bad-document', 'why');
+  }
+
+  /** Looks here first, then at the other entries. Errors: `not-found`. */
+  async find(
+    kind: WaitSubject['kind'],
+    name: string,
+    signal: AbortSignal,
+  ): Promise<Result<JsonValue, AppError>> {
+    const { self, owner, ask } = this.#options;
+    const own = owner.why(kind, name);
+    if (own.isOk()) {
+      return own;
+    }
+    const others = this.#members.filter((member) => member !== self);
+    const answers = await Promise.all(
+      others.map((member) => ask(member, { kind, name }, ASK_TIMEOUT_MS, signal)),
+    );
+    return answers.find((answer) => answer.isOk()) ?? own;
+  }
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,6 @@
 export * from './api/index.js';
 export * from './entry/index.js';
+export * from './fleet/index.js';
 export * from './http/index.js';
 export * from './idempotency/index.js';
 export * from './requests/index.js';
--- a/packages/daemon/src/tasks/pool-owners.ts
+++ b/packages/daemon/src/tasks/pool-owners.ts
@@ -13,7 +13,8 @@
 import type { TaskCommand } from './messages.js';
 import { TaskOwner } from './task-owner.js';
 
-const ROLE_PREFIX = 'pool/';
+/** Start of the role names of the owners of pools. */
+export const ROLE_PREFIX = 'pool/';
 
 /** The role of the owner of a pool. */
 export function poolRole(pool: PoolName): string {
--- a/packages/daemon/src/workers/wire.ts
+++ b/packages/daemon/src/workers/wire.ts
@@ -45,6 +45,19 @@
   mode: z.enum(['throttle', 'checkpoint', 'stop']),
 });
 
+/** Owner of a pool at one epoch; a worker refuses acts of an earlier epoch of the role. */
+const ownerFence = z.object({ role: z.string(), epoch: z.int().min(0) });
+
+export const cordonBody = z.object({ fence: ownerFence, on: z.boolean() });
+
+export const drainBody = z.object({ fence: ownerFence.optional() });
+
+/** A worker whose incarnation is not `boot` has rebooted already and refuses the call. */
+export const rebootBody = z.object({
+  fence: ownerFence.optional(),
+  boot: z.int().min(0).optional(),
+});
+
 export const resultsBody = z.object({
   results: z.array(
     z.object({
--- a/packages/daemon/src/workers/worker-client.ts
+++ b/packages/daemon/src/workers/worker-client.ts
@@ -10,6 +10,7 @@
   type LeaseOrder,
   type LeaseReply,
   type Millis,
+  type OwnerFence,
   type RenewOrder,
   type Result,
   type StopMode,
@@ -34,6 +35,11 @@
   readonly clock?: Clock;
 }
 
+export interface RebootOrder {
+  readonly fence?: OwnerFence;
+  readonly boot?: number;
+}
+
 /** Reply to one lease, renewal or stop. */
 export interface WorkerReply {
   readonly id: TaskId;
@@ -110,14 +116,25 @@
       }));
   }
 
+  /** Stops (`on`) or resumes the start of work. Resuming also ends a drain. */
+  async cordon(
+    fence: OwnerFence,
+    on: boolean,
+    signal: AbortSignal,
+  ): Promise<Result<void, AppError>> {
+    const answer = await this.#call('POST', '/v1/cordon', { fence, on }, signal);
+    return answer.map(() => undefined);
+  }
+
   /** Asks the worker to take no new work and to end or checkpoint what runs. */
-  async drain(signal: AbortSignal): Promise<Result<void, AppError>> {
-    const answer = await this.#call('POST', '/v1/drain', {}, signal);
+  async drain(signal: AbortSignal, fence?: OwnerFence): Promise<Result<void, AppError>> {
+    const answer = await this.#call('POST', '/v1/drain', { fence }, signal);
     return answer.map(() => undefined);
   }
 
-  async reboot(signal: AbortSignal): Promise<Result<void, AppError>> {
-    const answer = await this.#call('POST', '/v1/reboot', {}, signal);
+  /** Reboots the worker, unless its boot count is no longer the one of the order. */
+  async reboot(signal: AbortSignal, order: RebootOrder = {}): Promise<Result<void, AppError>> {
+    const answer = await this.#call('POST', '/v1/reboot', order, signal);
     return answer.map(() => undefined);
   }
 
--- a/packages/stand-ins/src/worker/server.ts
+++ b/packages/stand-ins/src/worker/server.ts
@@ -2,9 +2,23 @@
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import polka from 'polka';
-import type { Clock, LeaseOrder, LeaseReply, Millis, Resources } from '@turmerichoist/core';
+import type {
+  Clock,
+  LeaseOrder,
+  LeaseReply,
+  Millis,
+  OwnerFence,
+  Resources,
+} from '@turmerichoist/core';
 import { SystemClock, every, sleep } from '@turmerichoist/runtime';
-import { leasesBody, renewBody, stopBody } from '@turmerichoist/daemon';
+import {
+  cordonBody,
+  drainBody,
+  leasesBody,
+  rebootBody,
+  renewBody,
+  stopBody,
+} from '@turmerichoist/daemon';
 import { WorkerModel, type TaskRun } from './worker-model.js';
 import type { WorkerFaults } from './faults.js';
 
@@ -31,6 +45,10 @@
   readonly faults: WorkerFaults;
   /** Every run of a task so far, in order of start. */
   readonly runs: readonly TaskRun[];
+  /** Counted from 1. */
+  readonly boot: number;
+  /** False while it drains or reboots. */
+  readonly available: boolean;
   setFaults(faults: Partial<WorkerFaults>): void;
   close(): Promise<void>;
 }
@@ -91,6 +109,14 @@
     return this.#model.runs;
   }
 
+  get boot(): number {
+    return Number(this.#model.incarnation);
+  }
+
+  get available(): boolean {
+    return !this.#rebooting && !this.#model.isDraining;
+  }
+
   setFaults(faults: Partial<WorkerFaults>): void {
     this.#model.setFaults(faults, this.#clock.now());
   }
@@ -133,13 +159,17 @@
         '/v1/report',
         this.#guarded((_, req) => this.#report(req)),
       )
+      .post(
+        '/v1/cordon',
+        this.#guarded((body) => this.#cordon(body)),
+      )
       .post(
         '/v1/drain',
-        this.#guarded(() => this.#drain()),
+        this.#guarded((body) => this.#drain(body)),
       )
       .post(
         '/v1/reboot',
-        this.#guarded(() => this.#reboot()),
+        this.#guarded((body) => this.#reboot(body)),
       )
       .post('/faults', (req, res) => void this.#changeFaults(req, res));
   }
@@ -239,18 +269,39 @@
     };
   }
 
-  #drain(): unknown {
+  #cordon(body: unknown): unknown {
+    const { fence, on } = cordonBody.parse(body);
+    this.#admit(fence);
+    this.#model.cordon(on);
+    return {};
+  }
+
+  #drain(body: unknown): unknown {
+    this.#admit(drainBody.parse(body).fence);
     this.#model.drain(this.#clock.now());
     return {};
   }
 
-  #reboot(): unknown {
+  #reboot(body: unknown): unknown {
+    const { fence, boot } = rebootBody.parse(body);
+    this.#admit(fence);
+    if (boot !== undefined && boot !== this.boot) {
+      throw new Error(`boot ${boot} is over`);
+    }
     this.#model.reboot(this.#clock.now());
     void this.#beAway();
     return {};
   }
 
+  /** Refuses acts of an owner that another one has followed. */
+  #admit(fence: OwnerFence | undefined): void {
+    if (!this.#model.admits(fence)) {
+      throw new Error('stale fence');
+    }
+  }
+
   async #beAway(): Promise<void> {
+    // The answer to the reboot call is sent first.
     await Promise.resolve();
     this.#rebooting = true;
     await sleep(this.#options.rebootMs ?? DEFAULT_REBOOT_MS, this.#ending.signal);
--- a/packages/stand-ins/src/worker/worker-model.ts
+++ b/packages/stand-ins/src/worker/worker-model.ts
@@ -5,6 +5,7 @@
   type LeaseOrder,
   type LeaseReply,
   type Millis,
+  type OwnerFence,
   type RenewOrder,
   type Resources,
   type RunOutcome,
@@ -57,6 +58,9 @@
   readonly #runs: TaskRun[] = [];
   #faults = NO_FAULTS;
   #draining = false;
+  #cordoned = false;
+  /** Highest epoch of each role that has acted on this worker. Survives reboots. */
+  readonly #ownerEpochs = new Map<string, number>();
   #highestEpoch = 0;
   #position = 0;
   #advancedTo: Millis;
@@ -134,6 +138,26 @@
     return 'accepted';
   }
 
+  /** False if a later epoch of the role has acted on this worker. */
+  admits(fence: OwnerFence | undefined): boolean {
+    if (fence === undefined) {
+      return true;
+    }
+    const highest = this.#ownerEpochs.get(fence.role) ?? 0;
+    this.#ownerEpochs.set(fence.role, Math.max(highest, fence.epoch));
+    return fence.epoch >= highest;
+  }
+
+  get isDraining(): boolean {
+    return this.#draining;
+  }
+
+  /** Stops or resumes the start of work. Resuming also ends a drain. */
+  cordon(on: boolean): void {
+    this.#cordoned = on;
+    this.#draining &&= on;
+  }
+
   /** Takes no new lease; what runs and can checkpoint does so, the rest finishes. */
   drain(now: Millis): void {
     this.advance(now);
@@ -156,6 +180,7 @@
     this.#position = 0;
     this.#highestEpoch = 0;
     this.#draining = false;
+    this.#cordoned = false;
     this.#incarnation += 1;
   }
 
@@ -209,7 +234,7 @@
     if (same && !this.#active.has(order.id)) {
       return 'stale-fence';
     }
-    if (this.#draining) {
+    if (this.#draining || this.#cordoned) {
       return 'draining';
     }
     return this.#fits(order) ? undefined : 'busy';
