--- a/packages/core/test/fleet-decider.test.ts
+++ b/packages/core/test/fleet-decider.test.ts
@@ -244,6 +244,32 @@
     expect(reboots.length).toBe(7);
   });
 
+  test('the first report of an instance does not pass for its reboot', () => {
+    const cfg = fleet(4, 1, { p: { select: { racks: ['r0'] }, maxParallel: 4 } });
+    const decider = new FleetDecider({ poolPlanner: new FixedBuffer(0) });
+    let version = 0;
+    const deliver = (event: Parameters<FleetDecider['handle']>[0], now: number): void => {
+      for (const decision of decider.handle(event, now)) {
+        if ('txn' in decision) {
+          version += 1;
+          const rows = decision.txn.writes.map((write) => ({ ...write, version }));
+          deliver({ type: 'transaction-committed', id: decision.txn.id, rows }, now);
+        }
+      }
+    };
+    deliver({ type: 'config-changed', cfg }, 0);
+    for (const role of ['a', 'b']) {
+      deliver({ type: 'ownership-gained', fence: { role, epoch: 1 }, rows: [] }, 0);
+    }
+    deliver({ type: 'tick', wallMs: 0 }, 0);
+    expect(decider.planRow('p')?.remaining).toHaveLength(4);
+    for (const { name } of cfg.list('instance')) {
+      deliver({ type: 'instance-seen', instance: name, state: 'up', boot: 7 }, 1);
+    }
+    deliver({ type: 'tick', wallMs: 2 }, 2);
+    expect(decider.planRow('p')?.remaining.map(({ boot }) => boot)).toEqual([7, 7, 7, 7]);
+  });
+
   test('a dry run names a group that no budget can cover instead of waiting for ever', () => {
     const estimate = estimatePlan(fleet(8, 1, oneRack), 'p', DURATIONS, 0);
     expect(estimate?.impossible[0]).toMatchObject({ type: 'impossible', pool: 'a', needed: 2 });
