--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -26,6 +26,7 @@
 } from '@turmerichoist/core';
 import type { Logger, Metrics } from '@turmerichoist/runtime';
 import { OperatorApi, Operators, type RolloutStatus } from '../api/index.js';
+import { FleetOwner, FleetWhy, isFleetKind } from '../fleet/index.js';
 import { HttpServer } from '../http/index.js';
 import { IdempotencyGate } from '../idempotency/index.js';
 import { RequestPath } from '../requests/index.js';
@@ -65,10 +66,13 @@
   readonly #owners: PoolOwners;
   readonly #router: TaskRouter;
   readonly #audit: AuditTrail;
+  readonly #fleet: FleetOwner;
+  readonly #fleetWhy: FleetWhy;
   readonly #rollout = new RolloutTracker();
   #freshUntil: Millis = NEVER;
   /** Nothing is sent to a worker after this. While no one can write, no other owner can act. */
   #ownerUntil: Millis = NEVER;
+  #sessionUntil: Millis = NEVER;
   #unitsReturned: () => void = () => undefined;
 
   constructor(options: EntryOptions) {
@@ -120,6 +124,21 @@
     });
     const memberId = settings.member;
     this.#audit = new AuditTrail({ context, memberId, clock, platform, replica, newId });
+    this.#fleet = new FleetOwner(context, {
+      clock,
+      store: platform.table,
+      newId,
+      refresh: () => replica.refresh(),
+      announce: (revision) => {
+        mesh.publish({ type: 'head', revision });
+      },
+    });
+    this.#fleetWhy = new FleetWhy({
+      self: settings.member,
+      owner: this.#fleet,
+      ask: (member, body, timeoutMs, until) =>
+        mesh.request(member, { topic: 'why', body }, timeoutMs, until),
+    });
     this.#access = new ConfigurationService({
       replica,
       writer,
@@ -138,6 +157,7 @@
     }
     this.#demand.start();
     this.#audit.start();
+    this.#fleet.start();
     const [host = '', port = ''] = listen.split(':');
     try {
       return Ok(await this.server.listen(host, Number(port)));
@@ -177,6 +197,7 @@
     const pools = cfg.list('pool').map(({ name }) => poolRole(name));
     this.coordination.ownership.post({ type: 'roles', roles: [AUDIT_ROLE, ...pools] });
     this.#owners.post({ type: 'config-changed', cfg });
+    this.#fleet.post({ type: 'config-changed', cfg });
     this.#access.changed();
   }
 
@@ -188,6 +209,7 @@
 
   onSession(validUntil: Millis, requestsUntil: Millis): void {
     this.#ownerUntil = requestsUntil;
+    this.#sessionUntil = validUntil;
     this.#audit.sessionChanged(validUntil);
     this.#tellOwners();
   }
@@ -211,6 +233,7 @@
   onMembersRead({ rows, sentAt, live }: Extract<MemberWatchEvent, { type: 'members-read' }>): void {
     this.#rollout.rowsRead(rows, sentAt, live);
     this.#gate.membersChanged(live);
+    this.#fleetWhy.membersChanged(live);
     this.path.tell({ type: 'members-changed', members: live });
   }
 
@@ -237,6 +260,8 @@
         const answer = await this.#owners.command(body as unknown as TaskCommand);
         return answer.map((value) => value as JsonValue);
       }
+      case 'why':
+        return this.#fleetWhy.handle(body);
       default:
         return fail('unknown-route', topic);
     }
@@ -245,6 +270,7 @@
   onOwnership(event: OwnershipEvent): void {
     this.#owners.post(event);
     this.#audit.ownershipChanged(event);
+    this.#fleet.post(event);
   }
 
   onRefusal(record: AuditRecord): void {
@@ -254,6 +280,7 @@
   #tellOwners(): void {
     const [configUntil, ownerUntil] = [this.#freshUntil, this.#ownerUntil];
     this.#owners.post({ type: 'freshness', configUntil, ownerUntil });
+    this.#fleet.post({ type: 'freshness', configUntil, ownerUntil: this.#sessionUntil });
   }
 
   #rolloutStatus(): RolloutStatus {
@@ -290,6 +317,9 @@
   }
 
   #why(kind: string, name: string, signal: AbortSignal): Promise<Result<unknown, AppError>> {
+    if (isFleetKind(kind)) {
+      return this.#fleetWhy.find(kind, name, signal);
+    }
     const pool = name.split(':')[0] ?? '';
     return kind === 'task'
       ? this.#router.route({ type: 'show', pool, id: name }, signal)
