--- a/packages/measure/src/fleet/planning-time.ts
+++ b/packages/measure/src/fleet/planning-time.ts
@@ -33,7 +33,11 @@
   return `${table}slope ${slope.toFixed(2)} us per worker\n`;
 }
 
-function timeRounds(deployment: Deployment): { readonly medianMs: number; readonly maxMs: number } {
+/** Measures one size. `whenWarm` is called at the end, while the decider still has its state. */
+export function timeRounds(
+  deployment: Deployment,
+  whenWarm: (simulation: FleetSimulation) => void = () => undefined,
+): { readonly medianMs: number; readonly maxMs: number } {
   const racks = Array.from({ length: rackCount(deployment) }, (_, index) => `r${index}`);
   const plan = { kind: 'plan', name: 'p', spec: { select: { racks }, maxParallel: racks.length } };
   const decider = new FleetDecider({ poolPlanner: new FixedBuffer(0), cycleMs: CYCLE_MS });
@@ -55,6 +59,7 @@
     decider.handle({ type: 'tick', wallMs: now }, now);
     times.push(Number(process.hrtime.bigint() - from) / NANOS_PER_MS);
   }
+  whenWarm(simulation);
   times.sort((a, b) => a - b);
   return { medianMs: times[Math.floor(times.length / 2)] ?? 0, maxMs: times.at(-1) ?? 0 };
 }
--- a/packages/measure/src/requests/decision-time.ts
+++ b/packages/measure/src/requests/decision-time.ts
@@ -26,10 +26,11 @@
 
 /** Measures decision time per request with work of 10, 100 and 300 teams queued. */
 export function measureDecisionTime(seed: number): readonly DecisionTimeRow[] {
-  return TEAM_COUNTS.map((teams) => measureOne(teams, seed));
+  return TEAM_COUNTS.map((teams) => timeRequests(teams, seed));
 }
 
-function measureOne(teams: number, seed: number): DecisionTimeRow {
+/** Measures one number of teams. */
+export function timeRequests(teams: number, seed: number): DecisionTimeRow {
   const load = new SaturatedEntry(teams, seed);
   load.run(WARM_UP);
   const nanos = load.run(REQUESTS);
--- a/packages/measure/src/tasks/decision-time.ts
+++ b/packages/measure/src/tasks/decision-time.ts
@@ -36,11 +36,17 @@
   clock: () => Millis,
 ): readonly DecisionTime[] {
   return SIZES.map(([workers, teams]) =>
-    measureOne({ ...deployment, workers, teams, zones: workers > 100 ? 8 : 3 }, seed, clock),
+    timeDecisions({ ...deployment, workers, teams, zones: workers > 100 ? 8 : 3 }, seed, clock),
   );
 }
 
-function measureOne(deployment: Deployment, seed: number, clock: () => Millis): DecisionTime {
+/** Measures one size. `whenFull` is called at the end, while the decider still has its state. */
+export function timeDecisions(
+  deployment: Deployment,
+  seed: number,
+  clock: () => Millis,
+  whenFull: (fleet: TaskFleet) => void = () => undefined,
+): DecisionTime {
   const workload = new Workload(new SeededRandom(seed));
   const spent = { all: 0, ticks: 0 };
   const observe: TaskFleetOptions['observe'] = (event, decide) => {
@@ -73,6 +79,7 @@
     fleet.decisions.length = 0;
     fleet.answers.length = 0;
   }
+  whenFull(fleet);
   const { workers, teams } = deployment;
   return {
     workers,
