--- a/packages/measure/src/fleet/plans.ts
+++ b/packages/measure/src/fleet/plans.ts
@@ -18,7 +18,7 @@
 const REPAIR_MS = 15 * MINUTE_MS;
 const PLAN = 'p';
 
-interface Outcome {
+export interface Outcome {
   readonly minutes: number;
   readonly boundMinutes: number;
   readonly drains: number;
@@ -56,6 +56,19 @@
   return renderTable(headings, rows);
 }
 
+/** Outcome of a plan over all racks: as many at once as the budgets allow, and one at a time. */
+export function rackOutcomes(
+  deployment: Deployment,
+  seed: number,
+  failing: boolean,
+): { readonly planner: Outcome; readonly single: Outcome } {
+  const racks = Array.from({ length: rackCount(deployment) }, (_, index) => `r${index}`);
+  return {
+    planner: run(deployment, seed, { racks }, racks.length, failing),
+    single: run(deployment, seed, { racks }, 1, failing),
+  };
+}
+
 /** The baseline takes whole racks, for a zone those of the zone. */
 function rackwise(name: string, select: Document, deployment: Deployment): Document {
   if (name === 'racks') {
--- a/packages/measure/src/fleet/pools.ts
+++ b/packages/measure/src/fleet/pools.ts
@@ -26,13 +26,16 @@
 /** Bursts begin up to this much early or late. */
 const JITTER_MS = 240_000;
 
-interface Totals {
-  heldHours: number;
-  unmetHours: number;
-  demandHours: number;
-  moves: number;
+/** Sums over the run, in instance-hours. */
+export interface PoolTotals {
+  readonly heldHours: number;
+  readonly unmetHours: number;
+  readonly demandHours: number;
+  readonly moves: number;
 }
 
+type Totals = { -readonly [K in keyof PoolTotals]: PoolTotals[K] };
+
 /** Queues burst in turn; each planner gets the same demand. */
 export function measurePools(deployment: Deployment, seed: number): string {
   const planners: readonly (readonly [string, PoolPlanner])[] = [
@@ -55,7 +58,8 @@
   return renderTable(headings, rows);
 }
 
-function runPlanner(deployment: Deployment, seed: number, planner: PoolPlanner): Totals {
+/** Runs one planner on the demand that the seed gives. */
+export function runPlanner(deployment: Deployment, seed: number, planner: PoolPlanner): PoolTotals {
   const totals: Totals = { heldHours: 0, unmetHours: 0, demandHours: 0, moves: 0 };
   const decider = new FleetDecider({ poolPlanner: planner });
   const simulation = new FleetSimulation({
--- a/packages/measure/src/fleet/zones.ts
+++ b/packages/measure/src/fleet/zones.ts
@@ -13,7 +13,8 @@
 const IN_AT_MS = 70 * MINUTE_MS;
 const END_MS = 100 * MINUTE_MS;
 const SAMPLE_MS = 1_000;
-const ZONE = 'z0';
+/** The zone that leaves and returns. */
+export const ZONE = 'z0';
 /** A task that runs when its zone is closed goes on until it ends. */
 const TASK_MS = 5 * MINUTE_MS;
 
@@ -25,8 +26,14 @@
   started: number;
 }
 
+export interface ZoneOutcome {
+  readonly phases: readonly Readonly<Phase>[];
+  readonly drains: number;
+  readonly largestStep: number;
+}
+
 /** Work started while an availability zone leaves and returns, in instance-minutes. */
-export function measureZones(deployment: Deployment): string {
+export function runZones(deployment: Deployment): ZoneOutcome {
   const phases: readonly Phase[] = [
     { name: 'before', from: 0, to: OUT_AT_MS, allowed: 0, started: 0 },
     { name: 'leaving', from: OUT_AT_MS, to: OUT_AT_MS + 2 * TASK_MS, allowed: 0, started: 0 },
@@ -66,6 +73,12 @@
     simulation.configure(withZone(simulation.cfg, 'in'));
   });
   simulation.run(END_MS);
+  return { phases, drains, largestStep };
+}
+
+/** Renders what `runZones` measures. */
+export function measureZones(deployment: Deployment): string {
+  const { phases, drains, largestStep } = runZones(deployment);
   const rows = phases.map((phase): readonly Cell[] => {
     const part = ((100 * phase.started) / phase.allowed).toFixed(2);
     return [phase.name, phase.started.toFixed(1), phase.allowed.toFixed(1), part];
