test: one place for the ports and polls of the whole-system tests

Cause: three test files had the same functions for free ports and polling. Change: they share support.ts.

--- a/packages/stand-ins/test/failures.test.ts
+++ b/packages/stand-ins/test/failures.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, expect, test } from '@jest/globals';
-import { SmallFleet, pause, until, type FleetEntry } from './small-fleet.js';
+import { SmallFleet, until, type FleetEntry } from './small-fleet.js';
+import { pause } from './support.js';
 
 /** Stated target for a change to be in force everywhere. */
 const IN_FORCE_MS = 10_000;
--- a/packages/stand-ins/test/maintenance-path.test.ts
+++ b/packages/stand-ins/test/maintenance-path.test.ts
@@ -1,6 +1,3 @@
-import { once } from 'node:events';
-import { createServer, type AddressInfo } from 'node:net';
-import { setTimeout as delay } from 'node:timers/promises';
 import { afterAll, beforeAll, expect, test } from '@jest/globals';
 import type { Entry } from '@turmerichoist/daemon';
 import {
@@ -12,34 +9,13 @@
   type Worker,
 } from '@turmerichoist/stand-ins';
 import { request } from 'undici';
+import { HOST, freePort, until } from './support.js';
 
-const HOST = '127.0.0.1';
 const TOKEN = 'operator-token';
 const POOL = 'web';
 const BUDGET = 1;
 const SAMPLE_MS = 5;
 
-async function freePort(): Promise<number> {
-  const server = createServer().listen(0, HOST);
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
-
-async function until<T>(what: string, ms: number, probe: () => Promise<T | undefined>): Promise<T> {
-  const end = performance.now() + ms;
-  while (performance.now() < end) {
-    const found = await probe().catch(() => undefined);
-    if (found !== undefined) {
-      return found;
-    }
-    await delay(50);
-  }
-  throw new Error(`no ${what} within ${ms} ms`);
-}
-
 interface Member {
   readonly name: string;
   readonly url: string;
--- a/packages/stand-ins/test/small-fleet.ts
+++ b/packages/stand-ins/test/small-fleet.ts
@@ -1,5 +1,3 @@
-import { createServer, type AddressInfo } from 'node:net';
-import { once } from 'node:events';
 import { sha256Hex, type Entry } from '@turmerichoist/daemon';
 import {
   settingsText,
@@ -12,23 +10,10 @@
   type Upstream,
 } from '@turmerichoist/stand-ins';
 import { request } from 'undici';
+import { HOST, freePort, pause } from './support.js';
 
 export const TOKEN = 'operator-token';
 export const KEY = 'key-of-team-a';
-const HOST = '127.0.0.1';
-
-async function freePort(): Promise<number> {
-  const server = createServer().listen(0, HOST);
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
-
-export async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
 
 /** Polls until the probe is true and returns the time that took; fails after `ms`. */
 export async function until(
--- a/packages/stand-ins/test/whole-path.test.ts
+++ b/packages/stand-ins/test/whole-path.test.ts
@@ -1,7 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
-import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterAll, beforeAll, expect, test } from '@jest/globals';
@@ -16,31 +15,10 @@
   type Worker,
 } from '@turmerichoist/stand-ins';
 import { request } from 'undici';
+import { HOST, freePort, until } from './support.js';
 
 const TOKEN = 'operator-token';
 const KEY = 'key-blue';
-const HOST = '127.0.0.1';
-
-async function freePort(): Promise<number> {
-  const server = createServer().listen(0, HOST);
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
-
-async function until<T>(what: string, ms: number, probe: () => Promise<T | undefined>): Promise<T> {
-  const end = performance.now() + ms;
-  while (performance.now() < end) {
-    const found = await probe().catch(() => undefined);
-    if (found !== undefined) {
-      return found;
-    }
-    await new Promise((resolve) => setTimeout(resolve, 50));
-  }
-  throw new Error(`no ${what} within ${ms} ms`);
-}
 
 interface Process {
   readonly url: string;
