refactor(daemon): check what callers send in one place

Cause: the operator API and the task API each had the same function that checks input against a schema. Change: both call checkInput; behaviour is the same.

--- a/packages/daemon/src/api/operator-api.ts
+++ b/packages/daemon/src/api/operator-api.ts
@@ -1,8 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   appError,
-  fail,
-  Ok,
   RESOURCE_KINDS,
   type AppError,
   type Resource,
@@ -11,6 +9,7 @@
 } from '@turmerichoist/core';
 import { z } from 'zod';
 import { readJson, sendError, sendJson } from '../http/answers.js';
+import { checkInput } from '../http/check-input.js';
 import type { AuditFilter, ConfigurationAccess } from './configuration-access.js';
 import type { Operators } from './operators.js';
 import { watch } from './watch.js';
@@ -131,7 +130,7 @@
 
   async #remove(call: Call): Promise<void> {
     const [, kind = '', name = ''] = call.path;
-    const query = parse(versionQuery, call.query);
+    const query = checkInput(versionQuery, call.query);
     if (query.isErr()) {
       sendError(call.res, query.error);
     } else if (!isKind(kind)) {
@@ -145,7 +144,7 @@
 
   async #apply(call: Call): Promise<void> {
     const json = await readJson(call.req, MAX_APPLY_BYTES);
-    const body = json.andThen((value) => parse(applyBody, value));
+    const body = json.andThen((value) => checkInput(applyBody, value));
     if (body.isErr()) {
       sendError(call.res, body.error);
       return;
@@ -156,7 +155,7 @@
   }
 
   #watch(call: Call): void {
-    const query = parse(watchQuery, call.query);
+    const query = checkInput(watchQuery, call.query);
     if (query.isErr()) {
       sendError(call.res, query.error);
       return;
@@ -165,7 +164,7 @@
   }
 
   async #audit(call: Call): Promise<void> {
-    const query = parse(auditQuery, call.query);
+    const query = checkInput(auditQuery, call.query);
     if (query.isErr()) {
       sendError(call.res, query.error);
       return;
@@ -192,15 +191,6 @@
   return Object.fromEntries(Object.entries(value).filter(([, field]) => field !== undefined));
 }
 
-function parse<S extends z.ZodType>(schema: S, input: unknown): Result<z.output<S>, AppError> {
-  const parsed = schema.safeParse(input);
-  if (parsed.success) {
-    return Ok(parsed.data);
-  }
-  const faults = parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`);
-  return fail('bad-request', faults.join('; '));
-}
-
 function send(call: Call, answer: Result<unknown, AppError>): void {
   if (answer.isOk()) {
     sendJson(call.res, 200, answer.value);
--- a/packages/daemon/src/tasks/task-requests.ts
+++ b/packages/daemon/src/tasks/task-requests.ts
@@ -10,6 +10,7 @@
   type TeamName,
 } from '@turmerichoist/core';
 import { z } from 'zod';
+import { checkInput } from '../http/check-input.js';
 
 const MAX_CANCELLED_IDS = 10_000;
 const MAX_COMMAND_CHARS = 8_192;
@@ -60,32 +61,28 @@
     : Ok(pool);
 }
 
-function check<S extends z.ZodType>(schema: S, input: unknown): Result<z.output<S>, AppError> {
-  const parsed = schema.safeParse(input);
-  if (parsed.success) {
-    return Ok(parsed.data);
-  }
-  const faults = parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`);
-  return fail('bad-request', faults.join('; '));
-}
-
 /** Reads the body of a submission. Fails with `bad-request`, naming every wrong field. */
 export function parseSubmission(input: unknown, team: TeamName): Result<Submission, AppError> {
-  return check(submitBody, input).map(({ id, pool, class: workClass, constraints, ...rest }) => {
-    const { zones, labels } = constraints;
-    const limits = {
-      ...(zones === undefined ? {} : { zones }),
-      ...(labels === undefined ? {} : { labels }),
-    };
-    return { pool, task: { id: taskId(pool, id), team, workClass, constraints: limits, ...rest } };
-  });
+  return checkInput(submitBody, input).map(
+    ({ id, pool, class: workClass, constraints, ...rest }) => {
+      const { zones, labels } = constraints;
+      const limits = {
+        ...(zones === undefined ? {} : { zones }),
+        ...(labels === undefined ? {} : { labels }),
+      };
+      return {
+        pool,
+        task: { id: taskId(pool, id), team, workClass, constraints: limits, ...rest },
+      };
+    },
+  );
 }
 
 /** Reads the body of a cancellation, by pool. Fails with `bad-request` or `not-found`. */
 export function parseCancellation(
   input: unknown,
 ): Result<ReadonlyMap<PoolName, readonly TaskId[]>, AppError> {
-  return check(cancelBody, input).andThen(({ ids }) => {
+  return checkInput(cancelBody, input).andThen(({ ids }) => {
     const byPool = new Map<PoolName, TaskId[]>();
     for (const id of ids) {
       const pool = poolOf(id);
