--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,14 +7,14 @@
 const ioMessage = 'Pure code has no input, output, timers or random source of its own.';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'coverage/**'] },
   eslint.configs.recommended,
   {
-    files: ['packages/*/{src,test}/**/*.ts'],
+    files: ['packages/*/{src,test}/**/*.ts', 'platform/{src,test}/**/*.ts'],
     extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
     languageOptions: {
       parserOptions: {
-        project: ['packages/*/tsconfig.json', 'tsconfig.test.json'],
+        project: ['packages/*/tsconfig.json', 'platform/tsconfig.json', 'tsconfig.test.json'],
         tsconfigRootDir: import.meta.dirname,
       },
     },
--- a/jest.config.js
+++ b/jest.config.js
@@ -1,6 +1,6 @@
 export default {
   testEnvironment: 'node',
-  roots: ['<rootDir>/packages'],
+  roots: ['<rootDir>/packages', '<rootDir>/platform'],
   testMatch: ['**/test/**/*.test.ts'],
   extensionsToTreatAsEsm: ['.ts'],
   transform: {
@@ -14,6 +14,7 @@
     ],
   },
   moduleNameMapper: {
+    '^@turmerichoist/platform$': '<rootDir>/platform/src/index.ts',
     '^@turmerichoist/([a-z-]+)$': '<rootDir>/packages/$1/src/index.ts',
     '^(\\.{1,2}/.*)\\.js$': '$1',
   },
--- /dev/null
+++ b/packages/coordination/src/io/leader-keeper.ts
@@ -0,0 +1,221 @@
+import type { Clock, Incarnation, MemberId, Millis, Random } from '@turmerichoist/core';
+import { Actor, every, sleep, type ActorContext, type Recipient } from '@turmerichoist/runtime';
+import {
+  LeaderLease,
+  leaderValue,
+  type GuardedTime,
+  type LeaderClaim,
+  type LeaderTerm,
+} from '../state/leader-lease.js';
+import type { JsonValue, Row, TableStore } from '../store/index.js';
+
+/** Period at which the rows of the cell are read. */
+const POLL_MS: Millis = 400;
+/** Period of renewal; three may fail within one term. */
+const RENEW_MS: Millis = 500;
+/** Claims are spread over this time so that members rarely collide. */
+const CLAIM_JITTER_MS: Millis = 40;
+
+export const OWNER_KEY = 'cell/owner';
+export const LEASE_KEY = 'cell/lease';
+
+export type LeaderMessage =
+  | { readonly type: 'poll' }
+  | { readonly type: 'renew' }
+  | { readonly type: 'stop'; readonly done: () => void };
+
+/** What listeners learn about the cell. */
+export type LeaderEvent =
+  | { readonly type: 'elected'; readonly term: LeaderTerm }
+  | { readonly type: 'deposed' }
+  /** What the leader, whoever it is, published with its last renewal. */
+  | { readonly type: 'published'; readonly bulletin: JsonValue };
+
+export interface LeaderKeeperOptions {
+  readonly member: MemberId;
+  readonly incarnation: Incarnation;
+  readonly store: TableStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly newId: () => string;
+  readonly listener: Recipient<LeaderEvent>;
+  /** What this member publishes with each renewal while it leads. */
+  readonly bulletin: () => JsonValue;
+}
+
+/** Keeps the leadership of one cell: watches it, claims it when it is free, renews it. */
+export class LeaderKeeper extends Actor<LeaderMessage> {
+  readonly #options: LeaderKeeperOptions;
+  readonly #lease: LeaderLease;
+  #elected: LeaderTerm | undefined;
+  #stopped = false;
+  #polling = false;
+  #renewing = false;
+  #beat = 0;
+
+  constructor(options: LeaderKeeperOptions, context: ActorContext) {
+    super('leader', context);
+    this.#options = options;
+    this.#lease = new LeaderLease(options.member, options.incarnation);
+  }
+
+  start(): void {
+    this.post({ type: 'poll' });
+    every(POLL_MS, this.signal, () => this.post({ type: 'poll' }));
+    every(RENEW_MS, this.signal, () => this.post({ type: 'renew' }));
+  }
+
+  /** Whether this member may act as leader of `term` at this moment. */
+  mayAct(term: LeaderTerm): boolean {
+    return this.#lease.term?.epoch === term.epoch && this.#lease.valid(this.#time());
+  }
+
+  protected async receive(message: LeaderMessage): Promise<void> {
+    switch (message.type) {
+      case 'poll':
+        void this.#poll();
+        return;
+      case 'renew':
+        void this.#renew();
+        return;
+      case 'stop':
+        await this.#stop();
+        message.done();
+    }
+  }
+
+  #time(): GuardedTime {
+    const { clock } = this.#options;
+    return { now: clock.now(), wall: clock.wall() };
+  }
+
+  async #poll(): Promise<void> {
+    if (this.#polling) {
+      return;
+    }
+    this.#polling = true;
+    const { store, clock } = this.#options;
+    const sentAt = clock.now();
+    const read = await store.range('cell/', '', 10, this.signal);
+    this.#polling = false;
+    if (read.isErr()) {
+      this.log.debug('cell not readable', { error: read.error.kind });
+      return;
+    }
+    await this.#observe(read.value, sentAt);
+  }
+
+  async #observe(rows: readonly Row[], sentAt: Millis): Promise<void> {
+    const owner = rows.find(({ key }) => key === OWNER_KEY);
+    const lease = rows.find(({ key }) => key === LEASE_KEY);
+    if (lease !== undefined) {
+      const { bulletin } = lease.value as { readonly bulletin: JsonValue };
+      this.#options.listener.post({ type: 'published', bulletin });
+    }
+    if (this.#stopped) {
+      return;
+    }
+    const receivedAt = this.#options.clock.now();
+    const claim = this.#lease.observe({ owner, lease, sentAt, receivedAt });
+    this.#announce();
+    if (claim !== undefined) {
+      await sleep(this.#options.random.next() * CLAIM_JITTER_MS, this.signal);
+      await this.#claim(claim);
+    }
+  }
+
+  async #claim(claim: LeaderClaim): Promise<void> {
+    const { store, newId } = this.#options;
+    const sentAt = this.#time();
+    const claimed = await store.commit(
+      {
+        txnId: newId(),
+        conditions: [{ key: OWNER_KEY, version: claim.version }],
+        writes: [{ key: OWNER_KEY, value: claim.value }],
+      },
+      this.signal,
+    );
+    if (claimed.isOk() && claimed.value.committed) {
+      this.#lease.claimed(claim, claimed.value.versions[OWNER_KEY] ?? 0, sentAt);
+      this.log.info('leadership claimed', {
+        epoch: this.#lease.term?.epoch,
+        generation: claim.value.generation,
+      });
+      this.#announce();
+      await this.#renew();
+    }
+  }
+
+  async #renew(): Promise<void> {
+    const term = this.#lease.term;
+    if (term === undefined || this.#renewing || this.#stopped) {
+      return;
+    }
+    this.#renewing = true;
+    const sentAt = this.#time();
+    this.#beat += 1;
+    const value = { beat: this.#beat, bulletin: this.#options.bulletin() };
+    const renewed = await this.#options.store.commit(
+      {
+        txnId: this.#options.newId(),
+        conditions: [{ key: OWNER_KEY, version: term.epoch }],
+        writes: [{ key: LEASE_KEY, value }],
+      },
+      this.signal,
+    );
+    this.#renewing = false;
+    if (renewed.isErr()) {
+      this.log.warn('leadership not renewed', { error: renewed.error.kind, epoch: term.epoch });
+      return;
+    }
+    if (renewed.value.committed) {
+      this.#lease.renewed(sentAt);
+    } else {
+      this.#lease.lost();
+      this.#announce();
+    }
+  }
+
+  /** Tells the listener when the term has changed. */
+  #announce(): void {
+    const term = this.#lease.term;
+    if (term?.epoch === this.#elected?.epoch) {
+      return;
+    }
+    if (this.#elected !== undefined) {
+      this.log.warn('leadership lost', { epoch: this.#elected.epoch });
+      this.#options.listener.post({ type: 'deposed' });
+    }
+    this.#elected = term;
+    if (term !== undefined) {
+      this.#options.listener.post({ type: 'elected', term });
+    }
+  }
+
+  /** Gives up the leadership, so that another member can claim it at once. */
+  async #stop(): Promise<void> {
+    this.#stopped = true;
+    const term = this.#lease.term;
+    this.#lease.lost();
+    if (term === undefined) {
+      return;
+    }
+    const { store, newId, member, incarnation } = this.#options;
+    const { generation } = term;
+    await store.commit(
+      {
+        txnId: newId(),
+        conditions: [{ key: OWNER_KEY, version: term.epoch }],
+        writes: [{ key: OWNER_KEY, value: { member, incarnation, generation, released: true } }],
+      },
+      this.signal,
+    );
+    this.#announce();
+    this.log.info('leadership released', { epoch: term.epoch });
+  }
+}
+
+/** The member that leads according to the rows, for logs. */
+export function leaderOf(rows: readonly Row[]): MemberId | undefined {
+  return leaderValue(rows.find(({ key }) => key === OWNER_KEY))?.member;
+}
--- a/packages/coordination/src/io/store/transport.ts
+++ b/packages/coordination/src/io/store/transport.ts
@@ -53,6 +53,10 @@
   readonly callTimeoutMs?: Millis;
   readonly writeBudgetPerS?: number;
   readonly readBudgetPerS?: number;
+  /** Upper bound of every back-off. Default `BACKOFF_CAP_MS`. */
+  readonly backoffCapMs?: Millis;
+  /** Reads in flight at once, waiting ones included. Default `READ_CONCURRENCY`. */
+  readonly readConcurrency?: number;
 }
 
 export interface HttpCall {
@@ -60,6 +64,9 @@
   readonly method: Dispatcher.HttpMethod;
   readonly path: string;
   readonly body?: string | Uint8Array;
+  readonly contentType?: string;
+  /** Time that the service may wait by design before it answers, added to the time-out. */
+  readonly waitMs?: Millis;
 }
 
 export interface HttpAnswer {
@@ -93,7 +100,7 @@
     const { writeBudgetPerS = WRITE_BUDGET_PER_S, readBudgetPerS = READ_BUDGET_PER_S } = options;
     this.#lanes = {
       write: this.#lane(writeBudgetPerS, WRITE_BURST, WRITE_CONCURRENCY),
-      read: this.#lane(readBudgetPerS, READ_BURST, READ_CONCURRENCY),
+      read: this.#lane(readBudgetPerS, READ_BURST, options.readConcurrency ?? READ_CONCURRENCY),
     };
     options.signal.addEventListener('abort', () => void this.#pool.destroy(), { once: true });
   }
@@ -138,7 +145,7 @@
     }
     const startedAt = this.#options.clock.now();
     const generation = this.#generation;
-    const timeout = callTimeout(signal, this.#timeoutMs);
+    const timeout = callTimeout(signal, this.#timeoutMs + (call.waitMs ?? 0));
     try {
       const answer = await this.#exchange(call, timeout.signal);
       return this.#judge(answer, gate, startedAt);
@@ -164,6 +171,7 @@
       path: call.path,
       signal,
       ...(call.body === undefined ? {} : { body: call.body }),
+      ...(call.contentType === undefined ? {} : { headers: { 'content-type': call.contentType } }),
     });
     return { status: statusCode, bytes: await body.bytes() };
   }
@@ -215,7 +223,7 @@
       burst,
       maxWaitMs: this.#timeoutMs,
       backoffBaseMs: BACKOFF_BASE_MS,
-      backoffCapMs: BACKOFF_CAP_MS,
+      backoffCapMs: this.#options.backoffCapMs ?? BACKOFF_CAP_MS,
     };
     return {
       gate: new CallGate(settings, this.#options.random),
--- a/packages/coordination/src/state/index.ts
+++ b/packages/coordination/src/state/index.ts
@@ -8,3 +8,4 @@
 export * from './ownership.js';
 export * from './session.js';
 export * from './txn-lane.js';
+export * from './leader-lease.js';
--- a/packages/coordination/src/store/types.ts
+++ b/packages/coordination/src/store/types.ts
@@ -1,4 +1,4 @@
-import type { AppError, Result } from '@turmerichoist/core';
+import type { AppError, Millis, Result } from '@turmerichoist/core';
 
 /** Version of a row. Versions rise with each write of the row; 0 means that the row is absent. */
 export type RowVersion = number;
@@ -57,6 +57,39 @@
   ): Promise<Result<readonly Row[], AppError>>;
 }
 
+/** A change of a row; `value` is undefined when the row was removed. */
+export interface RowChange {
+  readonly key: string;
+  readonly version: RowVersion;
+  readonly value: JsonValue | undefined;
+}
+
+/** Rows or changes of one table, and the position from which to ask for later changes. */
+export interface TableSnapshot {
+  readonly rows: readonly Row[];
+  readonly position: RowVersion;
+}
+export interface TableChanges {
+  readonly rows: readonly RowChange[];
+  readonly position: RowVersion;
+}
+
+/**
+ * Change notification of a table service. A table is the part of a key before its first `/`.
+ * Errors: `store-unavailable`, and `revision-gone` when the changes since a position are no longer
+ * kept, after which a snapshot must be taken.
+ */
+export interface ChangeFeed {
+  snapshot(table: string, signal: AbortSignal): Promise<Result<TableSnapshot, AppError>>;
+  /** Waits up to `waitMs` for at least one change after `position`. */
+  changes(
+    table: string,
+    position: RowVersion,
+    waitMs: Millis,
+    signal: AbortSignal,
+  ): Promise<Result<TableChanges, AppError>>;
+}
+
 /** The platform's object store. Errors: `store-unavailable`, `outcome-unknown`, `not-found`. */
 export interface ObjectStore {
   put(name: string, bytes: Uint8Array, signal: AbortSignal): Promise<Result<void, AppError>>;
--- a/packages/core/src/errors/kinds.ts
+++ b/packages/core/src/errors/kinds.ts
@@ -92,6 +92,7 @@
   'session-lapsed': none(503, 'The session of this entry has lapsed.', 'Try another entry.'),
   'not-owner': none(503, 'This entry does not own that role.', 'Try again; the owner changed.'),
   'task-infeasible': notRun(422, 'No worker can ever run this task.', 'Lower its resources.'),
+  'job-unknown': none(410, 'There is no such job.', 'Check the id of the job.'),
   'frame-invalid': none(400, 'A peer sent an invalid frame.', 'Check versions and the secret.'),
   'peer-unavailable': none(503, 'The peer cannot be reached.', 'Try again later.'),
   'settings-invalid': none(500, 'The settings are invalid.', 'Correct the named lines.'),
--- /dev/null
+++ b/packages/core/src/jobs/index.ts
@@ -0,0 +1,7 @@
+export type { ExecutorState } from './executor-table.js';
+export { Job } from './job.js';
+export { JobDecider, type JobDeciderOptions } from './job-decider.js';
+export * from './directory.js';
+export * from './messages.js';
+export * from './model.js';
+export { LeastWorkFirst, jobWork, longestChainMs, objectiveAt, type JobOrder } from './ordering.js';
--- /dev/null
+++ b/packages/core/src/jobs/job-decider.ts
@@ -0,0 +1,271 @@
+import type { Clock, Decider, Millis, ZoneName } from '../types/index.js';
+import { ExecutorTable, type ExecutorState } from './executor-table.js';
+import { JobTable } from './job-table.js';
+import { MaintenancePlanner } from './maintenance.js';
+import type { InstanceOrder, InstanceOrderOutcome, JobDecision, JobEvent } from './messages.js';
+import type { ExecutorInfo, ExecutorReport, JobId, SchedulingConfig } from './model.js';
+import { LeastWorkFirst, type JobOrder } from './ordering.js';
+import { Pacing } from './pacing.js';
+import { RunBook } from './run-book.js';
+import { RunTable } from './run-table.js';
+import { Scheduler } from './scheduler.js';
+
+export interface JobDeciderOptions {
+  readonly clock: Clock;
+  /** Lowest attempt number of this owner. */
+  readonly firstAttempt: number;
+  /** Own clock until which executors that do not report may run what an earlier owner started. */
+  readonly unaccountedUntil: Millis;
+  /** Own clock from which instances may be ordered about. */
+  readonly ordersFrom: Millis;
+  /** How long ended jobs are remembered. */
+  readonly rememberMs: Millis;
+  readonly order?: JobOrder;
+}
+
+/** Decides for one cell: what runs where, what is written, which instances are maintained. */
+export class JobDecider implements Decider<JobEvent, JobDecision> {
+  readonly #options: JobDeciderOptions;
+  readonly #runs = new RunTable();
+  readonly #executors: ExecutorTable;
+  readonly #jobs: JobTable;
+  readonly #book: RunBook;
+  readonly #scheduler: Scheduler;
+  readonly #maintenance: MaintenancePlanner;
+  readonly #pacing: Pacing;
+  #config: SchedulingConfig = { queues: new Map(), pools: new Map(), teams: new Map() };
+  #zonesOut: ReadonlySet<ZoneName> = new Set();
+  /** Cancelled jobs, since a cancellation may be seen before its job. */
+  readonly #cancelled = new Set<JobId>();
+  /** Ends up to this number are to be acknowledged, for each executor that reported. */
+  readonly #acknowledge = new Map<string, number>();
+
+  constructor(options: JobDeciderOptions) {
+    this.#options = options;
+    this.#jobs = new JobTable(options);
+    this.#executors = new ExecutorTable(this.#runs);
+    const parts = { jobs: this.#jobs, runs: this.#runs, executors: this.#executors };
+    this.#book = new RunBook(parts, () => options.clock.wall());
+    this.#scheduler = new Scheduler({ ...parts, order: options.order ?? new LeastWorkFirst() });
+    this.#maintenance = new MaintenancePlanner(parts, options.ordersFrom);
+    this.#pacing = new Pacing(this.#runs);
+  }
+
+  /** Jobs of each queue for which no task has started. */
+  get waiting(): ReadonlyMap<string, number> {
+    return this.#jobs.waitingByQueue();
+  }
+
+  /** Whether maintenance is under way, so that the list of instances should be fresh. */
+  get maintaining(): boolean {
+    return this.#maintenance.active;
+  }
+
+  get runCount(): number {
+    return this.#runs.size;
+  }
+
+  /** Executors that may still run something and must be looked at. */
+  get executors(): readonly ExecutorInfo[] {
+    return [...this.#executors.all()].map(({ info }) => info);
+  }
+
+  handle(event: JobEvent, now: Millis): readonly JobDecision[] {
+    const extra = this.#apply(event, now);
+    const changes = this.#book.takeChanges();
+    const starts = this.#scheduleAll(now);
+    return [
+      ...changes.decisions,
+      ...extra,
+      ...starts,
+      ...this.#persists(changes.changed),
+      ...this.#acknowledgements(),
+    ];
+  }
+
+  #apply(event: JobEvent, now: Millis): readonly JobDecision[] {
+    switch (event.type) {
+      case 'config':
+        this.#config = event.config;
+        this.#jobs.configure(event.config);
+        return [];
+      case 'zones-out':
+        this.#zonesOut = event.zones;
+        return [];
+      case 'executors':
+        this.#setExecutors(event.executors, now);
+        return [];
+      case 'jobs':
+        event.jobs.forEach((job) => this.#jobs.add(job, event.adopted, now));
+        return this.#cancel(
+          event.jobs.map(({ accepted }) => accepted.id).filter((id) => this.#cancelled.has(id)),
+          now,
+        );
+      case 'cancelled':
+        return this.#cancel(event.ids, now);
+      case 'report':
+        return this.#report(event.report, event.leaseEndsAt, now);
+      case 'silent':
+        this.#executors.update(event.executor, { leaseEndsAt: event.leaseEndsAt });
+        return [];
+      case 'start-answer': {
+        const run = this.#book.current(event.task, event.attempt, event.executor);
+        if (run !== undefined) {
+          this.#book.startAnswered(run, event.outcome, now);
+        }
+        return [];
+      }
+      case 'stop-answer': {
+        const run = this.#book.current(event.task, event.attempt, event.executor);
+        if (run !== undefined) {
+          this.#book.stopAnswered(run, event.answered, now);
+        }
+        return [];
+      }
+      case 'fenced':
+        return [{ type: 'superseded' }];
+      case 'instances':
+        this.#maintenance.setInstances(event.instances);
+        return [];
+      case 'waves':
+        this.#maintenance.setWaves(event.waves);
+        return [];
+      case 'order-answer':
+        return this.#orderAnswered(event.order, event.outcome, now);
+      case 'tick':
+        return this.#tick(now);
+    }
+  }
+
+  #setExecutors(listed: readonly ExecutorInfo[], now: Millis): void {
+    const ids = new Set(listed.map(({ id }) => id));
+    for (const info of listed) {
+      const state = this.#executors.get(info.id);
+      if (state === undefined) {
+        this.#executors.add(info, now);
+      } else if (state.info.bornWallMs !== info.bornWallMs) {
+        this.#newLife(info, now);
+      } else {
+        this.#executors.update(info.id, { info, listed: true });
+      }
+    }
+    for (const { info } of [...this.#executors.all()]) {
+      if (!ids.has(info.id)) {
+        this.#executors.update(info.id, { listed: false });
+      }
+    }
+  }
+
+  #newLife(info: ExecutorInfo, now: Millis): void {
+    this.#book.newLife(info.id);
+    this.#acknowledge.delete(info.id);
+    this.#executors.add(info, now);
+  }
+
+  #cancel(ids: readonly JobId[], now: Millis): readonly JobDecision[] {
+    return ids.flatMap((id) => {
+      this.#cancelled.add(id);
+      const job = this.#jobs.get(id);
+      if (job?.cancel(this.#options.clock.wall()) !== true) {
+        return [];
+      }
+      this.#jobs.closed(job);
+      this.#book.stopJob(job, 'cancelled', now);
+      return [{ type: 'persist', job: id, progress: job.progress() } as const];
+    });
+  }
+
+  #report(report: ExecutorReport, leaseEndsAt: Millis, now: Millis): readonly JobDecision[] {
+    const known = this.#executors.get(report.executor);
+    if (known === undefined) {
+      return [];
+    }
+    if (known.info.bornWallMs !== report.bornWallMs) {
+      this.#newLife({ ...known.info, bornWallMs: report.bornWallMs }, now);
+    }
+    const state = this.#executors.get(report.executor);
+    if (state === undefined || (state.lastReportAt ?? -Infinity) > report.sentAt) {
+      return [];
+    }
+    this.#book.report(state, report, now);
+    const endsSeen = Math.max(state.endsSeen, ...report.ended.map(({ seq }) => seq));
+    if (report.ended.length > 0) {
+      this.#acknowledge.set(report.executor, endsSeen);
+    }
+    this.#executors.update(report.executor, {
+      accounted: true,
+      lastReportAt: report.sentAt,
+      leaseEndsAt,
+      endsSeen,
+    });
+    return this.#pacing.reported(report.executor, now);
+  }
+
+  #orderAnswered(
+    order: InstanceOrder,
+    outcome: InstanceOrderOutcome,
+    now: Millis,
+  ): readonly JobDecision[] {
+    return this.#maintenance.answered(order, outcome, now);
+  }
+
+  #tick(now: Millis): readonly JobDecision[] {
+    for (const state of [...this.#executors.all()]) {
+      this.#checkLease(state, now);
+    }
+    this.#book.retryStops(now);
+    this.#jobs.forgetEndedBefore(this.#options.clock.wall() - this.#options.rememberMs);
+    return this.#maintenance.plan(now);
+  }
+
+  /** Past the end of its lease an executor runs nothing, whether it can be reached or not. */
+  #checkLease({ info, listed, leaseEndsAt, accounted }: ExecutorState, now: Millis): void {
+    if (leaseEndsAt > now) {
+      return;
+    }
+    if (accounted) {
+      this.#book.loseAll(info.id);
+    }
+    if (!listed) {
+      this.#executors.remove(info.id);
+    }
+  }
+
+  #scheduleAll(now: Millis): readonly JobDecision[] {
+    const holdAdopted = this.#holdAdopted(now);
+    if (!holdAdopted) {
+      this.#jobs.clearAdopted();
+    }
+    const limits = { zonesOut: this.#zonesOut, teams: this.#config.teams, holdAdopted };
+    return this.#jobs.pools.flatMap((pool) => this.#scheduler.schedule(pool, limits, now));
+  }
+
+  /** Whether an earlier owner's starts may be at executors that have not reported yet. */
+  #holdAdopted(now: Millis): boolean {
+    if (now >= this.#options.unaccountedUntil) {
+      return false;
+    }
+    const executors = [...this.#executors.all()];
+    return executors.length === 0 || executors.some(({ accounted }) => !accounted);
+  }
+
+  #persists(changed: ReadonlySet<JobId>): readonly JobDecision[] {
+    return [...changed].flatMap((id) => {
+      const job = this.#jobs.get(id);
+      return job === undefined
+        ? []
+        : [{ type: 'persist', job: id, progress: job.progress() } as const];
+    });
+  }
+
+  #acknowledgements(): readonly JobDecision[] {
+    const decisions = [...this.#acknowledge].flatMap(([executor, through]) => {
+      const bornWallMs = this.#executors.get(executor)?.info.bornWallMs;
+      return bornWallMs === undefined
+        ? []
+        : [{ type: 'acknowledge', executor, bornWallMs, through } as const];
+    });
+    this.#acknowledge.clear();
+    return decisions;
+  }
+}
--- /dev/null
+++ b/packages/core/src/jobs/job-table.ts
@@ -0,0 +1,126 @@
+import type { Clock, Millis, PoolName } from '../types/index.js';
+import { Job } from './job.js';
+import type { JobId, SchedulingConfig, TaskRef } from './model.js';
+import type { StoredJob } from './messages.js';
+import type { StepProgress } from './step-progress.js';
+
+export interface JobTableOptions {
+  readonly clock: Clock;
+  /** Lowest attempt number of this owner; those of earlier owners are lower. */
+  readonly firstAttempt: number;
+}
+
+/** The jobs of a cell. Ended jobs stay until they are forgotten, so that late reports find them. */
+export class JobTable {
+  readonly #options: JobTableOptions;
+  readonly #jobs = new Map<JobId, Job>();
+  readonly #openByPool = new Map<PoolName, Map<JobId, Job>>();
+  readonly #adopted = new Set<JobId>();
+  #config: SchedulingConfig | undefined;
+
+  constructor(options: JobTableOptions) {
+    this.#options = options;
+  }
+
+  get(id: JobId): Job | undefined {
+    return this.#jobs.get(id);
+  }
+
+  step(ref: TaskRef): StepProgress | undefined {
+    return this.#jobs.get(ref.jobId)?.step(ref);
+  }
+
+  /** Whether an earlier owner may have started tasks of the job. */
+  isAdopted(id: JobId): boolean {
+    return this.#adopted.has(id);
+  }
+
+  /** Every earlier start has been accounted for. */
+  clearAdopted(): void {
+    this.#adopted.clear();
+  }
+
+  get pools(): readonly PoolName[] {
+    return [...this.#openByPool.keys()];
+  }
+
+  openIn(pool: PoolName): readonly Job[] {
+    return [...(this.#openByPool.get(pool)?.values() ?? [])];
+  }
+
+  /** Jobs of a queue for which no task has started. */
+  waitingByQueue(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const jobs of this.#openByPool.values()) {
+      for (const job of jobs.values()) {
+        if (job.state === 'queued') {
+          counts.set(job.accepted.queue, (counts.get(job.accepted.queue) ?? 0) + 1);
+        }
+      }
+    }
+    return counts;
+  }
+
+  /** Adds a job from the store. Returns undefined when it is known already. */
+  add({ accepted, progress }: StoredJob, adopted: boolean, now: Millis): Job | undefined {
+    if (this.#jobs.has(accepted.id)) {
+      return undefined;
+    }
+    const wallNow = this.#options.clock.wall();
+    const acceptedAt = Math.min(now, now - (wallNow - accepted.acceptedWallMs));
+    const { firstAtWallMs } = accepted.spec;
+    const firstDueAt = firstAtWallMs === 0 ? acceptedAt : now + (firstAtWallMs - wallNow);
+    const times = { acceptedAt, firstDueAt };
+    const job = new Job(accepted, times, this.#options.firstAttempt, progress);
+    this.#applyPolicy(job);
+    this.#jobs.set(job.id, job);
+    if (job.open) {
+      this.#openIn(job.policy.pool).set(job.id, job);
+      if (adopted) {
+        this.#adopted.add(job.id);
+      }
+    }
+    return job;
+  }
+
+  /** Takes an ended job off the list of open ones. */
+  closed(job: Job): void {
+    for (const jobs of this.#openByPool.values()) {
+      jobs.delete(job.id);
+    }
+    this.#adopted.delete(job.id);
+  }
+
+  /** Forgets jobs that ended before a wall time. */
+  forgetEndedBefore(wallMs: Millis): void {
+    for (const [id, job] of this.#jobs) {
+      if (!job.open && job.endedWallMs < wallMs) {
+        this.#jobs.delete(id);
+      }
+    }
+  }
+
+  configure(config: SchedulingConfig): void {
+    this.#config = config;
+    for (const jobs of [...this.#openByPool.values()]) {
+      for (const job of [...jobs.values()]) {
+        const pool = job.policy.pool;
+        this.#applyPolicy(job);
+        if (job.policy.pool !== pool) {
+          jobs.delete(job.id);
+          this.#openIn(job.policy.pool).set(job.id, job);
+        }
+      }
+    }
+  }
+
+  #applyPolicy(job: Job): void {
+    job.policy = this.#config?.queues.get(job.accepted.queue) ?? job.policy;
+  }
+
+  #openIn(pool: PoolName): Map<JobId, Job> {
+    const jobs = this.#openByPool.get(pool) ?? new Map<JobId, Job>();
+    this.#openByPool.set(pool, jobs);
+    return jobs;
+  }
+}
--- /dev/null
+++ b/packages/core/src/jobs/job.ts
@@ -0,0 +1,204 @@
+import type { Millis } from '../types/index.js';
+import type {
+  AcceptedJob,
+  JobProgress,
+  JobState,
+  QueuePolicy,
+  StepSpec,
+  TaskRef,
+} from './model.js';
+import { StepProgress } from './step-progress.js';
+
+/** One run of all steps of a job. */
+export interface Occurrence {
+  readonly number: number;
+  /** Own clock from which its tasks may start. */
+  readonly dueAt: Millis;
+  readonly steps: readonly StepProgress[];
+}
+
+/** What the end of a run did to its job. */
+export type EndEffect = 'none' | 'progress' | 'completed' | 'failed';
+
+/** Times that the owner knows about a job. */
+export interface JobTimes {
+  /** Own clock at which the job was accepted. */
+  readonly acceptedAt: Millis;
+  /** Own clock of the first occurrence. */
+  readonly firstDueAt: Millis;
+}
+
+/** State machine of one job. */
+export class Job {
+  readonly accepted: AcceptedJob;
+  readonly times: JobTimes;
+  policy: QueuePolicy;
+  #state: JobState = 'queued';
+  #endedWallMs: Millis = 0;
+  readonly #occurrences: readonly Occurrence[];
+
+  constructor(
+    accepted: AcceptedJob,
+    times: JobTimes,
+    firstAttempt: number,
+    progress?: JobProgress,
+  ) {
+    this.accepted = accepted;
+    this.times = times;
+    this.policy = accepted.policy;
+    this.#occurrences = Array.from({ length: accepted.spec.occurrences }, (_, number) => ({
+      number,
+      dueAt: times.firstDueAt + number * accepted.spec.intervalMs,
+      steps: accepted.spec.steps.map((step) => new StepProgress(step, firstAttempt)),
+    }));
+    if (progress !== undefined) {
+      this.#restore(progress);
+    }
+  }
+
+  get id(): string {
+    return this.accepted.id;
+  }
+
+  get state(): JobState {
+    return this.#state;
+  }
+
+  /** Whether tasks of the job may still start. */
+  get open(): boolean {
+    return this.#state === 'queued' || this.#state === 'running';
+  }
+
+  get lasting(): boolean {
+    return this.accepted.spec.steps.some((step) => step.lasting);
+  }
+
+  get occurrences(): readonly Occurrence[] {
+    return this.#occurrences;
+  }
+
+  step(ref: TaskRef): StepProgress | undefined {
+    const step = this.#occurrences[ref.occurrence]?.steps[ref.step];
+    return step !== undefined && ref.index < step.spec.taskCount ? step : undefined;
+  }
+
+  /** Steps with pending tasks whose predecessors are done and whose time has come. */
+  *ready(now: Millis): Iterable<{ readonly occurrence: number; readonly step: number }> {
+    if (!this.open) {
+      return;
+    }
+    for (const { number, dueAt, steps } of this.#occurrences) {
+      if (dueAt > now) {
+        return;
+      }
+      for (const [index, step] of steps.entries()) {
+        if (step.pending.size > 0 && step.spec.after.every((other) => steps[other]?.complete)) {
+          yield { occurrence: number, step: index };
+        }
+      }
+    }
+  }
+
+  /** Own clock at which the next occurrence that is not due yet starts. */
+  nextDueAt(now: Millis): Millis | undefined {
+    return this.open ? this.#occurrences.find(({ dueAt }) => dueAt > now)?.dueAt : undefined;
+  }
+
+  started(): void {
+    if (this.#state === 'queued') {
+      this.#state = 'running';
+    }
+  }
+
+  /** A task has ended `done`. For a gang, one such end stands for all its tasks. */
+  taskDone(ref: TaskRef, wallMs: Millis): EndEffect {
+    const step = this.step(ref);
+    if (step === undefined || !this.open) {
+      return 'none';
+    }
+    const indexes = step.spec.gang ? [...Array(step.spec.taskCount).keys()] : [ref.index];
+    const changed = indexes.map((index) => step.markDone(index)).some(Boolean);
+    if (!changed) {
+      return 'none';
+    }
+    this.started();
+    if (!this.#occurrences.every(({ steps }) => steps.every((one) => one.complete))) {
+      return 'progress';
+    }
+    this.#end('completed', wallMs);
+    return 'completed';
+  }
+
+  /** A run has ended `failed`. Lasting tasks may fail any number of times. */
+  taskFailed(ref: TaskRef, wallMs: Millis): EndEffect {
+    const step = this.step(ref);
+    if (step === undefined || !this.open || step.spec.lasting || step.isDone(ref.index)) {
+      return 'none';
+    }
+    // A gang fails as one: its failures are counted at its first task.
+    const failures = step.markFailed(step.spec.gang ? 0 : ref.index);
+    this.started();
+    if (failures < this.policy.maxAttempts) {
+      return 'progress';
+    }
+    this.#end('failed', wallMs);
+    return 'failed';
+  }
+
+  /** Returns false when the job had ended already. */
+  cancel(wallMs: Millis): boolean {
+    if (!this.open) {
+      return false;
+    }
+    this.#end('cancelled', wallMs);
+    return true;
+  }
+
+  get endedWallMs(): Millis {
+    return this.#endedWallMs;
+  }
+
+  progress(): JobProgress {
+    const done: Record<string, 'all' | readonly number[]> = {};
+    const failures: Record<string, number> = {};
+    for (const { number, steps } of this.#occurrences) {
+      steps.forEach((step, index) => {
+        if (step.doneCount > 0) {
+          done[`${number}.${index}`] = step.doneIndexes;
+        }
+        step.failureCounts.forEach((count, task) => {
+          failures[`${number}.${index}.${task}`] = count;
+        });
+      });
+    }
+    return { state: this.#state, endedWallMs: this.#endedWallMs, done, failures };
+  }
+
+  /** Specifications of steps in order, for estimates. */
+  get stepSpecs(): readonly StepSpec[] {
+    return this.accepted.spec.steps;
+  }
+
+  #end(state: JobState, wallMs: Millis): void {
+    this.#state = state;
+    this.#endedWallMs = wallMs;
+  }
+
+  #restore(progress: JobProgress): void {
+    this.#state = progress.state;
+    this.#endedWallMs = progress.endedWallMs;
+    for (const { number, steps } of this.#occurrences) {
+      steps.forEach((step, index) => {
+        const name = `${number}.${index}`;
+        const failures = new Map<number, number>();
+        for (let task = 0; task < step.spec.taskCount; task += 1) {
+          const count = progress.failures[`${name}.${task}`];
+          if (count !== undefined) {
+            failures.set(task, count);
+          }
+        }
+        step.restore(progress.done[name] ?? [], failures);
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/jobs/placement.ts
@@ -0,0 +1,114 @@
+import { add, fitsIn, subtract } from '../tasks/amounts.js';
+import type { Resources } from '../tasks/model.js';
+import type { Millis, ZoneName } from '../types/index.js';
+import { footprint, type StepSpec } from './model.js';
+import type { ExecutorState, ExecutorTable } from './executor-table.js';
+import type { RunTable } from './run-table.js';
+
+/** Executors of one pool with the room that is left while tasks are placed one after the other. */
+export class PlacementRound {
+  readonly #candidates: readonly ExecutorState[];
+  readonly #runs: RunTable;
+  readonly #free = new Map<string, Resources>();
+
+  constructor(table: ExecutorTable, runs: RunTable, candidates: readonly ExecutorState[]) {
+    this.#runs = runs;
+    this.#candidates = candidates;
+    candidates.forEach((state) => this.#free.set(state.info.id, table.free(state)));
+  }
+
+  get empty(): boolean {
+    return this.#candidates.length === 0;
+  }
+
+  /** The executor for one more task of a step, or undefined when none has room. */
+  choose(
+    step: StepSpec,
+    stepRuns: readonly { readonly executor: string }[],
+    rack?: string,
+  ): ExecutorState | undefined {
+    const need = footprint(step);
+    const counts = countByExecutor(stepRuns);
+    let best: { readonly state: ExecutorState; readonly cost: number } | undefined;
+    for (const state of this.#candidates) {
+      const free = this.#free.get(state.info.id);
+      const taken = counts.get(state.info.id) ?? 0;
+      if (free === undefined || !fitsIn(need, free) || !allowed(step, state, taken, rack)) {
+        continue;
+      }
+      const cost = this.#cost(step, state, free, taken);
+      if (best === undefined || cost < best.cost) {
+        best = { state, cost };
+      }
+    }
+    return best?.state;
+  }
+
+  take(state: ExecutorState, need: Resources): void {
+    const free = this.#free.get(state.info.id);
+    if (free !== undefined) {
+      this.#free.set(state.info.id, subtract(free, need));
+    }
+  }
+
+  giveBack(state: ExecutorState, need: Resources): void {
+    const free = this.#free.get(state.info.id);
+    if (free !== undefined) {
+      this.#free.set(state.info.id, add(free, need));
+    }
+  }
+
+  get racks(): readonly string[] {
+    return [...new Set(this.#candidates.map(({ info }) => info.rack))];
+  }
+
+  #cost(step: StepSpec, state: ExecutorState, free: Resources, taken: number): number {
+    const remote = step.preferredRack !== '' && state.info.rack !== step.preferredRack ? 1 : 0;
+    if (step.lasting) {
+      // Spread over executors; keep tasks that fill away from tasks that serve.
+      const conflicts = this.#runs
+        .at(state.info.id)
+        .filter((run) => run.lasting && run.fills !== step.fills).length;
+      return remote * 1e6 + taken * 1e4 + conflicts * 1e2 + usedShare(state, free);
+    }
+    // Best fit leaves room in one piece for wide tasks.
+    return remote * 1e6 + free.processors / Math.max(1, state.info.capacity.processors);
+  }
+}
+
+function usedShare(state: ExecutorState, free: Resources): number {
+  return 1 - free.memoryMb / Math.max(1, state.info.capacity.memoryMb);
+}
+
+function countByExecutor(
+  runs: readonly { readonly executor: string }[],
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  runs.forEach(({ executor }) => counts.set(executor, (counts.get(executor) ?? 0) + 1));
+  return counts;
+}
+
+function allowed(
+  step: StepSpec,
+  { info }: ExecutorState,
+  taken: number,
+  rack: string | undefined,
+): boolean {
+  return (
+    (step.requiredLabel === '' || info.labels.includes(step.requiredLabel)) &&
+    (step.maxPerExecutor === 0 || taken < step.maxPerExecutor) &&
+    (rack === undefined || info.rack === rack)
+  );
+}
+
+/** Executors of a pool that may get new tasks now. */
+export function candidatesOf(
+  table: ExecutorTable,
+  pool: string,
+  zonesOut: ReadonlySet<ZoneName>,
+  now: Millis,
+): readonly ExecutorState[] {
+  return table
+    .ofPool(pool)
+    .filter((state) => table.usable(state, now) && !zonesOut.has(state.info.zone));
+}
--- /dev/null
+++ b/packages/core/src/jobs/run-book.ts
@@ -0,0 +1,280 @@
+import type { Millis } from '../types/index.js';
+import type { ExecutorState, ExecutorTable } from './executor-table.js';
+import type { Job } from './job.js';
+import type { JobTable } from './job-table.js';
+import type { JobDecision } from './messages.js';
+import {
+  footprint,
+  taskKey,
+  type ReportedEnd,
+  type ExecutorId,
+  type ExecutorReport,
+  type JobId,
+  type ReportedRun,
+  type StartOutcome,
+  type TaskRef,
+} from './model.js';
+import type { Run, RunTable } from './run-table.js';
+
+/** Pause between two orders to stop the same run. */
+const STOP_RETRY_MS: Millis = 600;
+
+export interface RunBookParts {
+  readonly jobs: JobTable;
+  readonly runs: RunTable;
+  readonly executors: ExecutorTable;
+}
+
+/** What the handling of one event has changed. */
+export interface RunChanges {
+  readonly decisions: readonly JobDecision[];
+  /** Jobs whose progress must be written. */
+  readonly changed: ReadonlySet<JobId>;
+}
+
+/** Keeps runs in step with what executors say of them. */
+export class RunBook {
+  readonly #jobs: JobTable;
+  readonly #runs: RunTable;
+  readonly #executors: ExecutorTable;
+  readonly #wall: () => Millis;
+  #decisions: JobDecision[] = [];
+  #changed = new Set<JobId>();
+
+  constructor(parts: RunBookParts, wall: () => Millis) {
+    this.#jobs = parts.jobs;
+    this.#runs = parts.runs;
+    this.#executors = parts.executors;
+    this.#wall = wall;
+  }
+
+  /** Decisions and changes since the last call. */
+  takeChanges(): RunChanges {
+    const changes = { decisions: this.#decisions, changed: this.#changed };
+    this.#decisions = [];
+    this.#changed = new Set();
+    return changes;
+  }
+
+  report(state: ExecutorState, report: ExecutorReport, now: Millis): void {
+    const listed = new Set<string>();
+    for (const end of report.ended) {
+      if (end.seq > state.endsSeen) {
+        this.#ended(report.executor, end, now);
+      }
+    }
+    for (const running of report.running) {
+      listed.add(`${taskKey(running.task)}#${running.attempt}`);
+      this.#running(report, running, now);
+    }
+    for (const run of this.#runs.at(report.executor)) {
+      if (!listed.has(`${run.key}#${run.attempt}`)) {
+        this.#absent(run, report, now);
+      }
+    }
+  }
+
+  startAnswered(run: Run, outcome: StartOutcome, now: Millis): void {
+    switch (outcome) {
+      case 'started':
+        if (run.phase === 'starting') {
+          this.#runs.update(run, { phase: 'running', settledAt: now });
+        }
+        return;
+      case 'unknown':
+        if (run.phase === 'starting') {
+          this.#runs.update(run, { phase: 'unknown', orderedAt: now });
+        }
+        return;
+      case 'fenced':
+        this.#decisions.push({ type: 'superseded' });
+        return;
+      case 'old-attempt':
+      case 'not-sent':
+        this.#drop(run);
+        return;
+      default:
+        this.#executors.pause(run.executor, now);
+        this.#drop(run);
+    }
+  }
+
+  stopAnswered(run: Run, answered: boolean, now: Millis): void {
+    if (run.phase === 'stopping') {
+      this.#runs.update(run, answered ? { settledAt: now } : { stopSentAt: undefined });
+    }
+  }
+
+  /** Ends the runs of a job that is no longer open. */
+  stopJob(job: Job, why: string, now: Millis): void {
+    this.#runs.ofJob(job.id).forEach((run) => {
+      this.stop(run, why, now);
+    });
+  }
+
+  stop(run: Run, why: string, now: Millis): void {
+    if (run.phase !== 'stopping') {
+      this.#sendStop(this.#runs.update(run, { phase: 'stopping', settledAt: undefined }), why, now);
+    }
+  }
+
+  /** Sends again the orders to stop that had no effect yet. */
+  retryStops(now: Millis): void {
+    for (const run of [...this.#runs.all()]) {
+      const due = run.stopSentAt === undefined || now - run.stopSentAt >= STOP_RETRY_MS;
+      if (run.phase === 'stopping' && due) {
+        this.#sendStop(run, 'stop repeated', now);
+      }
+    }
+  }
+
+  /** Nothing runs at the executor any more. */
+  loseAll(executor: ExecutorId): void {
+    this.#runs.at(executor).forEach((run) => {
+      this.#drop(run);
+    });
+  }
+
+  /** The executor has a new life: an order of the old one that is still on its way is ruled out. */
+  newLife(executor: ExecutorId): void {
+    for (const run of this.#runs.at(executor)) {
+      if (run.phase === 'starting' || run.phase === 'unknown') {
+        const { task, attempt } = run;
+        this.#decisions.push({ type: 'stop', executor, task, attempt, why: 'new life' });
+      }
+      this.#drop(run);
+    }
+  }
+
+  #ended(executor: ExecutorId, end: ReportedEnd, now: Millis): void {
+    const job = this.#jobs.get(end.task.jobId);
+    const step = job?.step(end.task);
+    if (job === undefined || step === undefined) {
+      return;
+    }
+    const run = this.#runs.get(taskKey(end.task));
+    const current = run?.executor === executor && run.attempt === end.attempt;
+    const inherited = run === undefined && !step.isOwnAttempt(end.attempt);
+    step.sawAttempt(end.task.index, end.attempt);
+    if (!current && !inherited) {
+      // The run was given up after its lease had ended; its end no longer counts.
+      return;
+    }
+    step.saveCheckpoint(end.task.index, end.checkpoint);
+    if (current) {
+      this.#drop(run);
+    }
+    this.#applyEnd(job, end, now);
+    if (end.how === 'done' || end.how === 'failed') {
+      this.#executors.ended(executor, end.how === 'failed', now);
+    }
+  }
+
+  #applyEnd(job: Job, end: ReportedEnd, now: Millis): void {
+    const effect =
+      end.how === 'done'
+        ? job.taskDone(end.task, this.#wall())
+        : end.how === 'failed'
+          ? job.taskFailed(end.task, this.#wall())
+          : 'none';
+    if (effect !== 'none') {
+      this.#changed.add(job.id);
+    }
+    if (effect === 'completed' || effect === 'failed') {
+      this.#jobs.closed(job);
+      this.stopJob(job, effect, now);
+    }
+  }
+
+  #running(report: ExecutorReport, running: ReportedRun, now: Millis): void {
+    const { executor, sentAt } = report;
+    const { task, attempt, checkpoint, percent, gauge } = running;
+    const run = this.#runs.get(taskKey(task));
+    const step = this.#jobs.step(task);
+    step?.sawAttempt(task.index, attempt);
+    if (run?.executor === executor && run.attempt === attempt) {
+      step?.saveCheckpoint(task.index, checkpoint);
+      const seen = run.phase === 'starting' || run.phase === 'unknown';
+      this.#runs.update(run, {
+        percent,
+        gauge,
+        ...(seen ? { phase: 'running', settledAt: sentAt } : {}),
+      });
+      return;
+    }
+    this.#foreignRun(executor, running, run, now);
+  }
+
+  /** A run that this owner did not order or has given up: adopted when it is the only one. */
+  #foreignRun(
+    executor: ExecutorId,
+    running: ReportedRun,
+    other: Run | undefined,
+    now: Millis,
+  ): void {
+    const { task, attempt, percent, gauge } = running;
+    const job = this.#jobs.get(task.jobId);
+    const step = job?.step(task);
+    if (job === undefined || step === undefined) {
+      this.#decisions.push({ type: 'stop', executor, task, attempt, why: 'job unknown' });
+      return;
+    }
+    if (other !== undefined || step.isDone(task.index) || !job.open) {
+      this.#decisions.push({ type: 'stop', executor, task, attempt, why: 'not wanted' });
+      return;
+    }
+    step.take(task.index);
+    step.saveCheckpoint(task.index, running.checkpoint);
+    job.started();
+    this.#runs.add({
+      key: taskKey(task),
+      task,
+      attempt,
+      executor,
+      phase: 'running',
+      team: job.accepted.team,
+      lasting: step.spec.lasting,
+      fills: step.spec.fills,
+      image: step.spec.image,
+      targetMs: step.spec.targetMs,
+      footprint: footprint(step.spec),
+      resources: step.spec.resources,
+      orderedAt: now,
+      settledAt: now,
+      stopSentAt: undefined,
+      percent,
+      gauge,
+      pace: 100,
+    });
+  }
+
+  /** A run that the report does not list. */
+  #absent(run: Run, report: ExecutorReport, now: Millis): void {
+    if (run.phase === 'unknown' && report.sentAt >= run.orderedAt) {
+      // Not there yet, but the order may still be carried out: a stop rules it out.
+      this.stop(run, 'start unanswered', now);
+      return;
+    }
+    if (run.settledAt !== undefined && report.sentAt >= run.settledAt) {
+      this.#drop(run);
+    }
+  }
+
+  #sendStop(run: Run, why: string, now: Millis): void {
+    this.#runs.update(run, { stopSentAt: now });
+    const { executor, task, attempt } = run;
+    this.#decisions.push({ type: 'stop', executor, task, attempt, why });
+  }
+
+  /** Takes a run off the list; its task waits again unless it is done. */
+  #drop(run: Run): void {
+    this.#runs.remove(run.key);
+    this.#jobs.step(run.task)?.requeue(run.task.index);
+  }
+
+  /** The run that an answer is about, if it is still the current one. */
+  current(task: TaskRef, attempt: number, executor: ExecutorId): Run | undefined {
+    const run = this.#runs.get(taskKey(task));
+    return run?.attempt === attempt && run.executor === executor ? run : undefined;
+  }
+}
--- /dev/null
+++ b/packages/core/src/jobs/step-progress.ts
@@ -0,0 +1,112 @@
+import type { StepSpec } from './model.js';
+
+/** Mutable progress of the tasks of one step in one occurrence. */
+export class StepProgress {
+  readonly spec: StepSpec;
+  readonly #pending = new Set<number>();
+  readonly #done = new Set<number>();
+  readonly #failures = new Map<number, number>();
+  readonly #checkpoints = new Map<number, string>();
+  readonly #attempts = new Map<number, number>();
+  readonly #firstAttempt: number;
+
+  /** `firstAttempt` is the lowest attempt number that this owner uses. */
+  constructor(spec: StepSpec, firstAttempt: number) {
+    this.spec = spec;
+    this.#firstAttempt = firstAttempt;
+    for (let index = 0; index < spec.taskCount; index += 1) {
+      this.#pending.add(index);
+    }
+  }
+
+  /** Tasks that are neither done nor at an executor. */
+  get pending(): ReadonlySet<number> {
+    return this.#pending;
+  }
+
+  get doneCount(): number {
+    return this.#done.size;
+  }
+
+  get complete(): boolean {
+    return this.#done.size === this.spec.taskCount;
+  }
+
+  isDone(index: number): boolean {
+    return this.#done.has(index);
+  }
+
+  checkpoint(index: number): string {
+    return this.#checkpoints.get(index) ?? '';
+  }
+
+  failures(index: number): number {
+    return this.#failures.get(index) ?? 0;
+  }
+
+  /** Number for the next run of these tasks; the tasks of a gang share it. */
+  nextAttempt(indexes: readonly number[]): number {
+    const last = Math.max(
+      this.#firstAttempt - 1,
+      ...indexes.map((index) => this.#attempts.get(index) ?? 0),
+    );
+    indexes.forEach((index) => this.#attempts.set(index, last + 1));
+    return last + 1;
+  }
+
+  sawAttempt(index: number, attempt: number): void {
+    this.#attempts.set(index, Math.max(this.#attempts.get(index) ?? 0, attempt));
+  }
+
+  /** Whether an attempt number was given out by this owner, and not by an earlier one. */
+  isOwnAttempt(attempt: number): boolean {
+    return attempt >= this.#firstAttempt;
+  }
+
+  take(index: number): void {
+    this.#pending.delete(index);
+  }
+
+  requeue(index: number): void {
+    if (!this.#done.has(index)) {
+      this.#pending.add(index);
+    }
+  }
+
+  saveCheckpoint(index: number, checkpoint: string): void {
+    if (checkpoint !== '') {
+      this.#checkpoints.set(index, checkpoint);
+    }
+  }
+
+  /** Returns false when the task was done already. */
+  markDone(index: number): boolean {
+    if (this.#done.has(index)) {
+      return false;
+    }
+    this.#done.add(index);
+    this.#pending.delete(index);
+    return true;
+  }
+
+  /** Counts a failed run and returns the number of failures of the task. */
+  markFailed(index: number): number {
+    const failures = this.failures(index) + 1;
+    this.#failures.set(index, failures);
+    return failures;
+  }
+
+  restore(done: 'all' | readonly number[], failures: ReadonlyMap<number, number>): void {
+    const indexes = done === 'all' ? [...Array(this.spec.taskCount).keys()] : done;
+    indexes.forEach((index) => this.markDone(index));
+    failures.forEach((count, index) => this.#failures.set(index, count));
+  }
+
+  get doneIndexes(): 'all' | readonly number[] {
+    return this.complete ? 'all' : [...this.#done].sort((a, b) => a - b);
+  }
+
+  get failureCounts(): ReadonlyMap<number, number> {
+    return this.#failures;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/jobs/index.ts
@@ -0,0 +1,2 @@
+export { JobCell, type JobCellOptions } from './job-cell.js';
+export * from './ports.js';
--- /dev/null
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -0,0 +1,197 @@
+import {
+  JobDirectory,
+  SeededRandom,
+  type AppError,
+  type Clock,
+  type Incarnation,
+  type MemberId,
+  type Millis,
+  type Random,
+  type Result,
+} from '@turmerichoist/core';
+import {
+  LeaderKeeper,
+  SettlingStore,
+  type ChangeFeed,
+  type JsonValue,
+  type LeaderEvent,
+  type LeaderTerm,
+  type TableStore,
+} from '@turmerichoist/coordination';
+import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
+import { Acceptor } from './acceptor.js';
+import { JobOwner } from './job-owner.js';
+import { JobService } from './job-service.js';
+import type {
+  ExecutorConnector,
+  InstanceFleet,
+  JobCall,
+  JobReply,
+  OperatorView,
+  RowDecoder,
+} from './ports.js';
+
+/** Transactions of accepted jobs that may be in flight side by side. */
+const ACCEPT_LANES = 2;
+/** The balancer needs two missed probes, one second apart, to send no more connections here. */
+const DRAIN_MS: Millis = 2_500;
+
+export interface JobCellOptions {
+  readonly member: MemberId;
+  readonly incarnation: Incarnation;
+  readonly cell: TableStore & ChangeFeed;
+  readonly shared: TableStore & ChangeFeed;
+  readonly connector: ExecutorConnector;
+  readonly fleet: InstanceFleet;
+  readonly decoder: RowDecoder;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly newId: () => string;
+  readonly maxLeaseMs: Millis;
+  readonly orderHandoverMs: Millis;
+}
+
+export type CellMessage =
+  | LeaderEvent
+  | { readonly type: 'view'; readonly view: OperatorView }
+  | { readonly type: 'superseded'; readonly term: LeaderTerm };
+
+/** One member's part in a cell: answers callers, and leads the cell while it is elected. */
+export class JobCell extends Actor<CellMessage> {
+  readonly #options: JobCellOptions;
+  readonly #service: JobService;
+  readonly #keeper: LeaderKeeper;
+  #view: OperatorView = { config: undefined, zonesOut: new Set(), waves: [] };
+  #owner: { readonly owner: JobOwner; readonly end: () => void } | undefined;
+  #stopping = false;
+
+  constructor(options: JobCellOptions, context: ActorContext) {
+    super('cell', context);
+    this.#options = options;
+    const { member, incarnation, cell, clock, random, metrics, newId } = options;
+    const store = this.#settling(`${member}/accept`, ACCEPT_LANES);
+    const acceptor = new Acceptor({ store, clock, newId }, context);
+    const { log, signal } = context;
+    this.#service = new JobService({ acceptor, store: cell, clock, log, metrics, signal });
+    this.#keeper = new LeaderKeeper(
+      {
+        member,
+        incarnation,
+        store: cell,
+        clock,
+        random,
+        newId,
+        listener: this,
+        bulletin: (): JsonValue => this.#owner?.owner.bulletin ?? { waiting: {} },
+      },
+      context,
+    );
+  }
+
+  get ready(): boolean {
+    return !this.#stopping && this.#service.ready;
+  }
+
+  get stopping(): boolean {
+    return this.#stopping;
+  }
+
+  start(): void {
+    this.#keeper.start();
+  }
+
+  handle(call: JobCall): Promise<Result<JobReply, AppError>> {
+    return this.#service.handle(call);
+  }
+
+  /** Withdraws readiness and hands the leadership over; resolves when callers have moved on. */
+  async stop(): Promise<void> {
+    this.#stopping = true;
+    await new Promise<void>((resolve) => {
+      this.#keeper.post({ type: 'stop', done: resolve });
+    });
+    await sleep(DRAIN_MS, this.signal);
+  }
+
+  protected receive(message: CellMessage): void {
+    switch (message.type) {
+      case 'view':
+        this.#setView(message.view);
+        return;
+      case 'published':
+        this.#published(message.bulletin);
+        return;
+      case 'elected':
+        this.#lead(message.term);
+        return;
+      case 'deposed':
+        this.#endTerm();
+        return;
+      case 'superseded':
+        this.log.warn('superseded', { epoch: message.term.epoch });
+        this.#endTerm();
+    }
+  }
+
+  #setView(view: OperatorView): void {
+    const present = this.#view.config;
+    const older = (view.config?.revision ?? -1) < (present?.revision ?? -1);
+    this.#view = older ? { ...view, config: present } : view;
+    const { config } = this.#view;
+    if (config !== undefined && config !== present) {
+      this.#service.setDirectory(new JobDirectory(config));
+    }
+    this.#owner?.owner.setView(this.#view);
+  }
+
+  #published(bulletin: JsonValue): void {
+    const { waiting } = bulletin as { readonly waiting: Readonly<Record<string, number>> };
+    this.#service.setWaiting(new Map(Object.entries(waiting)));
+  }
+
+  #lead(term: LeaderTerm): void {
+    this.#endTerm();
+    const { member, connector, fleet, decoder, clock, metrics, newId } = this.#options;
+    const { cell, shared, maxLeaseMs, orderHandoverMs } = this.#options;
+    const ending = new AbortController();
+    const signal = AbortSignal.any([this.signal, ending.signal]);
+    const owner = new JobOwner(
+      {
+        term,
+        mayAct: () => this.#keeper.mayAct(term),
+        cell,
+        progress: this.#settling(`${member}/owner`, 1),
+        shared,
+        connector,
+        fleet,
+        decoder,
+        clock,
+        metrics,
+        newId,
+        maxLeaseMs,
+        orderHandoverMs,
+        onSuperseded: () => this.post({ type: 'superseded', term }),
+      },
+      { log: this.log, signal },
+    );
+    this.#owner = {
+      owner,
+      end: () => {
+        ending.abort();
+      },
+    };
+    void owner.start(this.#view);
+  }
+
+  #endTerm(): void {
+    this.#owner?.end();
+    this.#owner = undefined;
+  }
+
+  #settling(memberId: string, lanes: number): SettlingStore {
+    const { cell, random } = this.#options;
+    const seeded = new SeededRandom(random.below(2 ** 31));
+    return new SettlingStore({ store: cell, memberId, random: seeded, lanes });
+  }
+}
