fix(jobs): keep availability budgets while a wave runs

Cause: after an order the runs of the instance stayed in the table until the next report, so a second order counted them as at work; lists asked for before an order cleared the wave's bound; two tasks of one step on one executor could never end within a budget of one; readiness seen a second ago was old. Change: an order ends the runs at once and retires the executor; lists carry the time they were asked; one task is moved first; a task seen below readiness still counts as possibly at work.

--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -28,6 +28,8 @@
   readonly pausedUntil: Millis;
   /** Runs that failed there since the last one that did not. */
   readonly failureStreak: number;
+  /** Its instance will be maintained, which ends what runs there. */
+  readonly maintenanceDue: boolean;
   /** Gets no new tasks because its instance is about to be maintained or moved. */
   readonly cordoned: boolean;
 }
@@ -65,6 +67,7 @@
       endsSeen: 0,
       pausedUntil: 0,
       failureStreak: 0,
+      maintenanceDue: false,
       cordoned: false,
     });
   }
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -1,9 +1,9 @@
 import type { Clock, Decider, Millis, ZoneName } from '../types/index.js';
 import { ExecutorTable, type ExecutorState } from './executor-table.js';
 import { JobTable } from './job-table.js';
-import { MaintenancePlanner } from './maintenance.js';
+import { MaintenancePlanner, type WaitingInstance } from './maintenance.js';
 import type { InstanceOrder, InstanceOrderOutcome, JobDecision, JobEvent } from './messages.js';
-import type { ExecutorInfo, ExecutorReport, JobId, SchedulingConfig } from './model.js';
+import type { ExecutorId, ExecutorInfo, ExecutorReport, JobId, SchedulingConfig } from './model.js';
 import { LeastWorkFirst, type JobOrder } from './ordering.js';
 import { Pacing } from './pacing.js';
 import { RunBook } from './run-book.js';
@@ -35,6 +35,8 @@
   readonly #pacing: Pacing;
   #config: SchedulingConfig = { queues: new Map(), pools: new Map(), teams: new Map() };
   #zonesOut: ReadonlySet<ZoneName> = new Set();
+  /** Start times of executors whose instances were ordered down. */
+  readonly #retired = new Map<ExecutorId, Millis>();
   /** Cancelled jobs, since a cancellation may be seen before its job. */
   readonly #cancelled = new Set<JobId>();
   /** Ends up to this number are to be acknowledged, for each executor that reported. */
@@ -47,7 +49,7 @@
     const parts = { jobs: this.#jobs, runs: this.#runs, executors: this.#executors };
     this.#book = new RunBook(parts, () => options.clock.wall());
     this.#scheduler = new Scheduler({ ...parts, order: options.order ?? new LeastWorkFirst() });
-    this.#maintenance = new MaintenancePlanner(parts, options.ordersFrom);
+    this.#maintenance = new MaintenancePlanner({ ...parts, book: this.#book }, options.ordersFrom);
     this.#pacing = new Pacing(this.#runs);
   }
 
@@ -61,6 +63,11 @@
     return this.#maintenance.active;
   }
 
+  /** Instances whose maintenance waits, with the reason. */
+  get waitingInstances(): readonly WaitingInstance[] {
+    return this.#maintenance.waiting;
+  }
+
   get runCount(): number {
     return this.#runs.size;
   }
@@ -125,7 +132,7 @@
       case 'fenced':
         return [{ type: 'superseded' }];
       case 'instances':
-        this.#maintenance.setInstances(event.instances);
+        this.#maintenance.setInstances(event.instances, event.askedAt);
         return [];
       case 'waves':
         this.#maintenance.setWaves(event.waves);
@@ -139,7 +146,7 @@
 
   #setExecutors(listed: readonly ExecutorInfo[], now: Millis): void {
     const ids = new Set(listed.map(({ id }) => id));
-    for (const info of listed) {
+    for (const info of listed.filter((one) => !this.#isRetired(one))) {
       const state = this.#executors.get(info.id);
       if (state === undefined) {
         this.#executors.add(info, now);
@@ -156,6 +163,11 @@
     }
   }
 
+  /** Whether this life of the executor has been ended by order; the list lags behind. */
+  #isRetired({ id, bornWallMs }: ExecutorInfo): boolean {
+    return this.#retired.get(id) === bornWallMs;
+  }
+
   #newLife(info: ExecutorInfo, now: Millis): void {
     this.#book.newLife(info.id);
     this.#acknowledge.delete(info.id);
@@ -206,9 +218,24 @@
     outcome: InstanceOrderOutcome,
     now: Millis,
   ): readonly JobDecision[] {
+    const executor = this.#maintenance.orderedExecutor(order.instance);
+    if (outcome === 'done' && executor !== undefined) {
+      this.#retire(executor);
+    }
     return this.#maintenance.answered(order, outcome, now);
   }
 
+  /** The instance has gone down by order: all that ran on it has ended. */
+  #retire(id: ExecutorId): void {
+    const state = this.#executors.get(id);
+    if (state !== undefined) {
+      this.#book.loseAll(id);
+      this.#retired.set(id, state.info.bornWallMs);
+      this.#executors.remove(id);
+      this.#acknowledge.delete(id);
+    }
+  }
+
   #tick(now: Millis): readonly JobDecision[] {
     for (const state of [...this.#executors.all()]) {
       this.#checkLease(state, now);
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -9,6 +9,7 @@
   MaintenanceWave,
 } from './messages.js';
 import type { ExecutorId } from './model.js';
+import type { RunBook } from './run-book.js';
 import type { Run, RunTable } from './run-table.js';
 
 /** Finite tasks get this long to end before their instance is maintained all the same. */
@@ -20,6 +21,30 @@
   readonly jobs: JobTable;
   readonly runs: RunTable;
   readonly executors: ExecutorTable;
+  readonly book: RunBook;
+}
+
+interface PendingOrder {
+  /** Own clock from which the order may be sent again; Infinity while it is on its way. */
+  readonly retryAt: Millis;
+  readonly executor: ExecutorId | undefined;
+}
+
+/** An instance that can't be maintained yet. */
+export interface WaitingInstance {
+  readonly instance: string;
+  readonly reason: 'not-up' | 'budget' | 'finite-tasks';
+  /** The lasting step whose budget is used up. */
+  readonly step?: string;
+}
+
+interface BlockedStep {
+  readonly step: string;
+  /** Its runs on the instance. */
+  readonly runs: readonly Run[];
+  /** Tasks elsewhere that are not at work. */
+  readonly away: number;
+  readonly budget: number;
 }
 
 interface Wave {
@@ -41,9 +66,11 @@
   readonly #waves = new Map<number, Wave>();
   #instances = new Map<string, PoolInstance>();
   /** Instances with an order on its way, or whose outcome is unknown. */
-  readonly #pending = new Map<string, Millis>();
-  /** Instances that were ordered down and have not been listed as up since. */
-  readonly #down = new Set<string>();
+  readonly #pending = new Map<string, PendingOrder>();
+  /** Instances that were ordered down, with the time, and have not been listed as up since. */
+  readonly #down = new Map<string, Millis>();
+  /** Why instances wait, for the log. */
+  #waiting: readonly WaitingInstance[] = [];
 
   constructor(parts: MaintenanceParts, ordersFrom: Millis) {
     this.#parts = parts;
@@ -54,11 +81,21 @@
     return [...this.#waves.values()].some(({ completed }) => !completed);
   }
 
-  setInstances(instances: readonly PoolInstance[]): void {
+  get waiting(): readonly WaitingInstance[] {
+    return this.#waiting;
+  }
+
+  /** The executor that ran on an instance when it was ordered down. */
+  orderedExecutor(instance: string): ExecutorId | undefined {
+    return this.#pending.get(instance)?.executor;
+  }
+
+  /** `askedAt`: a list that was asked for before an order does not show its effect. */
+  setInstances(instances: readonly PoolInstance[], askedAt: Millis): void {
     this.#instances = new Map(instances.map((one) => [one.name, one]));
-    for (const name of [...this.#down]) {
+    for (const [name, orderedAt] of [...this.#down]) {
       const state = this.#instances.get(name)?.state;
-      if ((state === 'up' || state === undefined) && !this.#pending.has(name)) {
+      if (askedAt > orderedAt && (state === 'up' || state === undefined)) {
         this.#down.delete(name);
       }
     }
@@ -94,13 +131,14 @@
       wave.begun.add(order.instance);
       wave.cordonedAt.delete(order.instance);
       if (outcome === 'done') {
-        this.#down.add(order.instance);
+        this.#down.set(order.instance, now);
       } else {
         this.#uncordon(order.instance);
       }
       return [this.#status(wave)];
     }
-    this.#pending.set(order.instance, now + ORDER_RETRY_MS);
+    const executor = this.orderedExecutor(order.instance);
+    this.#pending.set(order.instance, { retryAt: now + ORDER_RETRY_MS, executor });
     if (outcome === 'busy') {
       this.#pending.delete(order.instance);
       wave.cordonedAt.delete(order.instance);
@@ -113,12 +151,15 @@
     if (now < this.#ordersFrom || this.#instances.size === 0) {
       return [];
     }
-    return [...this.#waves.values()]
+    const waiting: WaitingInstance[] = [];
+    const decisions = [...this.#waves.values()]
       .filter(({ completed }) => !completed)
-      .flatMap((wave) => this.#planWave(wave, now));
+      .flatMap((wave) => this.#planWave(wave, now, waiting));
+    this.#waiting = waiting;
+    return decisions;
   }
 
-  #planWave(wave: Wave, now: Millis): readonly JobDecision[] {
+  #planWave(wave: Wave, now: Millis, waiting: WaitingInstance[]): readonly JobDecision[] {
     const remaining = wave.wave.instances.filter(
       (name) => !wave.begun.has(name) && this.#instances.has(name),
     );
@@ -126,48 +167,74 @@
       wave.completed = true;
       return [this.#status(wave)];
     }
+    for (const name of remaining) {
+      const executor = this.#instances.get(name)?.executor;
+      if (executor !== undefined) {
+        this.#parts.executors.update(executor, { maintenanceDue: true });
+      }
+    }
     const decisions: JobDecision[] = [];
     let slots = wave.wave.maxParallel - this.#inFlight(wave);
     for (const name of this.#byReadiness(wave, remaining)) {
       if (slots <= 0) {
         break;
       }
-      if (this.#advance(wave, name, now, decisions)) {
-        slots -= 1;
+      const step = this.#advance(wave, name, now);
+      if (step.type === 'order') {
+        decisions.push({ type: 'order', order: step.order });
+      } else if (step.type === 'wait') {
+        waiting.push(step.waiting);
       }
+      if (step.type === 'stop') {
+        this.#parts.book.stop(step.run, 'instance to be maintained', now);
+      }
+      slots -=
+        step.type === 'order' || step.type === 'stop' || (step.type === 'wait' && step.usesSlot)
+          ? 1
+          : 0;
     }
     return decisions;
   }
 
-  /** Takes one step with an instance; returns whether it uses a slot of the wave. */
-  #advance(wave: Wave, name: string, now: Millis, decisions: JobDecision[]): boolean {
-    const retryAt = this.#pending.get(name);
-    if (retryAt !== undefined && (retryAt > now || retryAt === 0)) {
-      // Counted as in flight already.
-      return false;
+  /** The next step with an instance. */
+  #advance(wave: Wave, name: string, now: Millis): Advance {
+    const pending = this.#pending.get(name);
+    if (pending !== undefined) {
+      // Counted as in flight already; an order without an answer is repeated until it has one.
+      return pending.retryAt > now ? { type: 'none' } : this.#order(wave, name, pending.executor);
     }
     const instance = this.#instances.get(name);
-    if (instance?.state !== 'up' && retryAt === undefined) {
-      return false;
+    if (instance?.state !== 'up') {
+      return wait({ instance: name, reason: 'not-up' }, false);
     }
-    const executor = instance?.executor;
+    const { executor } = instance;
     const runs = executor === undefined ? [] : this.#parts.runs.at(executor);
-    if (retryAt === undefined && !this.#budgetsAllow(runs)) {
-      return false;
+    const blocked = this.#blockedStep(runs);
+    const cordoned = wave.cordonedAt.has(name);
+    if (blocked !== undefined && !cordoned && this.#expendable(blocked) === undefined) {
+      return wait({ instance: name, reason: 'budget', step: blocked.step }, false);
     }
     if (executor !== undefined) {
       this.#parts.executors.update(executor, { cordoned: true });
     }
     const cordonedAt = wave.cordonedAt.get(name) ?? now;
     wave.cordonedAt.set(name, cordonedAt);
-    const finite = runs.filter(({ lasting }) => !lasting);
-    if (finite.length > 0 && now - cordonedAt < DRAIN_PATIENCE_MS) {
-      return true;
+    if (blocked !== undefined) {
+      const run = this.#expendable(blocked);
+      return run === undefined
+        ? wait({ instance: name, reason: 'budget', step: blocked.step }, true)
+        : { type: 'stop', run };
+    }
+    const finite = runs.some(({ lasting }) => !lasting);
+    if (finite && now - cordonedAt < DRAIN_PATIENCE_MS) {
+      return wait({ instance: name, reason: 'finite-tasks' }, true);
     }
-    this.#pending.set(name, 0);
-    const order = { type: 'maintain', instance: name, wave: wave.wave.number } as const;
-    decisions.push({ type: 'order', order });
-    return true;
+    return this.#order(wave, name, executor);
+  }
+
+  #order({ wave }: Wave, instance: string, executor: ExecutorId | undefined): Advance {
+    this.#pending.set(instance, { retryAt: Infinity, executor });
+    return { type: 'order', order: { type: 'maintain', instance, wave: wave.number } };
   }
 
   /** Instances under way first, then those with the fewest runs. */
@@ -191,47 +258,58 @@
       .length;
   }
 
-  /** Whether the lasting tasks among these runs may all become unavailable at once. */
-  #budgetsAllow(runs: readonly Run[]): boolean {
-    const counts = new Map<string, { readonly run: Run; readonly count: number }>();
+  /** The first lasting step whose budget does not allow that these runs all end at once. */
+  #blockedStep(runs: readonly Run[]): BlockedStep | undefined {
+    const steps = new Map<string, Run[]>();
     for (const run of runs) {
-      if (run.lasting && isAtWork(run)) {
+      // What was last seen below full readiness may be at work by now.
+      if (run.lasting) {
         const { jobId, occurrence, step } = run.task;
         const key = `${jobId}.${occurrence}.${step}`;
-        counts.set(key, { run, count: (counts.get(key)?.count ?? 0) + 1 });
+        steps.set(key, [...(steps.get(key) ?? []), run]);
       }
     }
     const leaving = new Set(runs.map(({ executor }) => executor));
-    return [...counts.values()].every(({ run, count }) => {
-      const step = this.#parts.jobs.step(run.task);
-      if (step === undefined) {
-        return true;
+    for (const [step, ofStep] of steps) {
+      const spec =
+        ofStep[0] === undefined ? undefined : this.#parts.jobs.step(ofStep[0].task)?.spec;
+      const budget = Math.max(1, spec?.maxUnavailable ?? 1);
+      const away = this.#awayElsewhere(ofStep, spec?.taskCount ?? 0, leaving);
+      if (away + ofStep.length > budget) {
+        return { step, runs: ofStep, away, budget };
       }
-      const away = this.#awayElsewhere(run, step.spec.taskCount, leaving);
-      return away + count <= Math.max(1, step.spec.maxUnavailable);
-    });
+    }
+    return undefined;
+  }
+
+  /** One of several tasks of the step that may be stopped, so that it restarts elsewhere. */
+  #expendable({ runs, away, budget }: BlockedStep): Run | undefined {
+    if (runs.length < 2 || runs.some(({ phase }) => phase === 'stopping')) {
+      return undefined;
+    }
+    const chosen = runs.find((run) => !isAtWork(run)) ?? runs[0];
+    const others = runs.filter((run) => run !== chosen && !isAtWork(run)).length;
+    return away + others < budget ? chosen : undefined;
   }
 
-  /** Tasks of the run's step that are not at work, those on the given executors left out. */
-  #awayElsewhere(run: Run, taskCount: number, leaving: ReadonlySet<ExecutorId>): number {
-    const { occurrence, step } = run.task;
+  /** Tasks of the runs' step that are not at work, those on the given executors left out. */
+  #awayElsewhere(
+    runs: readonly Run[],
+    taskCount: number,
+    leaving: ReadonlySet<ExecutorId>,
+  ): number {
+    const task = runs[0]?.task;
     const siblings = this.#parts.runs
-      .ofJob(run.task.jobId)
-      .filter(({ task }) => task.occurrence === occurrence && task.step === step);
-    const here = siblings.filter(({ executor }) => leaving.has(executor)).length;
+      .ofJob(task?.jobId ?? '')
+      .filter((run) => run.task.occurrence === task?.occurrence && run.task.step === task.step);
     const sound = siblings.filter(
       (one) => !leaving.has(one.executor) && isAtWork(one) && !this.#isOrdered(one.executor),
-    ).length;
-    return taskCount - here - sound;
+    );
+    return taskCount - runs.length - sound.length;
   }
 
   #isOrdered(executor: ExecutorId): boolean {
-    for (const name of this.#pending.keys()) {
-      if (this.#instances.get(name)?.executor === executor) {
-        return true;
-      }
-    }
-    return false;
+    return [...this.#pending.values()].some((order) => order.executor === executor);
   }
 
   #uncordon(name: string): void {
@@ -251,6 +329,17 @@
   }
 }
 
+type Advance =
+  | { readonly type: 'none' }
+  | { readonly type: 'order'; readonly order: InstanceOrder }
+  /** Stop one lasting task, so that it restarts on another instance. */
+  | { readonly type: 'stop'; readonly run: Run }
+  | { readonly type: 'wait'; readonly waiting: WaitingInstance; readonly usesSlot: boolean };
+
+function wait(waiting: WaitingInstance, usesSlot: boolean): Advance {
+  return { type: 'wait', waiting, usesSlot };
+}
+
 const AT_WORK_PERCENT = 100;
 
 function isAtWork(run: Run): boolean {
--- a/packages/core/src/jobs/messages.ts
+++ b/packages/core/src/jobs/messages.ts
@@ -76,7 +76,12 @@
     }
   /** An executor has seen the fencing token of a later owner. */
   | { readonly type: 'fenced'; readonly executor: ExecutorId }
-  | { readonly type: 'instances'; readonly instances: readonly PoolInstance[] }
+  /** The platform's list of instances; `askedAt`: own clock when it was asked for. */
+  | {
+      readonly type: 'instances';
+      readonly instances: readonly PoolInstance[];
+      readonly askedAt: Millis;
+    }
   | { readonly type: 'waves'; readonly waves: readonly MaintenanceWave[] }
   | {
       readonly type: 'order-answer';
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -69,7 +69,8 @@
       const conflicts = this.#runs
         .at(state.info.id)
         .filter((run) => run.lasting && run.fills !== step.fills).length;
-      return remote * 1e6 + taken * 1e4 + conflicts * 1e2 + usedShare(state, free);
+      const moves = state.maintenanceDue ? 1 : 0;
+      return remote * 1e6 + taken * 1e4 + moves * 1e3 + conflicts * 1e2 + usedShare(state, free);
     }
     // Best fit leaves room in one piece for wide tasks.
     return remote * 1e6 + free.processors / Math.max(1, state.info.capacity.processors);
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -378,7 +378,11 @@
     void this.#options.fleet.list(this.signal).then((listed) => {
       this.#polling = false;
       if (listed.isOk()) {
-        this.post({ type: 'instances', instances: listed.value });
+        this.post({ type: 'instances', instances: listed.value, askedAt: now });
+      }
+      const waiting = this.#decider.waitingInstances;
+      if (waiting.length > 0) {
+        this.log.info('maintenance waits', { waiting });
       }
     });
   }
