fix(jobs): takeover accounts for executors that the platform does not list

A stop that was answered twice moved its proof of absence on for ever, so the task never ran again. Change: the leader publishes the executors it knows with each renewal, and its successor waits for all of them or for the end of their leases; instances whose executor has not reported are not maintained; only the first answer to a stop counts.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -16,6 +16,8 @@
   readonly firstAttempt: number;
   /** Own clock until which executors that do not report may run what an earlier owner started. */
   readonly unaccountedUntil: Millis;
+  /** Executors at which an earlier owner may have started tasks. */
+  readonly inherited?: readonly ExecutorId[];
   /** Own clock from which instances may be ordered about. */
   readonly ordersFrom: Millis;
   /** How long ended jobs are remembered. */
@@ -37,6 +39,8 @@
   #zonesOut: ReadonlySet<ZoneName> = new Set();
   /** Start times of executors whose instances were ordered down. */
   readonly #retired = new Map<ExecutorId, Millis>();
+  /** Every start of earlier owners has been accounted for. */
+  #adoptedReleased = false;
   /** Cancelled jobs, since a cancellation may be seen before its job. */
   readonly #cancelled = new Set<JobId>();
   /** Ends up to this number are to be acknowledged, for each executor that reported. */
@@ -63,6 +67,13 @@
     return this.#maintenance.active;
   }
 
+  /** Executors that may run something, for the next owner. */
+  get executorIds(): readonly ExecutorId[] {
+    const known = [...this.#executors.all()].map(({ info }) => info.id);
+    const inherited = this.#adoptedReleased ? [] : (this.#options.inherited ?? []);
+    return [...new Set([...known, ...inherited])];
+  }
+
   /** Instances whose maintenance waits, with the reason. */
   get waitingInstances(): readonly WaitingInstance[] {
     return this.#maintenance.waiting;
@@ -242,7 +253,7 @@
     }
     this.#book.retryStops(now);
     this.#jobs.forgetEndedBefore(this.#options.clock.wall() - this.#options.rememberMs);
-    return this.#maintenance.plan(now);
+    return this.#holdAdopted(now) ? [] : this.#maintenance.plan(now);
   }
 
   /** Past the end of its lease an executor runs nothing, whether it can be reached or not. */
@@ -261,6 +272,7 @@
   #scheduleAll(now: Millis): readonly JobDecision[] {
     const holdAdopted = this.#holdAdopted(now);
     if (!holdAdopted) {
+      this.#adoptedReleased = true;
       this.#jobs.clearAdopted();
     }
     const limits = { zonesOut: this.#zonesOut, teams: this.#config.teams, holdAdopted };
@@ -269,11 +281,15 @@
 
   /** Whether an earlier owner's starts may be at executors that have not reported yet. */
   #holdAdopted(now: Millis): boolean {
-    if (now >= this.#options.unaccountedUntil) {
+    if (this.#adoptedReleased || now >= this.#options.unaccountedUntil) {
       return false;
     }
-    const executors = [...this.#executors.all()];
-    return executors.length === 0 || executors.some(({ accounted }) => !accounted);
+    // An executor that the platform does not list now may still run what it was given.
+    const inherited = this.#options.inherited ?? [];
+    return (
+      inherited.some((id) => this.#executors.get(id)?.accounted !== true) ||
+      [...this.#executors.all()].some(({ accounted }) => !accounted)
+    );
   }
 
   #persists(changed: ReadonlySet<JobId>): readonly JobDecision[] {
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -33,7 +33,7 @@
 /** An instance that can't be maintained yet. */
 export interface WaitingInstance {
   readonly instance: string;
-  readonly reason: 'not-up' | 'budget' | 'finite-tasks';
+  readonly reason: 'not-up' | 'executor-unseen' | 'budget' | 'finite-tasks';
   /** The lasting step whose budget is used up. */
   readonly step?: string;
 }
@@ -208,6 +208,10 @@
       return wait({ instance: name, reason: 'not-up' }, false);
     }
     const { executor } = instance;
+    if (executor !== undefined && this.#parts.executors.get(executor)?.accounted !== true) {
+      // What runs there is not known.
+      return wait({ instance: name, reason: 'executor-unseen' }, false);
+    }
     const runs = executor === undefined ? [] : this.#parts.runs.at(executor);
     const blocked = this.#blockedStep(runs);
     const cordoned = wave.cordonedAt.has(name);
--- a/packages/core/src/jobs/run-book.ts
+++ b/packages/core/src/jobs/run-book.ts
@@ -16,8 +16,10 @@
 } from './model.js';
 import type { Run, RunTable } from './run-table.js';
 
-/** Pause between two orders to stop the same run. */
+/** Pause before an order to stop that was not answered is sent again. */
 const STOP_RETRY_MS: Millis = 600;
+/** Pause before one that was answered is repeated because the run is still there. */
+const STOP_REPEAT_MS: Millis = 3_000;
 
 export interface RunBookParts {
   readonly jobs: JobTable;
@@ -100,8 +102,14 @@
   }
 
   stopAnswered(run: Run, answered: boolean, now: Millis): void {
-    if (run.phase === 'stopping') {
-      this.#runs.update(run, answered ? { settledAt: now } : { stopSentAt: undefined });
+    if (run.phase !== 'stopping') {
+      return;
+    }
+    if (!answered) {
+      this.#runs.update(run, { stopSentAt: undefined });
+    } else if (run.settledAt === undefined) {
+      // A later answer must not move the time on, or no look would ever be late enough.
+      this.#runs.update(run, { settledAt: now });
     }
   }
 
@@ -121,7 +129,8 @@
   /** Sends again the orders to stop that had no effect yet. */
   retryStops(now: Millis): void {
     for (const run of [...this.#runs.all()]) {
-      const due = run.stopSentAt === undefined || now - run.stopSentAt >= STOP_RETRY_MS;
+      const sentAt = run.stopSentAt ?? -Infinity;
+      const due = now - sentAt >= (run.settledAt === undefined ? STOP_RETRY_MS : STOP_REPEAT_MS);
       if (run.phase === 'stopping' && due) {
         this.#sendStop(run, 'stop repeated', now);
       }
--- a/packages/core/test/jobs-decider.test.ts
+++ b/packages/core/test/jobs-decider.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, test } from '@jest/globals';
 import fc from 'fast-check';
-import { executor, job, JobWorld, step } from './support/job-world.js';
+import { JobDecider, ManualClock, type JobEvent } from '../src/index.js';
+import { executor, job, step } from './support/job-fixtures.js';
+import { JobWorld } from './support/job-world.js';
 
 const THREE = [executor('e1'), executor('e2'), executor('e3', { rack: 'r2' })];
 
@@ -74,6 +76,87 @@
   });
 });
 
+describe('a start without an answer', () => {
+  const task = { jobId: 'a', occurrence: 0, step: 0, index: 0 };
+  const life = { executor: 'e1', bornWallMs: 1, running: [], ended: [] };
+
+  function ruledOut(): { readonly decider: JobDecider; readonly clock: ManualClock } {
+    const clock = new ManualClock(1_000);
+    const decider = new JobDecider({
+      clock,
+      firstAttempt: 1,
+      unaccountedUntil: 0,
+      ordersFrom: 0,
+      rememberMs: 60_000,
+    });
+    const look = (sentAt: number): JobEvent => ({
+      type: 'report',
+      leaseEndsAt: 100_000,
+      report: { ...life, sentAt },
+    });
+    decider.handle({ type: 'executors', executors: [executor('e1')] }, 1_000);
+    decider.handle(look(1_000), 1_000);
+    decider.handle(
+      { type: 'jobs', jobs: [{ accepted: job('a', [step()]) }], adopted: false },
+      1_000,
+    );
+    const answer = { type: 'start-answer', task, attempt: 1, executor: 'e1' } as const;
+    decider.handle({ ...answer, outcome: 'unknown' }, 1_450);
+    decider.handle(look(1_500), 1_502);
+    return { decider, clock };
+  }
+
+  test('its task is never started again when orders to stop it are repeated', () => {
+    const { decider } = ruledOut();
+    const stopped = {
+      type: 'stop-answer',
+      task,
+      attempt: 1,
+      executor: 'e1',
+      answered: true,
+    } as const;
+    decider.handle(stopped, 1_510);
+    decider.handle({ type: 'tick' }, 2_200);
+    decider.handle(stopped, 2_210);
+    const report = { ...life, sentAt: 1_900 };
+    const decisions = decider.handle({ type: 'report', leaseEndsAt: 100_000, report }, 2_900);
+    expect(decisions).toContainEqual(expect.objectContaining({ type: 'start', task, attempt: 2 }));
+  });
+
+  test('its task starts again before the order to stop it is answered', () => {
+    const { decider } = ruledOut();
+    const report = { ...life, sentAt: 2_000 };
+    const decisions = decider.handle({ type: 'report', leaseEndsAt: 100_000, report }, 2_002);
+    expect(decisions.filter(({ type }) => type === 'start')).toEqual([]);
+  });
+});
+
+describe('after a takeover', () => {
+  test('tasks of an executor that the platform does not list start a second time', () => {
+    const clock = new ManualClock(1_000);
+    const decider = new JobDecider({
+      clock,
+      firstAttempt: 1_001,
+      unaccountedUntil: 6_000,
+      inherited: ['e1', 'e2'],
+      ordersFrom: 0,
+      rememberMs: 60_000,
+    });
+    const report = { executor: 'e1', bornWallMs: 1, sentAt: 1_000, running: [], ended: [] };
+    const looked: JobEvent = { type: 'report', leaseEndsAt: 100_000, report };
+    decider.handle(
+      { type: 'jobs', jobs: [{ accepted: job('a', [step()]) }], adopted: true },
+      1_000,
+    );
+    decider.handle({ type: 'executors', executors: [executor('e1')] }, 1_000);
+    const starts = (now: number): number =>
+      decider
+        .handle({ ...looked, report: { ...report, sentAt: now } }, now)
+        .filter(({ type }) => type === 'start').length;
+    expect([starts(1_100), starts(5_900), starts(6_000)]).toEqual([0, 0, 1]);
+  });
+});
+
 const action = fc.record({
   afterMs: fc.integer({ min: 0, max: 1_500 }),
   what: fc.constantFrom('submit', 'submit', 'submit', 'cancel', 'kill', 'rebirth'),
--- a/packages/core/test/support/job-world.ts
+++ b/packages/core/test/support/job-world.ts
@@ -10,9 +10,7 @@
   type JobId,
   type JobProgress,
   type Millis,
-  type QueuePolicy,
   type StartOutcome,
-  type StepSpec,
   type TaskKey,
   type TaskRef,
 } from '../../src/index.js';
@@ -40,63 +38,6 @@
 const TAKEOVER_MS: Millis = 2_800;
 const ATTEMPTS_PER_TERM = 1_000;
 
-export const POLICY: QueuePolicy = {
-  pool: 'p1',
-  priority: 0,
-  maxAttempts: 4,
-  slackFactor: 2,
-  targetLatencyMs: 600,
-  ticketed: false,
-};
-
-export function step(over: Partial<StepSpec> = {}): StepSpec {
-  return {
-    taskCount: 1,
-    resources: { processors: 1, memoryMb: 100, accelerators: 0 },
-    estimateMs: 300,
-    after: [],
-    checkpointing: false,
-    gang: false,
-    sameRack: false,
-    requiredLabel: '',
-    preferredRack: '',
-    maxPerExecutor: 0,
-    speculative: false,
-    lasting: false,
-    image: '',
-    targetMs: 0,
-    fills: false,
-    maxUnavailable: 0,
-    ...over,
-  };
-}
-
-export function job(id: JobId, steps: readonly StepSpec[]): AcceptedJob {
-  return {
-    id,
-    queue: 'q1',
-    team: 't1',
-    acceptedWallMs: 0,
-    policy: POLICY,
-    spec: { payload: `payload of ${id}`, steps, occurrences: 1, firstAtWallMs: 0, intervalMs: 0 },
-  };
-}
-
-export function executor(id: string, over: Partial<ExecutorInfo> = {}): ExecutorInfo {
-  return {
-    id,
-    bornWallMs: 1,
-    address: '',
-    pool: 'p1',
-    zone: 'z1',
-    rack: 'r1',
-    labels: ['kind', 'r1'],
-    capacity: { processors: 8, memoryMb: 8_000, accelerators: 0 },
-    draining: false,
-    ...over,
-  };
-}
-
 interface Planned {
   readonly at: Millis;
   readonly order: number;
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -20,7 +20,7 @@
 } from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
 import { Acceptor } from './acceptor.js';
-import { JobOwner } from './job-owner.js';
+import { EMPTY_BULLETIN, JobOwner, type Bulletin } from './job-owner.js';
 import { JobService } from './job-service.js';
 import type {
   ExecutorConnector,
@@ -64,6 +64,8 @@
   readonly #keeper: LeaderKeeper;
   #view: OperatorView = { config: undefined, zonesOut: new Set(), waves: [] };
   #owner: { readonly owner: JobOwner; readonly end: () => void } | undefined;
+  /** What the leader, whoever it is, published last. */
+  #bulletin: Bulletin = EMPTY_BULLETIN;
   #stopping = false;
 
   constructor(options: JobCellOptions, context: ActorContext) {
@@ -83,7 +85,7 @@
         random,
         newId,
         listener: this,
-        bulletin: (): JsonValue => this.#owner?.owner.bulletin ?? { waiting: {} },
+        bulletin: (): JsonValue => ({ ...(this.#owner?.owner.bulletin ?? this.#bulletin) }),
       },
       context,
     );
@@ -146,8 +148,8 @@
   }
 
   #published(bulletin: JsonValue): void {
-    const { waiting } = bulletin as { readonly waiting: Readonly<Record<string, number>> };
-    this.#service.setWaiting(new Map(Object.entries(waiting)));
+    this.#bulletin = bulletin as unknown as Bulletin;
+    this.#service.setWaiting(new Map(Object.entries(this.#bulletin.waiting)));
   }
 
   #lead(term: LeaderTerm): void {
@@ -171,6 +173,7 @@
         newId,
         maxLeaseMs,
         orderHandoverMs,
+        inherited: this.#bulletin,
         onSuperseded: () => this.post({ type: 'superseded', term }),
       },
       { log: this.log, signal },
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -2,6 +2,7 @@
   JobDecider,
   type AcceptedJob,
   type Clock,
+  type ExecutorId,
   type ExecutorInfo,
   type JobDecision,
   type JobEvent,
@@ -19,7 +20,7 @@
   type TableStore,
 } from '@turmerichoist/coordination';
 import { Actor, every, type ActorContext, type Metrics } from '@turmerichoist/runtime';
-import { ExecutorLink } from './executor-link.js';
+import { ExecutorLinks } from './executor-links.js';
 import type { ExecutorConnector, InstanceFleet, OperatorView, RowDecoder } from './ports.js';
 import { ProgressWriter, type PendingAcknowledgement } from './progress-writer.js';
 
@@ -57,14 +58,26 @@
   /** Time during which two holders may not both order instances about. */
   readonly orderHandoverMs: Millis;
   readonly onSuperseded: () => void;
+  /** What the former leader published last. */
+  readonly inherited: Bulletin;
 }
 
+/** What a leader publishes with each renewal of its lease. */
+export interface Bulletin {
+  /** Jobs of each queue for which no task has started. */
+  readonly waiting: Readonly<Record<string, number>>;
+  /** Executors that may run something. */
+  readonly executors: readonly ExecutorId[];
+}
+
+export const EMPTY_BULLETIN: Bulletin = { waiting: {}, executors: [] };
+
 /** Leads one cell for one term: feeds the decider and carries out what it decides. */
 export class JobOwner extends Actor<JobEvent> {
   readonly #options: JobOwnerOptions;
   readonly #decider: JobDecider;
   readonly #writer: ProgressWriter;
-  readonly #links = new Map<string, { readonly link: ExecutorLink; readonly end: () => void }>();
+  readonly #links: ExecutorLinks;
   readonly #executors = new Map<string, ExecutorInfo>();
   readonly #progress = new Map<string, JobProgress>();
   readonly #waves = new Map<
@@ -73,6 +86,7 @@
   >();
   #polledAt: Millis = -Infinity;
   #polling = false;
+  #loaded = false;
 
   constructor(options: JobOwnerOptions, context: ActorContext) {
     super('owner', context);
@@ -84,9 +98,16 @@
       clock,
       firstAttempt: term.generation * ATTEMPTS_PER_TERM + 1,
       unaccountedUntil: first ? now : now + UNACCOUNTED_MS,
+      inherited: options.inherited.executors,
       ordersFrom: first ? now : now + orderHandoverMs,
       rememberMs: REMEMBER_MS,
     });
+    const { connector, mayAct, maxLeaseMs } = options;
+    const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
+    this.#links = new ExecutorLinks(
+      { connector, fencingToken: term.epoch, clock, leaseMs, mayAct, owner: this },
+      context,
+    );
     this.#writer = new ProgressWriter(
       {
         store: options.progress,
@@ -103,9 +124,11 @@
     );
   }
 
-  /** What the leader publishes with each renewal of its lease. */
-  get bulletin(): JsonValue {
-    return { waiting: Object.fromEntries(this.#decider.waiting) };
+  get bulletin(): Bulletin {
+    return {
+      waiting: Object.fromEntries(this.#decider.waiting),
+      executors: this.#decider.executorIds,
+    };
   }
 
   /** Loads what the store has and begins to decide. */
@@ -147,7 +170,7 @@
   protected receive(event: JobEvent): void {
     const decisions = this.#decider.handle(event, this.#options.clock.now());
     if (event.type === 'executors' || event.type === 'tick') {
-      this.#syncLinks();
+      this.#links.sync(this.#decider.executors);
     }
     decisions.forEach((decision) => {
       this.#carryOut(decision);
@@ -213,7 +236,8 @@
       const progress = this.#progress.get(accepted.id);
       return [{ accepted, ...(progress === undefined ? {} : { progress }) }];
     });
-    const first = snapshot && this.#links.size === 0 && this.#executors.size === 0;
+    const first = snapshot && !this.#loaded;
+    this.#loaded = true;
     const adopted = first && this.#options.term.generation > 0;
     this.post({ type: 'jobs', jobs, adopted });
     if (first) {
@@ -246,48 +270,6 @@
     }
   }
 
-  /** Opens links to new executors and closes those to executors that run nothing any more. */
-  #syncLinks(): void {
-    const wanted = new Map(this.#decider.executors.map((info) => [info.id, info]));
-    for (const [id, { end }] of [...this.#links]) {
-      if (!wanted.has(id)) {
-        this.log.info('executor gone', { executor: id });
-        end();
-        this.#links.delete(id);
-      }
-    }
-    for (const [id, info] of wanted) {
-      if (!this.#links.has(id)) {
-        this.#openLink(info);
-      }
-    }
-  }
-
-  #openLink(info: ExecutorInfo): void {
-    const { connector, term, clock, mayAct, maxLeaseMs } = this.#options;
-    const ending = new AbortController();
-    const signal = AbortSignal.any([this.signal, ending.signal]);
-    const link = new ExecutorLink(
-      {
-        info,
-        calls: connector.connect(info, term.epoch, signal),
-        clock,
-        leaseMs: Math.min(RUN_LEASE_MS, maxLeaseMs),
-        mayAct,
-        owner: this,
-      },
-      { log: this.log, signal },
-    );
-    this.log.info('executor linked', { executor: info.id, pool: info.pool, zone: info.zone });
-    this.#links.set(info.id, {
-      link,
-      end: () => {
-        ending.abort();
-      },
-    });
-    link.start();
-  }
-
   #carryOut(decision: JobDecision): void {
     const { metrics } = this.#options;
     metrics.count(`owner.${decision.type}`);
@@ -295,19 +277,19 @@
       case 'start': {
         const { executor, task, attempt, payload, checkpoint } = decision;
         const order = { task, attempt, payload, checkpoint };
-        this.#links.get(executor)?.link.post({ type: 'start', order });
+        this.#links.post(executor, { type: 'start', order });
         return;
       }
       case 'stop': {
         const { executor, task, attempt, why } = decision;
         this.log.info('stop ordered', { executor, job: task.jobId, task, attempt, why });
-        this.#links.get(executor)?.link.post({ type: 'stop', task, attempt });
+        this.#links.post(executor, { type: 'stop', task, attempt });
         return;
       }
       case 'pace': {
         const { executor, task, attempt, percent } = decision;
         this.log.info('pace ordered', { executor, job: task.jobId, task, attempt, percent });
-        this.#links.get(executor)?.link.post({ type: 'pace', task, attempt, percent });
+        this.#links.post(executor, { type: 'pace', task, attempt, percent });
         return;
       }
       case 'persist': {
@@ -336,7 +318,7 @@
   }
 
   #acknowledged({ executor, bornWallMs, through }: PendingAcknowledgement): void {
-    this.#links.get(executor)?.link.post({ type: 'acknowledged', bornWallMs, through });
+    this.#links.post(executor, { type: 'acknowledged', bornWallMs, through });
   }
 
   async #order({ order }: Extract<JobDecision, { type: 'order' }>): Promise<void> {
