feat(jobs): idle and standby instances move to pools whose tasks wait

Change: PoolLender moves instances that are switched off, then ones idle for a second, to the pool that lacks most; surplus instances are switched off after 5 s without work.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -1,6 +1,7 @@
 import type { Clock, Decider, Millis, ZoneName } from '../types/index.js';
 import { ExecutorTable, type ExecutorState } from './executor-table.js';
 import { JobTable } from './job-table.js';
+import { PoolLender } from './lending.js';
 import { MaintenancePlanner, type WaitingInstance } from './maintenance.js';
 import type { InstanceOrder, InstanceOrderOutcome, JobDecision, JobEvent } from './messages.js';
 import type { ExecutorId, ExecutorInfo, ExecutorReport, JobId, SchedulingConfig } from './model.js';
@@ -35,6 +36,7 @@
   readonly #scheduler: Scheduler;
   readonly #maintenance: MaintenancePlanner;
   readonly #pacing: Pacing;
+  readonly #lender: PoolLender;
   #config: SchedulingConfig = { queues: new Map(), pools: new Map(), teams: new Map() };
   #zonesOut: ReadonlySet<ZoneName> = new Set();
   /** Start times of executors whose instances were ordered down. */
@@ -55,6 +57,7 @@
     this.#scheduler = new Scheduler({ ...parts, order: options.order ?? new LeastWorkFirst() });
     this.#maintenance = new MaintenancePlanner({ ...parts, book: this.#book }, options.ordersFrom);
     this.#pacing = new Pacing(this.#runs);
+    this.#lender = new PoolLender(parts, options.ordersFrom);
   }
 
   /** Jobs of each queue for which no task has started. */
@@ -144,6 +147,7 @@
         return [{ type: 'superseded' }];
       case 'instances':
         this.#maintenance.setInstances(event.instances, event.askedAt);
+        this.#lender.setInstances(event.instances, event.askedAt);
         return [];
       case 'waves':
         this.#maintenance.setWaves(event.waves);
@@ -229,10 +233,12 @@
     outcome: InstanceOrderOutcome,
     now: Millis,
   ): readonly JobDecision[] {
-    const executor = this.#maintenance.orderedExecutor(order.instance);
+    const orderedBy = order.type === 'move' ? this.#lender : this.#maintenance;
+    const executor = orderedBy.orderedExecutor(order.instance);
     if (outcome === 'done' && executor !== undefined) {
       this.#retire(executor);
     }
+    this.#lender.answered(order, outcome);
     return this.#maintenance.answered(order, outcome, now);
   }
 
@@ -253,7 +259,12 @@
     }
     this.#book.retryStops(now);
     this.#jobs.forgetEndedBefore(this.#options.clock.wall() - this.#options.rememberMs);
-    return this.#holdAdopted(now) ? [] : this.#maintenance.plan(now);
+    if (this.#holdAdopted(now)) {
+      return [];
+    }
+    const maintained = this.#maintenance.plan(now);
+    const reserved = (instance: string): boolean => this.#maintenance.isReserved(instance);
+    return [...maintained, ...this.#lender.plan(this.#config.pools, reserved, now)];
   }
 
   /** Past the end of its lease an executor runs nothing, whether it can be reached or not. */
--- /dev/null
+++ b/packages/core/src/jobs/lending.ts
@@ -0,0 +1,228 @@
+import type { Resources } from '../tasks/model.js';
+import type { Millis, PoolName } from '../types/index.js';
+import type { ExecutorTable } from './executor-table.js';
+import type { JobTable } from './job-table.js';
+import type { InstanceOrder, InstanceOrderOutcome, JobDecision, PoolInstance } from './messages.js';
+import type { ExecutorId, PoolPolicy } from './model.js';
+import type { RunTable } from './run-table.js';
+
+/** An instance must have run nothing for this long before another pool may have it. */
+const IDLE_BEFORE_LENDING_MS: Millis = 1_000;
+/** An instance beyond the size of its pool is switched off after this time without work. */
+const IDLE_BEFORE_PARKING_MS: Millis = 5_000;
+/** A move that has not shown in the list after this time no longer counts as under way. */
+const MOVE_TIMEOUT_MS: Millis = 6_000;
+/** Part of an instance that the waiting tasks must fill before one is asked for. */
+const MIN_FILL = 0.5;
+/** Part of its first size below which a pool is not emptied. */
+const MIN_POOL_SHARE = 0.5;
+
+export interface LendingParts {
+  readonly jobs: JobTable;
+  readonly runs: RunTable;
+  readonly executors: ExecutorTable;
+}
+
+interface Move {
+  readonly to: PoolName;
+  readonly orderedAt: Millis;
+  readonly executor: ExecutorId | undefined;
+}
+
+/** Moves idle instances, those that are switched off first, to pools whose tasks wait for room. */
+export class PoolLender {
+  readonly #parts: LendingParts;
+  readonly #ordersFrom: Millis;
+  #instances: readonly PoolInstance[] = [];
+  readonly #moves = new Map<string, Move>();
+  readonly #idleSince = new Map<ExecutorId, Millis>();
+  /** Size of each pool when it was first seen. */
+  #firstSizes: ReadonlyMap<PoolName, number> | undefined;
+
+  constructor(parts: LendingParts, ordersFrom: Millis) {
+    this.#parts = parts;
+    this.#ordersFrom = ordersFrom;
+  }
+
+  /** `askedAt`: a list that was asked for before a move does not show it. */
+  setInstances(instances: readonly PoolInstance[], askedAt: Millis): void {
+    this.#instances = instances;
+    this.#firstSizes ??= countByPool(instances);
+    for (const [name, move] of [...this.#moves]) {
+      const instance = instances.find((one) => one.name === name);
+      const arrived = instance?.pool === move.to && instance.state === 'up';
+      if (askedAt > move.orderedAt && arrived) {
+        this.#moves.delete(name);
+      } else if (askedAt - move.orderedAt > MOVE_TIMEOUT_MS) {
+        this.#moves.delete(name);
+        this.#cordon(move.executor, false);
+      }
+    }
+  }
+
+  /** The executor that ran on an instance when it was ordered to move. */
+  orderedExecutor(instance: string): ExecutorId | undefined {
+    return this.#moves.get(instance)?.executor;
+  }
+
+  answered(order: InstanceOrder, outcome: InstanceOrderOutcome): void {
+    const move = this.#moves.get(order.instance);
+    if (order.type !== 'move' || move === undefined) {
+      return;
+    }
+    if (outcome === 'busy' || outcome === 'impossible') {
+      this.#moves.delete(order.instance);
+      this.#cordon(move.executor, false);
+    }
+  }
+
+  /** `reserved`: instances that something else is about to be done with. */
+  plan(
+    pools: ReadonlyMap<PoolName, PoolPolicy>,
+    reserved: (instance: string) => boolean,
+    now: Millis,
+  ): readonly JobDecision[] {
+    this.#trackIdle(now);
+    if (now < this.#ordersFrom) {
+      return [];
+    }
+    const free = this.#instances.filter(
+      ({ name, state }) => state === 'up' && !this.#moves.has(name) && !reserved(name),
+    );
+    const decisions: JobDecision[] = [];
+    const taken = new Set<string>();
+    for (const { pool, count } of this.#needs(pools)) {
+      let missing = count;
+      for (const donor of this.#donors(free, pool, pools, now)) {
+        // Each move changes what the donor's pool may spare.
+        const off = pools.get(donor.pool)?.standby === true;
+        if (missing > 0 && !taken.has(donor.name) && (off || this.#maySpare(donor.pool))) {
+          taken.add(donor.name);
+          missing -= 1;
+          decisions.push(this.#move(donor, pool, now));
+        }
+      }
+    }
+    return [...decisions, ...this.#park(free, taken, pools, now)];
+  }
+
+  /** Instances that pools lack, the pool that lacks most first. */
+  #needs(
+    pools: ReadonlyMap<PoolName, PoolPolicy>,
+  ): readonly { readonly pool: PoolName; readonly count: number }[] {
+    const needs = [...pools.values()]
+      .filter(({ standby }) => !standby)
+      .map(({ name }) => {
+        const size = this.#typicalSize(name);
+        const lacking = this.#waitingProcessors(name) / Math.max(1, size.processors);
+        const incoming = [...this.#moves.values()].filter(({ to }) => to === name).length;
+        return { pool: name, count: Math.floor(lacking + 1 - MIN_FILL) - incoming };
+      });
+    return needs.filter(({ count }) => count > 0).sort((a, b) => b.count - a.count);
+  }
+
+  /** Processors that the ready tasks of finite jobs wait for. */
+  #waitingProcessors(pool: PoolName): number {
+    let waiting = 0;
+    for (const job of this.#parts.jobs.openIn(pool)) {
+      for (const { steps } of job.occurrences) {
+        for (const { spec, pending } of steps) {
+          const ready = spec.after.every((other) => steps[other]?.complete);
+          waiting += ready && !spec.lasting ? pending.size * spec.resources.processors : 0;
+        }
+      }
+    }
+    return waiting;
+  }
+
+  #typicalSize(pool: PoolName): Resources {
+    const known = this.#instances.find((one) => one.pool === pool) ?? this.#instances[0];
+    return known?.capacity ?? { processors: 1, memoryMb: 1, accelerators: 0 };
+  }
+
+  #donors(
+    free: readonly PoolInstance[],
+    to: PoolName,
+    pools: ReadonlyMap<PoolName, PoolPolicy>,
+    now: Millis,
+  ): readonly PoolInstance[] {
+    const off = free.filter(({ pool }) => pools.get(pool)?.standby === true);
+    const idle = free.filter(
+      ({ pool, executor }) =>
+        pool !== to &&
+        pools.get(pool)?.standby !== true &&
+        this.#waitingProcessors(pool) === 0 &&
+        this.#idleFor(executor, now) >= IDLE_BEFORE_LENDING_MS,
+    );
+    return [...off, ...idle];
+  }
+
+  #maySpare(pool: PoolName): boolean {
+    const leaving = [...this.#moves.keys()].filter((name) => this.#poolOf(name) === pool).length;
+    const size = this.#instances.filter((one) => one.pool === pool).length - leaving;
+    return size > (this.#firstSizes?.get(pool) ?? 0) * MIN_POOL_SHARE + 1;
+  }
+
+  /** Switches off what a pool has beyond its first size and does not use. */
+  #park(
+    free: readonly PoolInstance[],
+    taken: ReadonlySet<string>,
+    pools: ReadonlyMap<PoolName, PoolPolicy>,
+    now: Millis,
+  ): readonly JobDecision[] {
+    const standby = [...pools.values()].find((pool) => pool.standby)?.name;
+    if (standby === undefined) {
+      return [];
+    }
+    const sizes = new Map(countByPool(this.#instances));
+    const decisions: JobDecision[] = [];
+    for (const instance of free) {
+      const { pool, executor, name } = instance;
+      const size = sizes.get(pool) ?? 0;
+      const surplus = size > (this.#firstSizes?.get(pool) ?? 0);
+      const idle = this.#idleFor(executor, now) >= IDLE_BEFORE_PARKING_MS;
+      if (pool !== standby && surplus && idle && !taken.has(name)) {
+        sizes.set(pool, size - 1);
+        decisions.push(this.#move(instance, standby, now));
+      }
+    }
+    return decisions;
+  }
+
+  #move({ name, executor }: PoolInstance, to: PoolName, now: Millis): JobDecision {
+    this.#moves.set(name, { to, orderedAt: now, executor });
+    this.#cordon(executor, true);
+    return { type: 'order', order: { type: 'move', instance: name, pool: to } };
+  }
+
+  #cordon(executor: ExecutorId | undefined, cordoned: boolean): void {
+    if (executor !== undefined) {
+      this.#parts.executors.update(executor, { cordoned });
+    }
+  }
+
+  #poolOf(name: string): PoolName | undefined {
+    return this.#instances.find((one) => one.name === name)?.pool;
+  }
+
+  #trackIdle(now: Millis): void {
+    for (const { info, accounted } of this.#parts.executors.all()) {
+      if (!accounted || this.#parts.runs.at(info.id).length > 0) {
+        this.#idleSince.delete(info.id);
+      } else if (!this.#idleSince.has(info.id)) {
+        this.#idleSince.set(info.id, now);
+      }
+    }
+  }
+
+  #idleFor(executor: ExecutorId | undefined, now: Millis): Millis {
+    const since = executor === undefined ? undefined : this.#idleSince.get(executor);
+    return since === undefined ? 0 : now - since;
+  }
+}
+
+function countByPool(instances: readonly PoolInstance[]): ReadonlyMap<PoolName, number> {
+  const counts = new Map<PoolName, number>();
+  instances.forEach(({ pool }) => counts.set(pool, (counts.get(pool) ?? 0) + 1));
+  return counts;
+}
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -85,6 +85,15 @@
     return this.#waiting;
   }
 
+  /** Whether an instance is about to be maintained, or is down for it. */
+  isReserved(instance: string): boolean {
+    return (
+      this.#pending.has(instance) ||
+      this.#down.has(instance) ||
+      [...this.#waves.values()].some(({ cordonedAt }) => cordonedAt.has(instance))
+    );
+  }
+
   /** The executor that ran on an instance when it was ordered down. */
   orderedExecutor(instance: string): ExecutorId | undefined {
     return this.#pending.get(instance)?.executor;
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -34,7 +34,9 @@
 const FEED_WAIT_MS: Millis = 10_000;
 const JOBS_PAUSE_MS: Millis = 4;
 const EXECUTORS_PAUSE_MS: Millis = 200;
+/** Period of the list of instances while maintenance is under way, and otherwise. */
 const INSTANCES_POLL_MS: Millis = 500;
+const IDLE_INSTANCES_POLL_MS: Millis = 1_000;
 /** Ended jobs are remembered so that late reports find them. */
 const REMEMBER_MS: Millis = 60_000;
 
@@ -352,7 +354,8 @@
 
   #pollInstances(): void {
     const now = this.#options.clock.now();
-    if (this.#polling || !this.#decider.maintaining || now - this.#polledAt < INSTANCES_POLL_MS) {
+    const period = this.#decider.maintaining ? INSTANCES_POLL_MS : IDLE_INSTANCES_POLL_MS;
+    if (this.#polling || now - this.#polledAt < period) {
       return;
     }
     this.#polling = true;
