fix(jobs): an order that had been carried out before ends nothing

Cause: a new owner ordered maintenance again that its predecessor had done, since a change of the configuration that came while rows were loaded made it start its waves from nothing. Change: a view that comes early waits until the rows are loaded; whether an order ended an executor is told by the next list of instances that was asked for after its answer.

--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -28,6 +28,8 @@
   readonly pausedUntil: Millis;
   /** Runs that failed there since the last one that did not. */
   readonly failureStreak: number;
+  /** Its instance has been ordered down; whether it has gone down is not seen yet. */
+  readonly ending: boolean;
   /** Its instance will be maintained, which ends what runs there. */
   readonly maintenanceDue: boolean;
   /** Gets no new tasks because its instance is about to be maintained or moved. */
@@ -67,6 +69,7 @@
       endsSeen: 0,
       pausedUntil: 0,
       failureStreak: 0,
+      ending: false,
       maintenanceDue: false,
       cordoned: false,
     });
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -3,7 +3,13 @@
 import { JobTable } from './job-table.js';
 import { PoolLender } from './lending.js';
 import { MaintenancePlanner, type WaitingInstance } from './maintenance.js';
-import type { InstanceOrder, InstanceOrderOutcome, JobDecision, JobEvent } from './messages.js';
+import type {
+  InstanceOrder,
+  InstanceOrderOutcome,
+  JobDecision,
+  JobEvent,
+  PoolInstance,
+} from './messages.js';
 import type { ExecutorId, ExecutorInfo, ExecutorReport, JobId, SchedulingConfig } from './model.js';
 import { LeastWorkFirst, type JobOrder } from './ordering.js';
 import { Pacing } from './pacing.js';
@@ -39,6 +45,11 @@
   readonly #lender: PoolLender;
   #config: SchedulingConfig = { queues: new Map(), pools: new Map(), teams: new Map() };
   #zonesOut: ReadonlySet<ZoneName> = new Set();
+  /** Executors whose instances were ordered down, by instance, until a list shows the effect. */
+  readonly #ordered = new Map<
+    string,
+    { readonly executor: ExecutorId; readonly answeredAt: Millis }
+  >();
   /** Start times of executors whose instances were ordered down. */
   readonly #retired = new Map<ExecutorId, Millis>();
   /** Every start of earlier owners has been accounted for. */
@@ -146,6 +157,7 @@
       case 'fenced':
         return [{ type: 'superseded' }];
       case 'instances':
+        this.#settleOrders(event.instances, event.askedAt);
         this.#maintenance.setInstances(event.instances, event.askedAt);
         this.#lender.setInstances(event.instances, event.askedAt);
         return [];
@@ -236,12 +248,32 @@
     const orderedBy = order.type === 'move' ? this.#lender : this.#maintenance;
     const executor = orderedBy.orderedExecutor(order.instance);
     if (outcome === 'done' && executor !== undefined) {
-      this.#retire(executor);
+      this.#executors.update(executor, { ending: true });
+      this.#ordered.set(order.instance, { executor, answeredAt: now });
     }
     this.#lender.answered(order, outcome);
     return this.#maintenance.answered(order, outcome, now);
   }
 
+  /**
+   * An order that an earlier owner had carried out already is answered like one that takes effect,
+   * so only a list that was asked for after the answer tells whether the executor has ended.
+   */
+  #settleOrders(instances: readonly PoolInstance[], askedAt: Millis): void {
+    for (const [name, { executor, answeredAt }] of [...this.#ordered]) {
+      if (askedAt <= answeredAt) {
+        continue;
+      }
+      this.#ordered.delete(name);
+      const instance = instances.find((one) => one.name === name);
+      if (instance?.state === 'up' && instance.executor === executor) {
+        this.#executors.update(executor, { ending: false, cordoned: false });
+      } else {
+        this.#retire(executor);
+      }
+    }
+  }
+
   /** The instance has gone down by order: all that ran on it has ended. */
   #retire(id: ExecutorId): void {
     const state = this.#executors.get(id);
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -322,7 +322,10 @@
   }
 
   #isOrdered(executor: ExecutorId): boolean {
-    return [...this.#pending.values()].some((order) => order.executor === executor);
+    return (
+      this.#parts.executors.get(executor)?.ending === true ||
+      [...this.#pending.values()].some((order) => order.executor === executor)
+    );
   }
 
   #uncordon(name: string): void {
--- /dev/null
+++ b/packages/core/test/jobs-maintenance.test.ts
@@ -0,0 +1,114 @@
+import { describe, expect, test } from '@jest/globals';
+import {
+  JobDecider,
+  ManualClock,
+  type JobDecision,
+  type JobEvent,
+  type PoolInstance,
+} from '../src/index.js';
+import { executor, job, step } from './support/job-fixtures.js';
+
+const LASTING = step({ lasting: true, taskCount: 2, maxPerExecutor: 1, maxUnavailable: 1 });
+
+/** Two executors on two instances of one wave, each with one lasting task at work. */
+class MaintainedCell {
+  readonly clock = new ManualClock(10_000);
+  readonly decider = new JobDecider({
+    clock: this.clock,
+    firstAttempt: 1,
+    unaccountedUntil: 0,
+    ordersFrom: 0,
+    rememberMs: 60_000,
+  });
+
+  constructor(maxParallel: number) {
+    this.handle({ type: 'executors', executors: [executor('e1'), executor('e2')] });
+    this.report('e1', -1);
+    this.report('e2', -1);
+    this.handle({ type: 'jobs', jobs: [{ accepted: job('j', [LASTING]) }], adopted: false });
+    this.report('e1', 0);
+    this.report('e2', 1);
+    this.list();
+    const wave = { number: 1, instances: ['m1', 'm2'], maxParallel, dueAt: 0 };
+    this.handle({ type: 'waves', waves: [{ ...wave, begun: [], completed: false }] });
+  }
+
+  handle(event: JobEvent): readonly JobDecision[] {
+    return this.decider.handle(event, this.clock.now());
+  }
+
+  /** The executor reports one task of the job at work, or none for -1. */
+  report(id: string, index: number): readonly JobDecision[] {
+    this.clock.advance(1);
+    const sentAt = this.clock.now();
+    const task = { jobId: 'j', occurrence: 0, step: 0, index };
+    const run = { task, attempt: 1, checkpoint: '', percent: 100, gauge: 0 };
+    const running = index < 0 ? [] : [run];
+    const report = { executor: id, bornWallMs: 1, sentAt, running, ended: [] };
+    return this.handle({ type: 'report', leaseEndsAt: sentAt + 5_000, report });
+  }
+
+  list(over: Partial<PoolInstance> = {}): readonly JobDecision[] {
+    this.clock.advance(1);
+    const capacity = { processors: 8, memoryMb: 8_000, accelerators: 0 };
+    const place = { pool: 'p1', state: 'up', zone: 'z1', rack: 'r1', capacity } as const;
+    const instances: readonly PoolInstance[] = [
+      { ...place, name: 'm1', executor: 'e1', ...over },
+      { ...place, name: 'm2', executor: 'e2' },
+    ];
+    return this.handle({ type: 'instances', instances, askedAt: this.clock.now() });
+  }
+
+  /** Names of the instances that are ordered down. */
+  orders(): readonly string[] {
+    this.clock.advance(100);
+    return this.handle({ type: 'tick' }).flatMap((decision) =>
+      decision.type === 'order' ? [decision.order.instance] : [],
+    );
+  }
+
+  done(instance: string): readonly JobDecision[] {
+    const order = { type: 'maintain', instance, wave: 1 } as const;
+    return this.handle({ type: 'order-answer', order, outcome: 'done' });
+  }
+}
+
+const starts = (decisions: readonly JobDecision[]): number =>
+  decisions.filter(({ type }) => type === 'start').length;
+
+describe('a wave of maintenance', () => {
+  test('takes down two tasks of a step that may miss one', () => {
+    const cell = new MaintainedCell(2);
+    expect(cell.orders()).toEqual(['m1']);
+    expect(cell.orders()).toEqual([]);
+    cell.done('m1');
+    expect(cell.orders()).toEqual([]);
+  });
+
+  test('starts tasks again that run on, when the maintenance had been done by an earlier owner', () => {
+    const cell = new MaintainedCell(2);
+    cell.orders();
+    expect(starts(cell.done('m1'))).toBe(0);
+    expect(starts(cell.list())).toBe(0);
+    expect(starts(cell.report('e1', 0))).toBe(0);
+  });
+
+  test('leaves the tasks of an instance that has gone down without a restart', () => {
+    const cell = new MaintainedCell(2);
+    cell.handle({ type: 'executors', executors: [executor('e1'), executor('e2'), executor('e3')] });
+    cell.report('e3', -1);
+    cell.orders();
+    cell.done('m1');
+    expect(starts(cell.list({ state: 'maintenance', executor: undefined }))).toBe(1);
+  });
+
+  test('counts an instance as up by a list that was asked for before the order', () => {
+    const cell = new MaintainedCell(1);
+    const [first = ''] = cell.orders();
+    const before = cell.clock.now();
+    cell.clock.advance(10);
+    cell.done(first);
+    cell.handle({ type: 'instances', instances: [], askedAt: before });
+    expect(cell.orders()).toEqual([]);
+  });
+});
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -89,6 +89,9 @@
   #polledAt: Millis = -Infinity;
   #polling = false;
   #loaded = false;
+  /** Progress and waves have been read from the store. */
+  #restored = false;
+  #view: OperatorView | undefined;
 
   constructor(options: JobOwnerOptions, context: ActorContext) {
     super('owner', context);
@@ -146,7 +149,8 @@
     if (this.signal.aborted) {
       return;
     }
-    this.setView(view);
+    this.#restored = true;
+    this.setView(this.#view ?? view);
     this.#watch(cell, 'jobs', JOBS_PAUSE_MS, (rows, snapshot) => {
       this.#onJobs(rows, snapshot);
     });
@@ -161,7 +165,13 @@
     });
   }
 
-  setView({ config, zonesOut, waves }: OperatorView): void {
+  /** A view that comes while the rows are being loaded is used once they are. */
+  setView(view: OperatorView): void {
+    this.#view = view;
+    if (!this.#restored) {
+      return;
+    }
+    const { config, zonesOut, waves } = view;
     if (config !== undefined) {
       this.post({ type: 'config', config: config.scheduling });
     }
