--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -1,6 +1,7 @@
 import type { Millis } from '../types/index.js';
 import type {
   AcceptedJob,
+  FailureCount,
   JobProgress,
   JobState,
   QueuePolicy,
@@ -130,15 +131,18 @@
   }
 
   /** A run has ended `failed`. Lasting tasks may fail any number of times. */
-  taskFailed(ref: TaskRef, wallMs: Millis): EndEffect {
+  taskFailed(ref: TaskRef, attempt: number, wallMs: Millis): EndEffect {
     const step = this.step(ref);
     if (step === undefined || !this.open || step.spec.lasting || step.isDone(ref.index)) {
       return 'none';
     }
     // A gang fails as one: its failures are counted at its first task.
-    const failures = step.markFailed(step.spec.gang ? 0 : ref.index);
+    const counted = step.spec.gang ? 0 : ref.index;
+    if (!step.markFailed(counted, attempt)) {
+      return 'none';
+    }
     this.started();
-    if (failures < this.policy.maxAttempts) {
+    if (step.failures(counted) < this.policy.maxAttempts) {
       return 'progress';
     }
     this.#end('failed', wallMs);
@@ -160,7 +164,7 @@
 
   progress(): JobProgress {
     const done: Record<string, 'all' | readonly number[]> = {};
-    const failures: Record<string, number> = {};
+    const failures: Record<string, FailureCount> = {};
     for (const { number, steps } of this.#occurrences) {
       steps.forEach((step, index) => {
         if (step.doneCount > 0) {
@@ -190,7 +194,7 @@
     for (const { number, steps } of this.#occurrences) {
       steps.forEach((step, index) => {
         const name = `${number}.${index}`;
-        const failures = new Map<number, number>();
+        const failures = new Map<number, FailureCount>();
         for (let task = 0; task < step.spec.taskCount; task += 1) {
           const count = progress.failures[`${name}.${task}`];
           if (count !== undefined) {
--- a/packages/core/src/jobs/run-book.ts
+++ b/packages/core/src/jobs/run-book.ts
@@ -184,7 +184,7 @@
       end.how === 'done'
         ? job.taskDone(end.task, this.#wall())
         : end.how === 'failed'
-          ? job.taskFailed(end.task, this.#wall())
+          ? job.taskFailed(end.task, end.attempt, this.#wall())
           : 'none';
     if (effect !== 'none') {
       this.#changed.add(job.id);
--- a/packages/core/src/jobs/step-progress.ts
+++ b/packages/core/src/jobs/step-progress.ts
@@ -1,11 +1,11 @@
-import type { StepSpec } from './model.js';
+import type { FailureCount, StepSpec } from './model.js';
 
 /** Mutable progress of the tasks of one step in one occurrence. */
 export class StepProgress {
   readonly spec: StepSpec;
   readonly #pending = new Set<number>();
   readonly #done = new Set<number>();
-  readonly #failures = new Map<number, number>();
+  readonly #failures = new Map<number, FailureCount>();
   readonly #checkpoints = new Map<number, string>();
   readonly #attempts = new Map<number, number>();
   readonly #firstAttempt: number;
@@ -41,7 +41,7 @@
   }
 
   failures(index: number): number {
-    return this.#failures.get(index) ?? 0;
+    return this.#failures.get(index)?.count ?? 0;
   }
 
   /** Number for the next run of these tasks; the tasks of a gang share it. */
@@ -89,14 +89,16 @@
     return true;
   }
 
-  /** Counts a failed run and returns the number of failures of the task. */
-  markFailed(index: number): number {
-    const failures = this.failures(index) + 1;
-    this.#failures.set(index, failures);
-    return failures;
+  /** Counts a failed run; returns false when that attempt has been counted already. */
+  markFailed(index: number, attempt: number): boolean {
+    if (attempt <= (this.#failures.get(index)?.lastAttempt ?? 0)) {
+      return false;
+    }
+    this.#failures.set(index, { count: this.failures(index) + 1, lastAttempt: attempt });
+    return true;
   }
 
-  restore(done: 'all' | readonly number[], failures: ReadonlyMap<number, number>): void {
+  restore(done: 'all' | readonly number[], failures: ReadonlyMap<number, FailureCount>): void {
     const indexes = done === 'all' ? [...Array(this.spec.taskCount).keys()] : done;
     indexes.forEach((index) => this.markDone(index));
     failures.forEach((count, index) => this.#failures.set(index, count));
@@ -106,7 +108,7 @@
     return this.complete ? 'all' : [...this.#done].sort((a, b) => a - b);
   }
 
-  get failureCounts(): ReadonlyMap<number, number> {
+  get failureCounts(): ReadonlyMap<number, FailureCount> {
     return this.#failures;
   }
 }
--- a/packages/core/test/jobs-decider.test.ts
+++ b/packages/core/test/jobs-decider.test.ts
@@ -22,7 +22,10 @@
     world.faults = { answerLost: 0, late: 0, runFails: 1 };
     world.submit(job('a', [step()]));
     world.run(30_000);
-    expect(world.progress.get('a')).toMatchObject({ state: 'failed', failures: { '0.0.0': 4 } });
+    expect(world.progress.get('a')).toMatchObject({
+      state: 'failed',
+      failures: { '0.0.0': { count: 4 } },
+    });
   });
 
   test('tasks of a cancelled job run on', () => {
@@ -132,6 +135,27 @@
 });
 
 describe('after a takeover', () => {
+  test('a failure that the former owner has counted is counted again', () => {
+    const clock = new ManualClock(1_000);
+    const decider = new JobDecider({
+      clock,
+      firstAttempt: 1_001,
+      unaccountedUntil: 0,
+      ordersFrom: 0,
+      rememberMs: 60_000,
+    });
+    const failures = { '0.0.0': { count: 3, lastAttempt: 3 } };
+    const progress = { state: 'running', endedWallMs: 0, done: {}, failures } as const;
+    const accepted = job('a', [step()]);
+    decider.handle({ type: 'jobs', jobs: [{ accepted, progress }], adopted: true }, 1_000);
+    decider.handle({ type: 'executors', executors: [executor('e1')] }, 1_000);
+    const task = { jobId: 'a', occurrence: 0, step: 0, index: 0 };
+    const end = { seq: 1, task, attempt: 3, how: 'failed', checkpoint: '' } as const;
+    const report = { executor: 'e1', bornWallMs: 1, sentAt: 1_100, running: [], ended: [end] };
+    const decisions = decider.handle({ type: 'report', leaseEndsAt: 9_000, report }, 1_100);
+    expect(decisions.map(({ type }) => type)).toEqual(['start', 'acknowledge']);
+  });
+
   test('tasks of an executor that the platform does not list start a second time', () => {
     const clock = new ManualClock(1_000);
     const decider = new JobDecider({
--- a/packages/daemon/src/jobs/progress-writer.ts
+++ b/packages/daemon/src/jobs/progress-writer.ts
@@ -1,5 +1,5 @@
 import type { ExecutorId, JobId, JobProgress, Millis } from '@turmerichoist/core';
-import type { TableStore } from '@turmerichoist/coordination';
+import type { JsonValue, TableStore } from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
 
 /** Rows of one transaction, which leaves room for the owner's and the lane's rows. */
@@ -88,7 +88,7 @@
     const { store, ownerKey, epoch, newId, metrics, onSuperseded } = this.#options;
     const writes = batch.map(([job, progress]) => ({
       key: `progress/${job}`,
-      value: { ...progress },
+      value: progress as unknown as JsonValue,
     }));
     while (!this.signal.aborted) {
       const conditions = [{ key: ownerKey, version: epoch }];
