--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -1,4 +1,4 @@
-import type { Clock, Decider, Millis, ZoneName } from '../types/index.js';
+import type { Clock, Decider, Millis, PoolName, ZoneName } from '../types/index.js';
 import { ExecutorTable, type ExecutorState } from './executor-table.js';
 import { JobTable } from './job-table.js';
 import { PoolLender } from './lending.js';
@@ -25,6 +25,8 @@
   readonly unaccountedUntil: Millis;
   /** Executors at which an earlier owner may have started tasks. */
   readonly inherited?: readonly ExecutorId[];
+  /** Sizes of pools as the first owner saw them, before anything was lent. */
+  readonly poolSizes?: ReadonlyMap<PoolName, number>;
   /** Own clock from which instances may be ordered about. */
   readonly ordersFrom: Millis;
   /** How long ended jobs are remembered. */
@@ -68,7 +70,7 @@
     this.#scheduler = new Scheduler({ ...parts, order: options.order ?? new LeastWorkFirst() });
     this.#maintenance = new MaintenancePlanner({ ...parts, book: this.#book }, options.ordersFrom);
     this.#pacing = new Pacing(this.#runs);
-    this.#lender = new PoolLender(parts, options.ordersFrom);
+    this.#lender = new PoolLender(parts, options.ordersFrom, options.poolSizes);
   }
 
   /** Jobs of each queue for which no task has started. */
@@ -81,6 +83,11 @@
     return this.#maintenance.active;
   }
 
+  /** Sizes of pools before anything was lent, for the next owner. */
+  get poolSizes(): ReadonlyMap<PoolName, number> | undefined {
+    return this.#lender.firstSizes;
+  }
+
   /** Executors that may run something, for the next owner. */
   get executorIds(): readonly ExecutorId[] {
     const known = [...this.#executors.all()].map(({ info }) => info.id);
--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -36,12 +36,22 @@
   #instances: readonly PoolInstance[] = [];
   readonly #moves = new Map<string, Move>();
   readonly #idleSince = new Map<ExecutorId, Millis>();
-  /** Size of each pool when it was first seen. */
+  /** Size of each pool before anything was lent. */
   #firstSizes: ReadonlyMap<PoolName, number> | undefined;
 
-  constructor(parts: LendingParts, ordersFrom: Millis) {
+  /** `firstSizes`: as the first owner saw them; undefined for the first owner. */
+  constructor(
+    parts: LendingParts,
+    ordersFrom: Millis,
+    firstSizes: ReadonlyMap<PoolName, number> | undefined,
+  ) {
     this.#parts = parts;
     this.#ordersFrom = ordersFrom;
+    this.#firstSizes = firstSizes;
+  }
+
+  get firstSizes(): ReadonlyMap<PoolName, number> | undefined {
+    return this.#firstSizes;
   }
 
   /** `askedAt`: a list that was asked for before a move does not show it. */
--- a/packages/core/test/jobs-lending.test.ts
+++ b/packages/core/test/jobs-lending.test.ts
@@ -40,12 +40,13 @@
   readonly clock = new ManualClock(10_000);
   readonly decider: JobDecider;
 
-  constructor(ordersFrom = 0) {
+  constructor(ordersFrom = 0, poolSizes?: ReadonlyMap<string, number>) {
     this.decider = new JobDecider({
       clock: this.clock,
       firstAttempt: 1,
       unaccountedUntil: 0,
       ordersFrom,
+      ...(poolSizes === undefined ? {} : { poolSizes }),
       rememberMs: 60_000,
     });
     this.handle({ type: 'config', config: CONFIG });
@@ -132,3 +133,15 @@
     expect(cell.tick(2_000)).toHaveLength(2);
   });
 });
+
+test('instances that a former owner has lent are never switched off again', () => {
+  const sizes = new Map([
+    ['p1', 1],
+    ['p2', 3],
+    ['spare', 3],
+  ]);
+  const cell = new LendingCell(0, sizes);
+  cell.tick(100);
+  expect(cell.tick(4_800)).toEqual([]);
+  expect(cell.tick(400)).toEqual(['m-b1 to spare']);
+});
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -70,9 +70,11 @@
   readonly waiting: Readonly<Record<string, number>>;
   /** Executors that may run something. */
   readonly executors: readonly ExecutorId[];
+  /** Sizes of pools before anything was lent; empty until they are known. */
+  readonly poolSizes: Readonly<Record<string, number>>;
 }
 
-export const EMPTY_BULLETIN: Bulletin = { waiting: {}, executors: [] };
+export const EMPTY_BULLETIN: Bulletin = { waiting: {}, executors: [], poolSizes: {} };
 
 /** Leads one cell for one term: feeds the decider and carries out what it decides. */
 export class JobOwner extends Actor<JobEvent> {
@@ -99,11 +101,13 @@
     const { clock, term, orderHandoverMs } = options;
     const now = clock.now();
     const first = term.generation === 0;
+    const sizes = Object.entries(options.inherited.poolSizes);
     this.#decider = new JobDecider({
       clock,
       firstAttempt: term.generation * ATTEMPTS_PER_TERM + 1,
       unaccountedUntil: first ? now : now + UNACCOUNTED_MS,
       inherited: options.inherited.executors,
+      ...(sizes.length === 0 ? {} : { poolSizes: new Map(sizes) }),
       ordersFrom: first ? now : now + orderHandoverMs,
       rememberMs: REMEMBER_MS,
     });
@@ -133,6 +137,7 @@
     return {
       waiting: Object.fromEntries(this.#decider.waiting),
       executors: this.#decider.executorIds,
+      poolSizes: Object.fromEntries(this.#decider.poolSizes ?? []),
     };
   }
 
