test(jobs): the leader's lease, accepted rows and written progress

Cause: three parts that recovery rests on had no test of their own. Change: 1,000 interleavings of renewals and reads against two leaders at once; acceptance and progress against a store that is down, loses answers or has another owner.

--- /dev/null
+++ b/packages/coordination/test/leader-lease.test.ts
@@ -0,0 +1,126 @@
+import { describe, expect, test } from '@jest/globals';
+import fc from 'fast-check';
+import {
+  LEADER_MARGIN_MS,
+  LEADER_TTL_MS,
+  LeaderLease,
+  type LeaderRows,
+} from '../src/state/leader-lease.js';
+
+const SILENCE_MS = LEADER_TTL_MS + LEADER_MARGIN_MS;
+
+function rows(sentAt: number, owner?: object, beat = 1): LeaderRows {
+  return {
+    owner: owner === undefined ? undefined : { key: 'cell/owner', version: 5, value: { ...owner } },
+    lease: { key: 'cell/lease', version: 100 + beat, value: { beat } },
+    sentAt,
+    receivedAt: sentAt + 5,
+  };
+}
+
+const OTHER = { member: 'b', incarnation: 'b1', generation: 3, released: false };
+
+/** Reads the rows every 400 ms and returns the time of the first claim, if any. */
+function firstClaim(lease: LeaderLease, untilMs: number, beatAt: (now: number) => number) {
+  for (let now = 0; now <= untilMs; now += 400) {
+    const claim = lease.observe(rows(now, OTHER, beatAt(now)));
+    if (claim !== undefined) {
+      return { now, claim };
+    }
+  }
+  return undefined;
+}
+
+describe('claims', () => {
+  test('a cell without a leader stays without one', () => {
+    expect(new LeaderLease('a', 'a1').observe(rows(0))).toMatchObject({
+      version: 0,
+      value: { member: 'a', generation: 0, released: false },
+    });
+  });
+
+  test('a cell that was released waits for a lease to end', () => {
+    const released = { ...OTHER, released: true };
+    expect(new LeaderLease('a', 'a1').observe(rows(0, released))?.value.generation).toBe(4);
+  });
+
+  test('a leader that renews is replaced', () => {
+    const claimed = firstClaim(new LeaderLease('a', 'a1'), 20_000, (now) => Math.floor(now / 500));
+    expect(claimed).toBeUndefined();
+  });
+
+  test('a leader is replaced before its term has ended, or a second later', () => {
+    const claimed = firstClaim(new LeaderLease('a', 'a1'), 20_000, () => 1);
+    expect(claimed?.now).toBeGreaterThanOrEqual(SILENCE_MS);
+    expect(claimed?.now).toBeLessThan(SILENCE_MS + 1_000);
+  });
+
+  test('a leader is replaced because the store could not be read for a while', () => {
+    const lease = new LeaderLease('a', 'a1');
+    expect(lease.observe(rows(0, OTHER))).toBeUndefined();
+    expect(lease.observe(rows(SILENCE_MS + 5_000, OTHER))).toBeUndefined();
+  });
+});
+
+describe('the term', () => {
+  function leader(): LeaderLease {
+    const lease = new LeaderLease('a', 'a1');
+    const claim = lease.observe(rows(0));
+    if (claim !== undefined) {
+      lease.claimed(claim, 7, { now: 0, wall: 0 });
+    }
+    return lease;
+  }
+
+  test('is counted from the answer and not from the sending of a renewal', () => {
+    const lease = leader();
+    lease.renewed({ now: 500, wall: 500 });
+    const wall = 0;
+    expect(lease.valid({ now: 500 + LEADER_TTL_MS - 1, wall })).toBe(true);
+    expect(lease.valid({ now: 500 + LEADER_TTL_MS, wall })).toBe(false);
+  });
+
+  test('goes on for an instance that was suspended, whose monotonic clock stood still', () => {
+    expect(leader().valid({ now: 10, wall: 30_000 })).toBe(false);
+  });
+
+  test('goes on when another member leads', () => {
+    const lease = leader();
+    lease.observe(rows(100, OTHER));
+    expect(lease.valid({ now: 101, wall: 101 })).toBe(false);
+  });
+
+  test('a claim whose answer was lost makes a leader without a renewal', () => {
+    const lease = new LeaderLease('a', 'a1');
+    lease.observe(rows(0, { ...OTHER, member: 'a', incarnation: 'a1' }));
+    expect(lease.term).toEqual({ epoch: 5, generation: 3 });
+    expect(lease.valid({ now: 1, wall: 1 })).toBe(false);
+  });
+});
+
+test('two members lead at once, whatever the times of renewals and reads', () => {
+  const gaps = fc.array(fc.integer({ min: 1, max: 3_000 }), { minLength: 1, maxLength: 40 });
+  fc.assert(
+    fc.property(gaps, gaps, (renewals, reads) => {
+      const holder = new LeaderLease('a', 'a1');
+      const claim = holder.observe(rows(0));
+      if (claim === undefined) {
+        return;
+      }
+      holder.claimed(claim, 5, { now: 0, wall: 0 });
+      const times: number[] = [0];
+      renewals.forEach((gap) => times.push((times.at(-1) ?? 0) + gap));
+      const rival = new LeaderLease('b', 'b1');
+      let now = 0;
+      for (const gap of reads) {
+        now += gap;
+        const beats = times.filter((time) => time <= now);
+        holder.renewed({ now: beats.at(-1) ?? 0, wall: 0 });
+        const held = { member: 'a', incarnation: 'a1', generation: 0, released: false };
+        const claimed = rival.observe(rows(now, held, beats.length));
+        expect(claimed !== undefined && holder.valid({ now, wall: 0 })).toBe(false);
+      }
+    }),
+    { numRuns: 1_000, seed: 20261204 },
+  );
+});
--- /dev/null
+++ b/packages/daemon/test/job-writers.test.ts
@@ -0,0 +1,169 @@
+import { afterEach, beforeEach, describe, expect, test } from '@jest/globals';
+import { MemoryTableStore } from '@turmerichoist/coordination';
+import type { JobProgress } from '@turmerichoist/core';
+import { NoMetrics, silentLogger, SystemClock } from '@turmerichoist/runtime';
+import { Acceptor } from '../src/jobs/acceptor.js';
+import { ProgressWriter } from '../src/jobs/progress-writer.js';
+
+const RUNNING: JobProgress = {
+  state: 'running',
+  endedWallMs: 0,
+  done: { '0.0': [1] },
+  failures: {},
+};
+const DONE: JobProgress = {
+  state: 'completed',
+  endedWallMs: 9,
+  done: { '0.0': 'all' },
+  failures: {},
+};
+
+let ending: AbortController;
+let store: MemoryTableStore;
+let ids = 0;
+
+beforeEach(() => {
+  ending = new AbortController();
+  store = new MemoryTableStore();
+});
+
+afterEach(() => {
+  ending.abort();
+});
+
+function newId(): string {
+  ids += 1;
+  return `txn-${ids}`;
+}
+
+async function eventually(check: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 500 && !check(); tries += 1) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  expect(check()).toBe(true);
+}
+
+async function valueOf(key: string): Promise<unknown> {
+  const rows = (await store.read([key], ending.signal)).unwrap();
+  return rows[0]?.value;
+}
+
+describe('accepting jobs', () => {
+  const context = () => ({ log: silentLogger, signal: ending.signal });
+  const acceptor = () => new Acceptor({ store, clock: new SystemClock(), newId }, context());
+  const soon = () => new SystemClock().now() + 2_000;
+
+  test('a repeated submission replaces the job that was accepted', async () => {
+    const first = acceptor();
+    expect((await first.accept('jobs/a', { n: 1 }, soon())).isOk()).toBe(true);
+    expect((await first.accept('jobs/a', { n: 2 }, soon())).isOk()).toBe(true);
+    expect(await valueOf('jobs/a')).toEqual({ n: 1 });
+  });
+
+  test('a job that exists makes the jobs of its batch fail', async () => {
+    const one = acceptor();
+    await one.accept('jobs/a', { n: 1 }, soon());
+    const results = await Promise.all(
+      ['a', 'b', 'c'].map((id) => one.accept(`jobs/${id}`, { n: 2 }, soon())),
+    );
+    expect(results.every((result) => result.isOk())).toBe(true);
+    expect(await valueOf('jobs/c')).toEqual({ n: 2 });
+  });
+
+  test('a job is said not to run although its write may have taken effect', async () => {
+    store.setFaults({ loseAnswers: 1 });
+    const result = await acceptor().accept('jobs/a', { n: 1 }, soon());
+    expect(result.unwrapErr().kind).toBe('outcome-unknown');
+  });
+
+  test('a job is accepted while the store is down', async () => {
+    store.setFaults({ down: true });
+    const result = await acceptor().accept('jobs/a', { n: 1 }, soon());
+    expect(result.unwrapErr().kind).toBe('store-unavailable');
+  });
+
+  test('a job whose caller has given up is written', async () => {
+    const result = await acceptor().accept('jobs/a', { n: 1 }, new SystemClock().now() - 1);
+    expect(result.unwrapErr().kind).toBe('deadline-passed');
+    expect(await valueOf('jobs/a')).toBeUndefined();
+  });
+});
+
+describe('writing progress', () => {
+  const acknowledged: number[] = [];
+  let superseded = 0;
+
+  async function writer(): Promise<ProgressWriter> {
+    acknowledged.length = 0;
+    superseded = 0;
+    const txn = {
+      txnId: newId(),
+      conditions: [],
+      writes: [{ key: 'cell/owner', value: { n: 1 } }],
+    };
+    const claimed = (await store.commit(txn, ending.signal)).unwrap();
+    const epoch = claimed.committed ? (claimed.versions['cell/owner'] ?? 0) : 0;
+    return new ProgressWriter(
+      {
+        store,
+        ownerKey: 'cell/owner',
+        epoch,
+        newId,
+        metrics: new NoMetrics(),
+        onAcknowledged: ({ through }) => acknowledged.push(through),
+        onSuperseded: () => {
+          superseded += 1;
+        },
+      },
+      { log: silentLogger, signal: ending.signal },
+    );
+  }
+
+  const acknowledgement = { executor: 'e1', bornWallMs: 1, through: 3 };
+
+  test('an end is acknowledged before it is written', async () => {
+    const one = await writer();
+    store.setFaults({ down: true });
+    one.post({ type: 'persist', job: 'a', progress: RUNNING });
+    one.post({ type: 'acknowledge', acknowledgement });
+    await new Promise((resolve) => setTimeout(resolve, 250));
+    expect(acknowledged).toEqual([]);
+    store.setFaults({ down: false });
+    await eventually(() => acknowledged.length === 1);
+    expect(await valueOf('progress/a')).toEqual(RUNNING);
+  });
+
+  test('an acknowledgement overtakes progress that did not fit into the batch', async () => {
+    const one = await writer();
+    for (let job = 0; job < 200; job += 1) {
+      one.post({ type: 'persist', job: `j${job}`, progress: RUNNING });
+    }
+    one.post({ type: 'acknowledge', acknowledgement });
+    await eventually(() => acknowledged.length === 1);
+    expect(await valueOf('progress/j199')).toEqual(RUNNING);
+  });
+
+  test('older progress is written over newer', async () => {
+    const one = await writer();
+    one.post({ type: 'persist', job: 'a', progress: RUNNING });
+    one.post({ type: 'persist', job: 'a', progress: DONE });
+    one.post({ type: 'acknowledge', acknowledgement });
+    await eventually(() => acknowledged.length === 1);
+    expect(await valueOf('progress/a')).toEqual(DONE);
+  });
+
+  test('a former owner writes progress or acknowledges ends', async () => {
+    const one = await writer();
+    const txn = {
+      txnId: newId(),
+      conditions: [],
+      writes: [{ key: 'cell/owner', value: { n: 2 } }],
+    };
+    await store.commit(txn, ending.signal);
+    one.post({ type: 'persist', job: 'a', progress: DONE });
+    one.post({ type: 'acknowledge', acknowledgement });
+    await eventually(() => superseded === 1);
+    expect(acknowledged).toEqual([]);
+    expect(await valueOf('progress/a')).toBeUndefined();
+  });
+});
