--- a/packages/coordination/src/io/store/transport.ts
+++ b/packages/coordination/src/io/store/transport.ts
@@ -32,7 +32,7 @@
 export const MAX_WAITING_CALLS = 256;
 
 /** Failures that happen before any byte of the call leaves. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+export const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
--- /dev/null
+++ b/packages/core/src/jobs/cell-tables.ts
@@ -0,0 +1,10 @@
+import type { ExecutorTable } from './executor-table.js';
+import type { JobTable } from './job-table.js';
+import type { RunTable } from './run-table.js';
+
+/** What the parts of a cell's decider share. */
+export interface CellTables {
+  readonly jobs: JobTable;
+  readonly runs: RunTable;
+  readonly executors: ExecutorTable;
+}
--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -1,10 +1,8 @@
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName } from '../types/index.js';
-import type { ExecutorTable } from './executor-table.js';
-import type { JobTable } from './job-table.js';
+import type { CellTables } from './cell-tables.js';
 import type { InstanceOrder, InstanceOrderOutcome, JobDecision, PoolInstance } from './messages.js';
 import type { ExecutorId, PoolPolicy } from './model.js';
-import type { RunTable } from './run-table.js';
 
 /** An instance must have run nothing for this long before another pool may have it. */
 const IDLE_BEFORE_LENDING_MS: Millis = 1_000;
@@ -17,12 +15,6 @@
 /** Part of its first size below which a pool is not emptied. */
 const MIN_POOL_SHARE = 0.5;
 
-export interface LendingParts {
-  readonly jobs: JobTable;
-  readonly runs: RunTable;
-  readonly executors: ExecutorTable;
-}
-
 interface Move {
   readonly to: PoolName;
   readonly orderedAt: Millis;
@@ -31,7 +23,7 @@
 
 /** Moves idle instances, those that are switched off first, to pools whose tasks wait for room. */
 export class PoolLender {
-  readonly #parts: LendingParts;
+  readonly #parts: CellTables;
   readonly #ordersFrom: Millis;
   #instances: readonly PoolInstance[] = [];
   readonly #moves = new Map<string, Move>();
@@ -41,7 +33,7 @@
 
   /** `firstSizes`: as the first owner saw them; undefined for the first owner. */
   constructor(
-    parts: LendingParts,
+    parts: CellTables,
     ordersFrom: Millis,
     firstSizes: ReadonlyMap<PoolName, number> | undefined,
   ) {
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -1,6 +1,5 @@
 import type { Millis } from '../types/index.js';
-import type { ExecutorTable } from './executor-table.js';
-import type { JobTable } from './job-table.js';
+import type { CellTables } from './cell-tables.js';
 import type {
   PoolInstance,
   InstanceOrder,
@@ -10,17 +9,14 @@
 } from './messages.js';
 import type { ExecutorId } from './model.js';
 import type { RunBook } from './run-book.js';
-import type { Run, RunTable } from './run-table.js';
+import type { Run } from './run-table.js';
 
 /** Finite tasks get this long to end before their instance is maintained all the same. */
 const DRAIN_PATIENCE_MS: Millis = 3_000;
 /** Pause before an order that was refused or not answered is sent again. */
 const ORDER_RETRY_MS: Millis = 500;
 
-export interface MaintenanceParts {
-  readonly jobs: JobTable;
-  readonly runs: RunTable;
-  readonly executors: ExecutorTable;
+export interface MaintenanceParts extends CellTables {
   readonly book: RunBook;
 }
 
--- a/packages/core/src/jobs/run-book.ts
+++ b/packages/core/src/jobs/run-book.ts
@@ -1,10 +1,10 @@
+import type { CellTables } from './cell-tables.js';
 import type { Millis } from '../types/index.js';
 import type { ExecutorState, ExecutorTable } from './executor-table.js';
 import type { Job } from './job.js';
 import type { JobTable } from './job-table.js';
 import type { JobDecision } from './messages.js';
 import {
-  footprint,
   taskKey,
   type ReportedEnd,
   type ExecutorId,
@@ -14,19 +14,13 @@
   type StartOutcome,
   type TaskRef,
 } from './model.js';
-import type { Run, RunTable } from './run-table.js';
+import { newRun, type Run, type RunTable } from './run-table.js';
 
 /** Pause before an order to stop that was not answered is sent again. */
 const STOP_RETRY_MS: Millis = 600;
 /** Pause before one that was answered is repeated because the run is still there. */
 const STOP_REPEAT_MS: Millis = 3_000;
 
-export interface RunBookParts {
-  readonly jobs: JobTable;
-  readonly runs: RunTable;
-  readonly executors: ExecutorTable;
-}
-
 /** What the handling of one event has changed. */
 export interface RunChanges {
   readonly decisions: readonly JobDecision[];
@@ -43,7 +37,7 @@
   #decisions: JobDecision[] = [];
   #changed = new Set<JobId>();
 
-  constructor(parts: RunBookParts, wall: () => Millis) {
+  constructor(parts: CellTables, wall: () => Millis) {
     this.#jobs = parts.jobs;
     this.#runs = parts.runs;
     this.#executors = parts.executors;
@@ -235,26 +229,9 @@
     step.take(task.index);
     step.saveCheckpoint(task.index, running.checkpoint);
     job.started();
-    this.#runs.add({
-      key: taskKey(task),
-      task,
-      attempt,
-      executor,
-      phase: 'running',
-      team: job.accepted.team,
-      lasting: step.spec.lasting,
-      fills: step.spec.fills,
-      image: step.spec.image,
-      targetMs: step.spec.targetMs,
-      footprint: footprint(step.spec),
-      resources: step.spec.resources,
-      orderedAt: now,
-      settledAt: now,
-      stopSentAt: undefined,
-      percent,
-      gauge,
-      pace: 100,
-    });
+    const order = { task, attempt, executor, orderedAt: now };
+    const begun = newRun(job, step, order);
+    this.#runs.add({ ...begun, phase: 'running', settledAt: now, percent, gauge });
   }
 
   /** A run that the report does not list. */
--- a/packages/core/src/jobs/run-table.ts
+++ b/packages/core/src/jobs/run-table.ts
@@ -1,7 +1,12 @@
 import { NOTHING, add, subtract } from '../tasks/amounts.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, TeamName } from '../types/index.js';
-import { type ExecutorId, type TaskKey, type TaskRef } from './model.js';
+import type { Job } from './job.js';
+import { footprint, taskKey, type ExecutorId, type TaskKey, type TaskRef } from './model.js';
+import type { StepProgress } from './step-progress.js';
+
+/** Share of its normal speed at which a task starts, in percent. */
+export const FULL_PACE_PERCENT = 100;
 
 /**
  * `starting`: ordered, not answered. `running`: seen at work or answered. `unknown`: the order was
@@ -36,6 +41,31 @@
   readonly pace: number;
 }
 
+/** The run that an order to start a task begins. */
+export function newRun(
+  job: Job,
+  { spec }: StepProgress,
+  order: Pick<Run, 'task' | 'attempt' | 'executor' | 'orderedAt'>,
+): Run {
+  return {
+    ...order,
+    key: taskKey(order.task),
+    phase: 'starting',
+    team: job.accepted.team,
+    lasting: spec.lasting,
+    fills: spec.fills,
+    image: spec.image,
+    targetMs: spec.targetMs,
+    footprint: footprint(spec),
+    resources: spec.resources,
+    settledAt: undefined,
+    stopSentAt: undefined,
+    percent: 0,
+    gauge: 0,
+    pace: FULL_PACE_PERCENT,
+  };
+}
+
 /** All runs that are or may be at executors, with sums by team and executor. */
 export class RunTable {
   readonly #byKey = new Map<TaskKey, Run>();
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,20 +1,17 @@
 import { add, fitsIn } from '../tasks/amounts.js';
+import type { CellTables } from './cell-tables.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName, ZoneName } from '../types/index.js';
-import type { ExecutorState, ExecutorTable } from './executor-table.js';
+import type { ExecutorState } from './executor-table.js';
 import type { Job } from './job.js';
-import type { JobTable } from './job-table.js';
 import type { JobDecision } from './messages.js';
-import { footprint, taskKey, type TaskRef, type TeamPolicy } from './model.js';
+import { footprint, type TaskRef, type TeamPolicy } from './model.js';
 import type { JobOrder } from './ordering.js';
 import { candidatesOf, PlacementRound } from './placement.js';
-import type { RunTable } from './run-table.js';
+import { newRun } from './run-table.js';
 import type { StepProgress } from './step-progress.js';
 
-export interface SchedulerParts {
-  readonly jobs: JobTable;
-  readonly runs: RunTable;
-  readonly executors: ExecutorTable;
+export interface SchedulerParts extends CellTables {
   readonly order: JobOrder;
 }
 
@@ -181,32 +178,13 @@
     attempt: number,
     now: Millis,
   ): JobDecision {
-    const { spec } = step;
     step.take(task.index);
     job.started();
-    this.#parts.runs.add({
-      key: taskKey(task),
-      task,
-      attempt,
-      executor: state.info.id,
-      phase: 'starting',
-      team: job.accepted.team,
-      lasting: spec.lasting,
-      fills: spec.fills,
-      image: spec.image,
-      targetMs: spec.targetMs,
-      footprint: footprint(spec),
-      resources: spec.resources,
-      orderedAt: now,
-      settledAt: undefined,
-      stopSentAt: undefined,
-      percent: 0,
-      gauge: 0,
-      pace: 100,
-    });
+    const executor = state.info.id;
+    this.#parts.runs.add(newRun(job, step, { task, attempt, executor, orderedAt: now }));
     return {
       type: 'start',
-      executor: state.info.id,
+      executor,
       task,
       attempt,
       payload: job.accepted.spec.payload,
