fix(jobs): a failed end counts although its run was given up

Change: failures are kept as the list of attempts that failed, and each failed end adds its own once.

--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -1,7 +1,6 @@
 import type { Millis } from '../types/index.js';
 import type {
   AcceptedJob,
-  FailureCount,
   JobProgress,
   JobState,
   QueuePolicy,
@@ -164,7 +163,7 @@
 
   progress(): JobProgress {
     const done: Record<string, 'all' | readonly number[]> = {};
-    const failures: Record<string, FailureCount> = {};
+    const failures: Record<string, readonly number[]> = {};
     for (const { number, steps } of this.#occurrences) {
       steps.forEach((step, index) => {
         if (step.doneCount > 0) {
@@ -194,7 +193,7 @@
     for (const { number, steps } of this.#occurrences) {
       steps.forEach((step, index) => {
         const name = `${number}.${index}`;
-        const failures = new Map<number, FailureCount>();
+        const failures = new Map<number, readonly number[]>();
         for (let task = 0; task < step.spec.taskCount; task += 1) {
           const count = progress.failures[`${name}.${task}`];
           if (count !== undefined) {
--- a/packages/core/src/jobs/model.ts
+++ b/packages/core/src/jobs/model.ts
@@ -186,15 +186,8 @@
   readonly endedWallMs: Millis;
   /** For `occurrence.step`: the tasks that are done, or `all`. */
   readonly done: Readonly<Record<string, 'all' | readonly number[]>>;
-  /** For `occurrence.step.index`: failed runs. */
-  readonly failures: Readonly<Record<string, FailureCount>>;
-}
-
-/** Failed runs of one task. */
-export interface FailureCount {
-  readonly count: number;
-  /** The latest attempt counted, since the same end may be listed again to a later owner. */
-  readonly lastAttempt: number;
+  /** For `occurrence.step.index`: the attempts that failed. */
+  readonly failures: Readonly<Record<string, readonly number[]>>;
 }
 
 /** What a task takes of an executor's capacity. */
--- a/packages/core/src/jobs/run-book.ts
+++ b/packages/core/src/jobs/run-book.ts
@@ -159,8 +159,8 @@
     const current = run?.executor === executor && run.attempt === end.attempt;
     const inherited = run === undefined && !step.isOwnAttempt(end.attempt);
     step.sawAttempt(end.task.index, end.attempt);
-    if (!current && !inherited) {
-      // The run was given up after its lease had ended; its end no longer counts.
+    if (!current && !inherited && end.how !== 'failed') {
+      // The run was given up after its lease had ended; its end no longer counts, but a failure does.
       return;
     }
     step.saveCheckpoint(end.task.index, end.checkpoint);
--- a/packages/core/src/jobs/step-progress.ts
+++ b/packages/core/src/jobs/step-progress.ts
@@ -1,11 +1,12 @@
-import type { FailureCount, StepSpec } from './model.js';
+import type { StepSpec } from './model.js';
 
 /** Mutable progress of the tasks of one step in one occurrence. */
 export class StepProgress {
   readonly spec: StepSpec;
   readonly #pending = new Set<number>();
   readonly #done = new Set<number>();
-  readonly #failures = new Map<number, FailureCount>();
+  /** Attempts that failed, by task. */
+  readonly #failures = new Map<number, readonly number[]>();
   readonly #checkpoints = new Map<number, string>();
   readonly #attempts = new Map<number, number>();
   readonly #firstAttempt: number;
@@ -41,7 +42,7 @@
   }
 
   failures(index: number): number {
-    return this.#failures.get(index)?.count ?? 0;
+    return this.#failures.get(index)?.length ?? 0;
   }
 
   /** Number for the next run of these tasks; the tasks of a gang share it. */
@@ -89,16 +90,20 @@
     return true;
   }
 
-  /** Counts a failed run; returns false when that attempt has been counted already. */
+  /**
+   * Counts a failed run; returns false when that attempt has been counted already, since an end that
+   * is not acknowledged is listed again, also to a later owner.
+   */
   markFailed(index: number, attempt: number): boolean {
-    if (attempt <= (this.#failures.get(index)?.lastAttempt ?? 0)) {
+    const attempts = this.#failures.get(index) ?? [];
+    if (attempts.includes(attempt)) {
       return false;
     }
-    this.#failures.set(index, { count: this.failures(index) + 1, lastAttempt: attempt });
+    this.#failures.set(index, [...attempts, attempt]);
     return true;
   }
 
-  restore(done: 'all' | readonly number[], failures: ReadonlyMap<number, FailureCount>): void {
+  restore(done: 'all' | readonly number[], failures: ReadonlyMap<number, readonly number[]>): void {
     const indexes = done === 'all' ? [...Array(this.spec.taskCount).keys()] : done;
     indexes.forEach((index) => this.markDone(index));
     failures.forEach((count, index) => this.#failures.set(index, count));
@@ -108,7 +113,7 @@
     return this.complete ? 'all' : [...this.#done].sort((a, b) => a - b);
   }
 
-  get failureCounts(): ReadonlyMap<number, FailureCount> {
+  get failureCounts(): ReadonlyMap<number, readonly number[]> {
     return this.#failures;
   }
 }
--- a/packages/core/test/jobs-decider.test.ts
+++ b/packages/core/test/jobs-decider.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals';
 import fc from 'fast-check';
-import { JobDecider, ManualClock, type JobEvent } from '../src/index.js';
-import { executor, job, step } from './support/job-fixtures.js';
+import { JobDecider, ManualClock, type JobEvent, type ReportedEnd } from '../src/index.js';
+import { executor, job, POLICY, step } from './support/job-fixtures.js';
 import { JobWorld } from './support/job-world.js';
 
 const THREE = [executor('e1'), executor('e2'), executor('e3', { rack: 'r2' })];
@@ -22,10 +22,8 @@
     world.faults = { answerLost: 0, late: 0, runFails: 1 };
     world.submit(job('a', [step()]));
     world.run(30_000);
-    expect(world.progress.get('a')).toMatchObject({
-      state: 'failed',
-      failures: { '0.0.0': { count: 4 } },
-    });
+    expect(world.progress.get('a')?.state).toBe('failed');
+    expect(world.progress.get('a')?.failures['0.0.0']).toHaveLength(4);
   });
 
   test('tasks of a cancelled job run on', () => {
@@ -134,6 +132,35 @@
   });
 });
 
+test('failures of runs that were given up are acknowledged and not counted', () => {
+  const clock = new ManualClock(1_000);
+  const decider = new JobDecider({
+    clock,
+    firstAttempt: 1,
+    unaccountedUntil: 0,
+    ordersFrom: 0,
+    rememberMs: 60_000,
+  });
+  const accepted = { ...job('a', [step()]), policy: { ...POLICY, maxAttempts: 1 } };
+  const look = (sentAt: number, ended: readonly ReportedEnd[]): JobEvent => ({
+    type: 'report',
+    leaseEndsAt: sentAt + 1_000,
+    report: { executor: 'e1', bornWallMs: 1, sentAt, running: [], ended },
+  });
+  decider.handle({ type: 'executors', executors: [executor('e1')] }, 1_000);
+  decider.handle(look(1_000, []), 1_000);
+  decider.handle({ type: 'jobs', jobs: [{ accepted }], adopted: false }, 1_000);
+  // The executor is silent until its lease has ended, and then lists how the run had ended.
+  decider.handle({ type: 'tick' }, 3_000);
+  const task = { jobId: 'a', occurrence: 0, step: 0, index: 0 };
+  const end = { seq: 1, task, attempt: 1, how: 'failed', checkpoint: '' } as const;
+  const decisions = decider.handle(look(3_100, [end]), 3_100);
+  expect(decisions.filter(({ type }) => type === 'start')).toEqual([]);
+  expect(decisions).toContainEqual(
+    expect.objectContaining({ progress: expect.objectContaining({ state: 'failed' }) }),
+  );
+});
+
 describe('after a takeover', () => {
   test('a failure that the former owner has counted is counted again', () => {
     const clock = new ManualClock(1_000);
@@ -144,7 +171,7 @@
       ordersFrom: 0,
       rememberMs: 60_000,
     });
-    const failures = { '0.0.0': { count: 3, lastAttempt: 3 } };
+    const failures = { '0.0.0': [1, 2, 3] };
     const progress = { state: 'running', endedWallMs: 0, done: {}, failures } as const;
     const accepted = job('a', [step()]);
     decider.handle({ type: 'jobs', jobs: [{ accepted, progress }], adopted: true }, 1_000);
