refactor(jobs): remove members that nothing calls

Cause: a reading of the whole change found leaderOf, runCount, RunTable.size, nextDueAt and onContact without a caller. Change: they are removed; behaviour is the same.

--- a/packages/coordination/src/io/leader-keeper.ts
+++ b/packages/coordination/src/io/leader-keeper.ts
@@ -2,7 +2,6 @@
 import { Actor, every, sleep, type ActorContext, type Recipient } from '@turmerichoist/runtime';
 import {
   LeaderLease,
-  leaderValue,
   type GuardedTime,
   type LeaderClaim,
   type LeaderTerm,
@@ -214,8 +213,3 @@
     this.log.info('leadership released', { epoch: term.epoch });
   }
 }
-
-/** The member that leads according to the rows, for logs. */
-export function leaderOf(rows: readonly Row[]): MemberId | undefined {
-  return leaderValue(rows.find(({ key }) => key === OWNER_KEY))?.member;
-}
--- a/packages/coordination/src/io/table-watch.ts
+++ b/packages/coordination/src/io/table-watch.ts
@@ -19,8 +19,6 @@
    * whenever the history that was needed is gone. `sentAt`: own clock when it was asked for.
    */
   readonly onChanges: (rows: readonly RowChange[], snapshot: boolean, sentAt: Millis) => void;
-  /** Called after each answer of the store, changes or not, with the time at which it was sent. */
-  readonly onContact?: (sentAt: Millis) => void;
   readonly signal: AbortSignal;
 }
 
@@ -62,7 +60,6 @@
   if (read.isErr()) {
     return 'unavailable';
   }
-  options.onContact?.(sentAt);
   options.onChanges(read.value.rows, true, sentAt);
   return read.value.position;
 }
@@ -77,7 +74,6 @@
   if (read.isErr()) {
     return read.error.kind === 'revision-gone' ? 'gone' : 'unavailable';
   }
-  options.onContact?.(sentAt);
   if (read.value.rows.length > 0) {
     options.onChanges(read.value.rows, false, sentAt);
   }
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -100,10 +100,6 @@
     return this.#maintenance.waiting;
   }
 
-  get runCount(): number {
-    return this.#runs.size;
-  }
-
   /** Executors that may still run something and must be looked at. */
   get executors(): readonly ExecutorInfo[] {
     return [...this.#executors.all()].map(({ info }) => info);
--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -99,11 +99,6 @@
     }
   }
 
-  /** Own clock at which the next occurrence that is not due yet starts. */
-  nextDueAt(now: Millis): Millis | undefined {
-    return this.open ? this.#occurrences.find(({ dueAt }) => dueAt > now)?.dueAt : undefined;
-  }
-
   started(): void {
     if (this.#state === 'queued') {
       this.#state = 'running';
--- a/packages/core/src/jobs/run-table.ts
+++ b/packages/core/src/jobs/run-table.ts
@@ -73,10 +73,6 @@
   readonly #byJob = new Map<string, Map<TaskKey, Run>>();
   readonly #teamUse = new Map<TeamName, Resources>();
 
-  get size(): number {
-    return this.#byKey.size;
-  }
-
   get(key: TaskKey): Run | undefined {
     return this.#byKey.get(key);
   }
