fix(coordination): a feed that failed probes the store without waiting

Cause: while the store's client backs off it lets one call through at a time. Change: watchTable asks without waiting until its table is readable again.

--- a/packages/coordination/src/io/table-watch.ts
+++ b/packages/coordination/src/io/table-watch.ts
@@ -29,9 +29,12 @@
   let lost = false;
   while (!signal.aborted) {
     const sentAt = options.clock.now();
+    // While a service fails, its client lets one call through at a time; a call that waits for a
+    // change would keep all others out for as long as it waits.
+    const waitMs = lost ? 0 : options.waitMs;
     const next = await (position === undefined
       ? readSnapshot(options, sentAt)
-      : readChanges(options, position, sentAt));
+      : readChanges(options, position, waitMs, sentAt));
     if (next === 'unavailable') {
       if (!lost && !options.signal.aborted) {
         log.warn('table not readable', { table, position });
@@ -67,9 +70,10 @@
 async function readChanges(
   options: TableWatchOptions,
   position: RowVersion,
+  waitMs: Millis,
   sentAt: Millis,
 ): Promise<Next> {
-  const { feed, table, waitMs, signal } = options;
+  const { feed, table, signal } = options;
   const read = await feed.changes(table, position, waitMs, signal);
   if (read.isErr()) {
     return read.error.kind === 'revision-gone' ? 'gone' : 'unavailable';
