feat(jobs): a restarted member takes its own lease over at once

Change: a member that reads its own former process in the owner's row claims at once, since two processes of one member never run at once; it waits out orders to instances only if its former process had to. The bulletin has a file of its own. The test fails without the change.

--- a/packages/coordination/src/state/leader-lease.ts
+++ b/packages/coordination/src/state/leader-lease.ts
@@ -30,12 +30,16 @@
 export interface LeaderClaim {
   readonly version: RowVersion;
   readonly value: LeaderValue;
+  /** The former leader was an earlier process of this member, which has ended. */
+  readonly succeedsSelf: boolean;
 }
 
 /** A term of leadership. `epoch` rises with each leader and serves as the fencing token. */
 export interface LeaderTerm {
   readonly epoch: RowVersion;
   readonly generation: number;
+  /** The former leader is known to have been an earlier process of this member. */
+  readonly succeedsSelf: boolean;
 }
 
 /** Two readings of one moment, since a suspended instance's monotonic clock stands still. */
@@ -95,7 +99,9 @@
       return undefined;
     }
     this.#term = undefined;
-    const free = owner === undefined || owner.released;
+    // Two processes of one member never run at once, so the one that led before has ended.
+    const restarted = owner?.member === this.#member;
+    const free = owner === undefined || owner.released || restarted;
     return free || this.#isSilent(rows) ? this.#claim(rows.owner, owner) : undefined;
   }
 
@@ -105,7 +111,8 @@
   }
 
   claimed(claim: LeaderClaim, version: RowVersion, sentAt: GuardedTime): void {
-    this.#term = { epoch: version, generation: claim.value.generation };
+    const { succeedsSelf, value } = claim;
+    this.#term = { epoch: version, generation: value.generation, succeedsSelf };
     this.#renewedAt = sentAt;
   }
 
@@ -119,7 +126,7 @@
   /** Finds the own claim in the rows, whose answer was lost. It was not renewed since. */
   #adopt(version: RowVersion, generation: number): void {
     if (this.#term?.epoch !== version) {
-      this.#term = { epoch: version, generation };
+      this.#term = { epoch: version, generation, succeedsSelf: false };
     }
   }
 
@@ -141,6 +148,7 @@
         generation: owner === undefined ? 0 : owner.generation + 1,
         released: false,
       },
+      succeedsSelf: owner?.member === this.#member,
     };
   }
 }
--- a/packages/coordination/test/leader-lease.test.ts
+++ b/packages/coordination/test/leader-lease.test.ts
@@ -44,6 +44,11 @@
     expect(new LeaderLease('a', 'a1').observe(rows(0, released))?.value.generation).toBe(4);
   });
 
+  test('a member that was restarted waits for the lease of its own former process to end', () => {
+    const claim = new LeaderLease('b', 'b2').observe(rows(0, OTHER));
+    expect(claim).toMatchObject({ version: 5, value: { generation: 4 }, succeedsSelf: true });
+  });
+
   test('a leader that renews is replaced', () => {
     const claimed = firstClaim(new LeaderLease('a', 'a1'), 20_000, (now) => Math.floor(now / 500));
     expect(claimed).toBeUndefined();
@@ -93,7 +98,7 @@
   test('a claim whose answer was lost makes a leader without a renewal', () => {
     const lease = new LeaderLease('a', 'a1');
     lease.observe(rows(0, { ...OTHER, member: 'a', incarnation: 'a1' }));
-    expect(lease.term).toEqual({ epoch: 5, generation: 3 });
+    expect(lease.term).toEqual({ epoch: 5, generation: 3, succeedsSelf: false });
     expect(lease.valid({ now: 1, wall: 1 })).toBe(false);
   });
 });
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -20,7 +20,8 @@
 } from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
 import { Acceptor } from './acceptor.js';
-import { EMPTY_BULLETIN, JobOwner, type Bulletin } from './job-owner.js';
+import { EMPTY_BULLETIN, type Bulletin } from './bulletin.js';
+import { JobOwner } from './job-owner.js';
 import { JobService } from './job-service.js';
 import type {
   ExecutorConnector,
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -2,7 +2,6 @@
   JobDecider,
   type AcceptedJob,
   type Clock,
-  type ExecutorId,
   type ExecutorInfo,
   type JobDecision,
   type JobEvent,
@@ -20,6 +19,7 @@
   type TableStore,
 } from '@turmerichoist/coordination';
 import { Actor, every, type ActorContext, type Metrics } from '@turmerichoist/runtime';
+import type { Bulletin } from './bulletin.js';
 import { ExecutorLinks } from './executor-links.js';
 import type { ExecutorConnector, InstanceFleet, OperatorView, RowDecoder } from './ports.js';
 import { ProgressWriter, type PendingAcknowledgement } from './progress-writer.js';
@@ -64,24 +64,14 @@
   readonly inherited: Bulletin;
 }
 
-/** What a leader publishes with each renewal of its lease. */
-export interface Bulletin {
-  /** Jobs of each queue for which no task has started. */
-  readonly waiting: Readonly<Record<string, number>>;
-  /** Executors that may run something. */
-  readonly executors: readonly ExecutorId[];
-  /** Sizes of pools before anything was lent; empty until they are known. */
-  readonly poolSizes: Readonly<Record<string, number>>;
-}
-
-export const EMPTY_BULLETIN: Bulletin = { waiting: {}, executors: [], poolSizes: {} };
-
 /** Leads one cell for one term: feeds the decider and carries out what it decides. */
 export class JobOwner extends Actor<JobEvent> {
   readonly #options: JobOwnerOptions;
   readonly #decider: JobDecider;
   readonly #writer: ProgressWriter;
   readonly #links: ExecutorLinks;
+  /** Own clock from which instances may be ordered about. */
+  readonly #ordersFrom: Millis;
   readonly #executors = new Map<string, ExecutorInfo>();
   readonly #progress = new Map<string, JobProgress>();
   readonly #waves = new Map<
@@ -101,6 +91,9 @@
     const { clock, term, orderHandoverMs } = options;
     const now = clock.now();
     const first = term.generation === 0;
+    // Orders of an earlier process of this member come from the same holder.
+    const soleHolder = first || (term.succeedsSelf && options.inherited.mayOrder);
+    this.#ordersFrom = soleHolder ? now : now + orderHandoverMs;
     const sizes = Object.entries(options.inherited.poolSizes);
     this.#decider = new JobDecider({
       clock,
@@ -108,7 +101,7 @@
       unaccountedUntil: first ? now : now + UNACCOUNTED_MS,
       inherited: options.inherited.executors,
       ...(sizes.length === 0 ? {} : { poolSizes: new Map(sizes) }),
-      ordersFrom: first ? now : now + orderHandoverMs,
+      ordersFrom: this.#ordersFrom,
       rememberMs: REMEMBER_MS,
     });
     const { connector, mayAct, maxLeaseMs } = options;
@@ -138,6 +131,7 @@
       waiting: Object.fromEntries(this.#decider.waiting),
       executors: this.#decider.executorIds,
       poolSizes: Object.fromEntries(this.#decider.poolSizes ?? []),
+      mayOrder: this.#options.clock.now() >= this.#ordersFrom,
     };
   }
 
