fix(jobs): ends, lives and lists of executors that were cut off or began anew

A list of executors that is behind took a new life for another one. After a new life tasks started elsewhere before an order that was on its way to it had been ruled out. Change: a done end counts unless its task runs elsewhere; a list can only raise the start time of an executor; tasks whose order is unsettled wait for a stop, at most until the lease of the old life ends. The four tests fail without the change.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -180,10 +180,12 @@
       const state = this.#executors.get(info.id);
       if (state === undefined) {
         this.#executors.add(info, now);
-      } else if (state.info.bornWallMs !== info.bornWallMs) {
-        this.#newLife(info, now);
+      } else if (state.info.bornWallMs < info.bornWallMs) {
+        this.#newLife(state, info, now);
       } else {
-        this.#executors.update(info.id, { info, listed: true });
+        // The list may be behind what the executor itself has reported of its new life.
+        const { bornWallMs } = state.info;
+        this.#executors.update(info.id, { info: { ...info, bornWallMs }, listed: true });
       }
     }
     for (const { info } of [...this.#executors.all()]) {
@@ -198,10 +200,11 @@
     return this.#retired.get(id) === bornWallMs;
   }
 
-  #newLife(info: ExecutorInfo, now: Millis): void {
-    this.#book.newLife(info.id);
+  #newLife({ leaseEndsAt }: ExecutorState, info: ExecutorInfo, now: Millis): void {
+    this.#book.newLife(info.id, now);
     this.#acknowledge.delete(info.id);
     this.#executors.add(info, now);
+    this.#executors.update(info.id, { leaseEndsAt });
   }
 
   #cancel(ids: readonly JobId[], now: Millis): readonly JobDecision[] {
@@ -223,7 +226,7 @@
       return [];
     }
     if (known.info.bornWallMs !== report.bornWallMs) {
-      this.#newLife({ ...known.info, bornWallMs: report.bornWallMs }, now);
+      this.#newLife(known, { ...known.info, bornWallMs: report.bornWallMs }, now);
     }
     const state = this.#executors.get(report.executor);
     if (state === undefined || (state.lastReportAt ?? -Infinity) > report.sentAt) {
@@ -303,13 +306,11 @@
   }
 
   /** Past the end of its lease an executor runs nothing, whether it can be reached or not. */
-  #checkLease({ info, listed, leaseEndsAt, accounted }: ExecutorState, now: Millis): void {
+  #checkLease({ info, listed, leaseEndsAt }: ExecutorState, now: Millis): void {
     if (leaseEndsAt > now) {
       return;
     }
-    if (accounted) {
-      this.#book.loseAll(info.id);
-    }
+    this.#book.loseAll(info.id);
     if (!listed) {
       this.#executors.remove(info.id);
     }
--- a/packages/core/src/jobs/run-book.ts
+++ b/packages/core/src/jobs/run-book.ts
@@ -138,14 +138,17 @@
     });
   }
 
-  /** The executor has a new life: an order of the old one that is still on its way is ruled out. */
-  newLife(executor: ExecutorId): void {
+  /**
+   * The executor has a new life and runs nothing. An order that is still on its way may reach the
+   * new life, so its task waits until the order is ruled out.
+   */
+  newLife(executor: ExecutorId, now: Millis): void {
     for (const run of this.#runs.at(executor)) {
       if (run.phase === 'starting' || run.phase === 'unknown') {
-        const { task, attempt } = run;
-        this.#decisions.push({ type: 'stop', executor, task, attempt, why: 'new life' });
+        this.stop(run, 'new life', now);
+      } else {
+        this.#drop(run);
       }
-      this.#drop(run);
     }
   }
 
@@ -157,10 +160,9 @@
     }
     const run = this.#runs.get(taskKey(end.task));
     const current = run?.executor === executor && run.attempt === end.attempt;
-    const inherited = run === undefined && !step.isOwnAttempt(end.attempt);
     step.sawAttempt(end.task.index, end.attempt);
-    if (!current && !inherited && end.how !== 'failed') {
-      // The run was given up after its lease had ended; its end no longer counts, but a failure does.
+    if (run !== undefined && !current && end.how !== 'failed') {
+      // The run was given up and the task runs elsewhere; its end no longer counts, a failure does.
       return;
     }
     step.saveCheckpoint(end.task.index, end.checkpoint);
--- a/packages/core/src/jobs/step-progress.ts
+++ b/packages/core/src/jobs/step-progress.ts
@@ -59,11 +59,6 @@
     this.#attempts.set(index, Math.max(this.#attempts.get(index) ?? 0, attempt));
   }
 
-  /** Whether an attempt number was given out by this owner, and not by an earlier one. */
-  isOwnAttempt(attempt: number): boolean {
-    return attempt >= this.#firstAttempt;
-  }
-
   take(index: number): void {
     this.#pending.delete(index);
   }
--- /dev/null
+++ b/packages/core/test/jobs-executor-lives.test.ts
@@ -0,0 +1,101 @@
+import { describe, expect, test } from '@jest/globals';
+import {
+  JobDecider,
+  ManualClock,
+  type JobDecision,
+  type JobEvent,
+  type ReportedEnd,
+} from '../src/index.js';
+import { executor, job, step } from './support/job-fixtures.js';
+
+const TASK = { jobId: 'a', occurrence: 0, step: 0, index: 0 } as const;
+const START = { type: 'start', task: TASK };
+
+/** A cell with the executor `e1` and the job `a` of one task, which has been ordered to start. */
+class OneTaskCell {
+  readonly decider = new JobDecider({
+    clock: new ManualClock(1_000),
+    firstAttempt: 1,
+    unaccountedUntil: 0,
+    ordersFrom: 0,
+    rememberMs: 60_000,
+  });
+
+  constructor() {
+    this.list(1, 1_000);
+    this.look(1_000);
+    const accepted = job('a', [step()]);
+    this.tell({ type: 'jobs', jobs: [{ accepted }], adopted: false }, 1_000);
+  }
+
+  tell(event: JobEvent, now: number): readonly JobDecision[] {
+    return this.decider.handle(event, now);
+  }
+
+  /** The platform lists the executor with this start time. */
+  list(bornWallMs: number, now: number): readonly JobDecision[] {
+    return this.tell({ type: 'executors', executors: [executor('e1', { bornWallMs })] }, now);
+  }
+
+  look(now: number, ended: readonly ReportedEnd[] = [], bornWallMs = 1): readonly JobDecision[] {
+    const report = { executor: 'e1', bornWallMs, sentAt: now, running: [], ended };
+    return this.tell({ type: 'report', leaseEndsAt: now + 1_000, report }, now);
+  }
+
+  started(now: number): void {
+    const answer = { task: TASK, attempt: 1, executor: 'e1', outcome: 'started' } as const;
+    this.tell({ type: 'start-answer', ...answer }, now);
+  }
+}
+
+describe('an executor that was cut off', () => {
+  test('a task that it had done is started again once its end is known', () => {
+    const cell = new OneTaskCell();
+    cell.started(1_010);
+    // Its lease ends before it can be reached again.
+    cell.tell({ type: 'tick' }, 3_000);
+    const end = { seq: 1, task: TASK, attempt: 1, how: 'done', checkpoint: '' } as const;
+    const decisions = cell.look(3_100, [end]);
+    expect(decisions).not.toContainEqual(expect.objectContaining(START));
+    expect(decisions).toContainEqual(
+      expect.objectContaining({ progress: expect.objectContaining({ state: 'completed' }) }),
+    );
+  });
+});
+
+describe('an executor that began a new life', () => {
+  test('its task starts elsewhere whenever a list that is behind shows its old life', () => {
+    const cell = new OneTaskCell();
+    cell.started(1_010);
+    cell.look(1_200, [], 2);
+    const answer = { task: TASK, attempt: 2, executor: 'e1', outcome: 'started' } as const;
+    cell.tell({ type: 'start-answer', ...answer }, 1_210);
+    const executors = [executor('e1', { bornWallMs: 1 }), executor('e2')];
+    const report = { executor: 'e2', bornWallMs: 1, sentAt: 1_310, running: [], ended: [] };
+    const decisions = [
+      ...cell.tell({ type: 'executors', executors }, 1_300),
+      ...cell.tell({ type: 'report', leaseEndsAt: 9_000, report }, 1_310),
+    ];
+    expect(decisions.filter(({ type }) => type === 'start' || type === 'stop')).toEqual([]);
+  });
+
+  test('a task starts elsewhere before an order that may reach the new life is ruled out', () => {
+    const cell = new OneTaskCell();
+    const reborn = cell.look(1_200, [], 2);
+    expect(reborn).toContainEqual(expect.objectContaining({ type: 'stop', task: TASK }));
+    expect(reborn).not.toContainEqual(expect.objectContaining(START));
+    const stop = { task: TASK, attempt: 1, executor: 'e1', answered: true } as const;
+    cell.tell({ type: 'stop-answer', ...stop }, 1_210);
+    expect(cell.look(1_220, [], 2)).toContainEqual(expect.objectContaining(START));
+  });
+
+  test('a task waits for ever for a new life that never answers', () => {
+    const cell = new OneTaskCell();
+    cell.list(2, 1_200);
+    cell.tell({ type: 'executors', executors: [executor('e2')] }, 1_300);
+    const report = { executor: 'e2', bornWallMs: 1, sentAt: 1_300, running: [], ended: [] };
+    cell.tell({ type: 'report', leaseEndsAt: 9_000, report }, 1_300);
+    const decisions = cell.tell({ type: 'tick' }, 2_100);
+    expect(decisions).toContainEqual(expect.objectContaining({ ...START, executor: 'e2' }));
+  });
+});
