perf(jobs): an executor that did not answer gets no tasks until it reports

Cause: starts went on to an executor that had left a start unanswered, for up to 2.5 s after its last report, and each of their tasks then waited until its lease had ended. Change: after a call without an answer an executor is not usable before a look that was sent later has been answered; such a look follows at once. Conclusion: kept for what its test shows; it fails without the change.

--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -26,6 +26,8 @@
   /** Highest sequence number of its ends that was handled. */
   readonly endsSeen: number;
   readonly pausedUntil: Millis;
+  /** Own clock of the latest call that it did not answer. */
+  readonly unansweredAt: Millis;
   /** Runs that failed there since the last one that did not. */
   readonly failureStreak: number;
   /** Its instance has been ordered down; whether it has gone down is not seen yet. */
@@ -68,6 +70,7 @@
       leaseEndsAt: now,
       endsSeen: 0,
       pausedUntil: 0,
+      unansweredAt: -Infinity,
       failureStreak: 0,
       ending: false,
       maintenanceDue: false,
@@ -86,6 +89,11 @@
     this.#states.delete(id);
   }
 
+  /** It did not answer a call, so it gets no new tasks until it has answered a later look. */
+  unanswered(id: ExecutorId, now: Millis): void {
+    this.update(id, { unansweredAt: now });
+  }
+
   pause(id: ExecutorId, now: Millis): void {
     this.update(id, { pausedUntil: now + REFUSAL_PAUSE_MS });
   }
@@ -111,7 +119,8 @@
 
   /** Whether new tasks may be sent to the executor, apart from zones that are out of service. */
   usable(state: ExecutorState, now: Millis): boolean {
-    const { info, listed, accounted, lastReportAt, pausedUntil, cordoned, leaseEndsAt } = state;
+    const { info, listed, accounted, pausedUntil, cordoned, leaseEndsAt } = state;
+    const lastReportAt = state.lastReportAt ?? -Infinity;
     return (
       listed &&
       accounted &&
@@ -119,7 +128,7 @@
       !cordoned &&
       pausedUntil <= now &&
       leaseEndsAt > now &&
-      lastReportAt !== undefined &&
+      lastReportAt >= state.unansweredAt &&
       now - lastReportAt <= SILENT_AFTER_MS
     );
   }
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -142,6 +142,7 @@
         return this.#report(event.report, event.leaseEndsAt, now);
       case 'silent':
         this.#executors.update(event.executor, { leaseEndsAt: event.leaseEndsAt });
+        this.#executors.unanswered(event.executor, now);
         return [];
       case 'start-answer': {
         const run = this.#book.current(event.task, event.attempt, event.executor);
--- a/packages/core/src/jobs/run-book.ts
+++ b/packages/core/src/jobs/run-book.ts
@@ -78,6 +78,7 @@
         }
         return;
       case 'unknown':
+        this.#executors.unanswered(run.executor, now);
         if (run.phase === 'starting') {
           this.#runs.update(run, { phase: 'unknown', orderedAt: now });
         }
--- a/packages/core/test/jobs-executor-lives.test.ts
+++ b/packages/core/test/jobs-executor-lives.test.ts
@@ -63,6 +63,22 @@
   });
 });
 
+describe('an executor that did not answer', () => {
+  test('gets more tasks, which all wait until its lease has ended', () => {
+    const cell = new OneTaskCell();
+    const answer = { task: TASK, attempt: 1, executor: 'e1', outcome: 'unknown' } as const;
+    cell.tell({ type: 'start-answer', ...answer }, 1_450);
+    const more: JobEvent = {
+      type: 'jobs',
+      jobs: [{ accepted: job('b', [step()]) }],
+      adopted: false,
+    };
+    expect(cell.tell(more, 1_460).filter(({ type }) => type === 'start')).toEqual([]);
+    const second = { type: 'start', task: { ...TASK, jobId: 'b' } };
+    expect(cell.look(1_470)).toContainEqual(expect.objectContaining(second));
+  });
+});
+
 describe('an executor that began a new life', () => {
   test('its task starts elsewhere whenever a list that is behind shows its old life', () => {
     const cell = new OneTaskCell();
