fix(jobs): a task started again when looks at an executor overtook each other

Cause: a look that waits for an end may be answered after one that was sent later. Change: the time at which the run was seen counts.

--- a/packages/core/src/jobs/run-book.ts
+++ b/packages/core/src/jobs/run-book.ts
@@ -193,7 +193,7 @@
   }
 
   #running(report: ExecutorReport, running: ReportedRun, now: Millis): void {
-    const { executor, sentAt } = report;
+    const { executor } = report;
     const { task, attempt, checkpoint, percent, gauge } = running;
     const run = this.#runs.get(taskKey(task));
     const step = this.#jobs.step(task);
@@ -204,7 +204,8 @@
       this.#runs.update(run, {
         percent,
         gauge,
-        ...(seen ? { phase: 'running', settledAt: sentAt } : {}),
+        // A look that was sent before the run was seen may show the executor as it was before.
+        ...(seen ? { phase: 'running', settledAt: now } : {}),
       });
       return;
     }
--- a/packages/core/test/jobs-executor-lives.test.ts
+++ b/packages/core/test/jobs-executor-lives.test.ts
@@ -79,6 +79,19 @@
   });
 });
 
+describe('looks at an executor that overtake each other', () => {
+  test('a task starts again because an older list, asked for later, does not show it', () => {
+    const cell = new OneTaskCell();
+    const running = [{ task: TASK, attempt: 1, checkpoint: '', percent: 0, gauge: 0 }];
+    // The first look waited for an end and was answered last by the executor, but arrives first.
+    const waited = { executor: 'e1', bornWallMs: 1, sentAt: 1_005, running, ended: [] };
+    cell.tell({ type: 'report', leaseEndsAt: 9_000, report: waited }, 1_040);
+    const short = { ...waited, sentAt: 1_010, running: [] };
+    const decisions = cell.tell({ type: 'report', leaseEndsAt: 9_000, report: short }, 1_045);
+    expect(decisions.filter(({ type }) => type === 'start')).toEqual([]);
+  });
+});
+
 describe('an executor that began a new life', () => {
   test('its task starts elsewhere whenever a list that is behind shows its old life', () => {
     const cell = new OneTaskCell();
