--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -10,7 +10,7 @@
 const MAX_FAILURE_STREAK = 2;
 const FAILURE_PAUSE_MS: Millis = 1_500;
 const MAX_PAUSE_DOUBLINGS = 3;
-/** An executor that has not reported for this long gets no new tasks. */
+/** An executor that has not reported for this long counts as silent. */
 const SILENT_AFTER_MS: Millis = 2_500;
 
 /** What the owner knows about one executor. */
@@ -94,7 +94,8 @@
     this.update(id, { unansweredAt: now });
   }
 
-  pause(id: ExecutorId, now: Millis): void {
+  /** It refused an order. */
+  refused(id: ExecutorId, now: Millis): void {
     this.update(id, { pausedUntil: now + REFUSAL_PAUSE_MS });
   }
 
@@ -117,10 +118,18 @@
       .reduce((free, run) => subtract(free, run.footprint), state.info.capacity);
   }
 
+  /** Whether it has answered lately, and every call since it last reported. */
+  isResponsive({ lastReportAt, unansweredAt }: ExecutorState, now: Millis): boolean {
+    return (
+      lastReportAt !== undefined &&
+      lastReportAt >= unansweredAt &&
+      now - lastReportAt <= SILENT_AFTER_MS
+    );
+  }
+
   /** Whether new tasks may be sent to the executor, apart from zones that are out of service. */
   usable(state: ExecutorState, now: Millis): boolean {
     const { info, listed, accounted, pausedUntil, cordoned, leaseEndsAt } = state;
-    const lastReportAt = state.lastReportAt ?? -Infinity;
     return (
       listed &&
       accounted &&
@@ -128,8 +137,7 @@
       !cordoned &&
       pausedUntil <= now &&
       leaseEndsAt > now &&
-      lastReportAt >= state.unansweredAt &&
-      now - lastReportAt <= SILENT_AFTER_MS
+      this.isResponsive(state, now)
     );
   }
 }
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -218,7 +218,7 @@
       return wait({ instance: name, reason: 'executor-unseen' }, false);
     }
     const runs = executor === undefined ? [] : this.#parts.runs.at(executor);
-    const blocked = this.#blockedStep(runs);
+    const blocked = this.#blockedStep(runs, now);
     const cordoned = wave.cordonedAt.has(name);
     if (blocked !== undefined && !cordoned && this.#expendable(blocked) === undefined) {
       return wait({ instance: name, reason: 'budget', step: blocked.step }, false);
@@ -268,7 +268,7 @@
   }
 
   /** The first lasting step whose budget does not allow that these runs all end at once. */
-  #blockedStep(runs: readonly Run[]): BlockedStep | undefined {
+  #blockedStep(runs: readonly Run[], now: Millis): BlockedStep | undefined {
     const steps = new Map<string, Run[]>();
     for (const run of runs) {
       // What was last seen below full readiness may be at work by now.
@@ -283,7 +283,7 @@
       const spec =
         ofStep[0] === undefined ? undefined : this.#parts.jobs.step(ofStep[0].task)?.spec;
       const budget = Math.max(1, spec?.maxUnavailable ?? 1);
-      const away = this.#awayElsewhere(ofStep, spec?.taskCount ?? 0, leaving);
+      const away = this.#awayElsewhere(ofStep, spec?.taskCount ?? 0, leaving, now);
       if (away + ofStep.length > budget) {
         return { step, runs: ofStep, away, budget };
       }
@@ -306,21 +306,27 @@
     runs: readonly Run[],
     taskCount: number,
     leaving: ReadonlySet<ExecutorId>,
+    now: Millis,
   ): number {
     const task = runs[0]?.task;
     const siblings = this.#parts.runs
       .ofJob(task?.jobId ?? '')
       .filter((run) => run.task.occurrence === task?.occurrence && run.task.step === task.step);
     const sound = siblings.filter(
-      (one) => !leaving.has(one.executor) && isAtWork(one) && !this.#isOrdered(one.executor),
+      (one) => !leaving.has(one.executor) && isAtWork(one) && this.#isSound(one.executor, now),
     );
     return taskCount - runs.length - sound.length;
   }
 
-  #isOrdered(executor: ExecutorId): boolean {
+  /** Whether the executor answers and its instance has not been ordered down. */
+  #isSound(executor: ExecutorId, now: Millis): boolean {
+    const state = this.#parts.executors.get(executor);
+    const ordered = [...this.#pending.values()].some((order) => order.executor === executor);
     return (
-      this.#parts.executors.get(executor)?.ending === true ||
-      [...this.#pending.values()].some((order) => order.executor === executor)
+      state !== undefined &&
+      !state.ending &&
+      !ordered &&
+      this.#parts.executors.isResponsive(state, now)
     );
   }
 
--- a/packages/core/test/jobs-maintenance.test.ts
+++ b/packages/core/test/jobs-maintenance.test.ts
@@ -85,6 +85,15 @@
     expect(cell.orders()).toEqual([]);
   });
 
+  test('counts tasks of an executor that does not answer as at work', () => {
+    const cell = new MaintainedCell(1);
+    cell.handle({ type: 'silent', executor: 'e2', leaseEndsAt: cell.clock.now() + 4_000 });
+    expect(cell.orders()).not.toContain('m1');
+    cell.clock.advance(3_000);
+    cell.report('e1', 0);
+    expect(cell.orders()).not.toContain('m1');
+  });
+
   test('starts tasks again that run on, when the maintenance had been done by an earlier owner', () => {
     const cell = new MaintainedCell(2);
     cell.orders();
