--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -48,6 +48,20 @@
     return [...(this.#openByPool.get(pool)?.values() ?? [])];
   }
 
+  /** Processors that tasks of finite jobs which could start now wait for. */
+  waitingProcessors(pool: PoolName, now: Millis): number {
+    let waiting = 0;
+    for (const job of this.#openByPool.get(pool)?.values() ?? []) {
+      for (const { occurrence, step } of job.ready(now)) {
+        const ready = job.step({ jobId: job.id, occurrence, step, index: 0 });
+        if (ready?.spec.lasting === false) {
+          waiting += ready.pending.size * ready.spec.resources.processors;
+        }
+      }
+    }
+    return waiting;
+  }
+
   /** Jobs of a queue for which no task has started. */
   waitingByQueue(): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -93,7 +93,7 @@
     );
     const decisions: JobDecision[] = [];
     const taken = new Set<string>();
-    for (const { pool, count } of this.#needs(pools)) {
+    for (const { pool, count } of this.#needs(pools, now)) {
       let missing = count;
       for (const donor of this.#donors(free, pool, pools, now)) {
         // Each move changes what the donor's pool may spare.
@@ -111,30 +111,20 @@
   /** Instances that pools lack, the pool that lacks most first. */
   #needs(
     pools: ReadonlyMap<PoolName, PoolPolicy>,
+    now: Millis,
   ): readonly { readonly pool: PoolName; readonly count: number }[] {
-    const needs = [...pools.values()]
+    return [...pools.values()]
       .filter(({ standby }) => !standby)
-      .map(({ name }) => {
-        const size = this.#typicalSize(name);
-        const lacking = this.#waitingProcessors(name) / Math.max(1, size.processors);
-        const incoming = [...this.#moves.values()].filter(({ to }) => to === name).length;
-        return { pool: name, count: Math.floor(lacking + 1 - MIN_FILL) - incoming };
-      });
-    return needs.filter(({ count }) => count > 0).sort((a, b) => b.count - a.count);
-  }
-
-  /** Processors that the ready tasks of finite jobs wait for. */
-  #waitingProcessors(pool: PoolName): number {
-    let waiting = 0;
-    for (const job of this.#parts.jobs.openIn(pool)) {
-      for (const { steps } of job.occurrences) {
-        for (const { spec, pending } of steps) {
-          const ready = spec.after.every((other) => steps[other]?.complete);
-          waiting += ready && !spec.lasting ? pending.size * spec.resources.processors : 0;
-        }
-      }
-    }
-    return waiting;
+      .map(({ name }) => ({ pool: name, count: this.#lacking(name, now) }))
+      .filter(({ count }) => count > 0)
+      .sort((a, b) => b.count - a.count);
+  }
+
+  #lacking(pool: PoolName, now: Millis): number {
+    const size = Math.max(1, this.#typicalSize(pool).processors);
+    const incoming = [...this.#moves.values()].filter(({ to }) => to === pool).length;
+    const lacking = this.#parts.jobs.waitingProcessors(pool, now) / size;
+    return Math.floor(lacking + 1 - MIN_FILL) - incoming;
   }
 
   #typicalSize(pool: PoolName): Resources {
@@ -153,16 +143,19 @@
       ({ pool, executor }) =>
         pool !== to &&
         pools.get(pool)?.standby !== true &&
-        this.#waitingProcessors(pool) === 0 &&
+        this.#parts.jobs.waitingProcessors(pool, now) === 0 &&
         this.#idleFor(executor, now) >= IDLE_BEFORE_LENDING_MS,
     );
     return [...off, ...idle];
   }
 
+  /** Instances of a pool that are not about to leave it. */
+  #remaining(pool: PoolName): number {
+    return this.#instances.filter((one) => one.pool === pool && !this.#moves.has(one.name)).length;
+  }
+
   #maySpare(pool: PoolName): boolean {
-    const leaving = [...this.#moves.keys()].filter((name) => this.#poolOf(name) === pool).length;
-    const size = this.#instances.filter((one) => one.pool === pool).length - leaving;
-    return size > (this.#firstSizes?.get(pool) ?? 0) * MIN_POOL_SHARE + 1;
+    return this.#remaining(pool) > (this.#firstSizes?.get(pool) ?? 0) * MIN_POOL_SHARE + 1;
   }
 
   /** Switches off what a pool has beyond its first size and does not use. */
@@ -203,10 +196,6 @@
     }
   }
 
-  #poolOf(name: string): PoolName | undefined {
-    return this.#instances.find((one) => one.name === name)?.pool;
-  }
-
   #trackIdle(now: Millis): void {
     for (const { info, accounted } of this.#parts.executors.all()) {
       if (!accounted || this.#parts.runs.at(info.id).length > 0) {
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -71,12 +71,17 @@
   ): Promise<InstanceOrderOutcome>;
 }
 
+/** A wave as operators ask for it. */
+export interface RequestedWave extends Omit<MaintenanceWave, 'begun' | 'completed' | 'dueAt'> {
+  /** Time within which all instances should have begun. */
+  readonly durationMs: Millis;
+}
+
 /** What operators have asked for, as decoded from the platform. */
 export interface OperatorView {
   readonly config: JobConfig | undefined;
   readonly zonesOut: ReadonlySet<ZoneName>;
-  /** Waves without what was begun of them. */
-  readonly waves: readonly Omit<MaintenanceWave, 'begun' | 'completed' | 'dueAt'>[];
+  readonly waves: readonly RequestedWave[];
 }
 
 /** Decodes rows that others write. */
