perf(jobs): the order of jobs follows durations as seen

Cause: least work first takes the declared durations, and those of nadroga's queues tell little. Change: TaskDurations keeps what tasks of each queue took, and weighs what is declared by how well it has told them apart; the work of a job follows it. Slow and hanging executors stay noticed by failures only.

--- a/packages/core/src/jobs/cell-tables.ts
+++ b/packages/core/src/jobs/cell-tables.ts
@@ -1,10 +1,12 @@
 import type { ExecutorTable } from './executor-table.js';
 import type { JobTable } from './job-table.js';
 import type { RunTable } from './run-table.js';
+import type { TaskDurations } from './task-durations.js';
 
 /** What the parts of a cell's decider share. */
 export interface CellTables {
   readonly jobs: JobTable;
   readonly runs: RunTable;
   readonly executors: ExecutorTable;
+  readonly durations: TaskDurations;
 }
--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -5,3 +5,4 @@
 export * from './messages.js';
 export * from './model.js';
 export { LeastWorkFirst, jobWork, longestChainMs, objectiveAt, type JobOrder } from './ordering.js';
+export { TaskDurations } from './task-durations.js';
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -16,6 +16,7 @@
 import { RunBook } from './run-book.js';
 import { RunTable } from './run-table.js';
 import { Scheduler } from './scheduler.js';
+import { TaskDurations } from './task-durations.js';
 
 export interface JobDeciderOptions {
   readonly clock: Clock;
@@ -38,6 +39,7 @@
 export class JobDecider implements Decider<JobEvent, JobDecision> {
   readonly #options: JobDeciderOptions;
   readonly #runs = new RunTable();
+  readonly #durations = new TaskDurations();
   readonly #executors: ExecutorTable;
   readonly #jobs: JobTable;
   readonly #book: RunBook;
@@ -65,9 +67,17 @@
     this.#options = options;
     this.#jobs = new JobTable(options);
     this.#executors = new ExecutorTable(this.#runs);
-    const parts = { jobs: this.#jobs, runs: this.#runs, executors: this.#executors };
+    const parts = {
+      jobs: this.#jobs,
+      runs: this.#runs,
+      executors: this.#executors,
+      durations: this.#durations,
+    };
     this.#book = new RunBook(parts, () => options.clock.wall());
-    this.#scheduler = new Scheduler({ ...parts, order: options.order ?? new LeastWorkFirst() });
+    this.#scheduler = new Scheduler({
+      ...parts,
+      order: options.order ?? new LeastWorkFirst(this.#durations),
+    });
     this.#maintenance = new MaintenancePlanner({ ...parts, book: this.#book }, options.ordersFrom);
     this.#pacing = new Pacing(this.#runs);
     this.#lender = new PoolLender(parts, options.ordersFrom, options.poolSizes);
--- a/packages/core/src/jobs/ordering.ts
+++ b/packages/core/src/jobs/ordering.ts
@@ -1,6 +1,7 @@
 import type { Millis } from '../types/index.js';
 import type { Job } from './job.js';
 import type { StepSpec } from './model.js';
+import type { TaskDurations } from './task-durations.js';
 
 /** Decides which job gets room first. */
 export interface JobOrder {
@@ -8,17 +9,13 @@
   sort(jobs: readonly Job[], now: Millis): readonly Job[];
 }
 
-/** Core-milliseconds of the tasks of one step that are not done. */
-function remainingWork(spec: StepSpec, doneCount: number): number {
-  return spec.resources.processors * spec.estimateMs * (spec.taskCount - doneCount);
-}
-
-/** Declared work of a job that is not done, in thousandths of core-milliseconds. */
-export function jobWork(job: Job): number {
+/** Likely work of a job that is not done, in processor-milliseconds. */
+export function jobWork(job: Job, durations: TaskDurations): number {
   let work = 0;
   for (const { steps } of job.occurrences) {
-    for (const step of steps) {
-      work += remainingWork(step.spec, step.doneCount);
+    for (const { spec, doneCount } of steps) {
+      const durationMs = durations.expectedMs(job.accepted.queue, spec.estimateMs);
+      work += spec.resources.processors * durationMs * (spec.taskCount - doneCount);
     }
   }
   return work;
@@ -82,13 +79,19 @@
  * completes the most jobs in time.
  */
 export class LeastWorkFirst implements JobOrder {
+  readonly #durations: TaskDurations;
+
+  constructor(durations: TaskDurations) {
+    this.#durations = durations;
+  }
+
   sort(jobs: readonly Job[], now: Millis): readonly Job[] {
     return jobs
       .map((job) => ({
         job,
         rank: rank(job, now),
         started: job.state === 'running',
-        work: jobWork(job),
+        work: jobWork(job, this.#durations),
       }))
       .sort(compare)
       .map(({ job }) => job);
--- a/packages/core/src/jobs/run-book.ts
+++ b/packages/core/src/jobs/run-book.ts
@@ -15,6 +15,8 @@
   type TaskRef,
 } from './model.js';
 import { newRun, type Run, type RunTable } from './run-table.js';
+import type { StepProgress } from './step-progress.js';
+import type { TaskDurations } from './task-durations.js';
 
 /** Pause before an order to stop that was not answered is sent again. */
 const STOP_RETRY_MS: Millis = 600;
@@ -33,6 +35,7 @@
   readonly #jobs: JobTable;
   readonly #runs: RunTable;
   readonly #executors: ExecutorTable;
+  readonly #durations: TaskDurations;
   readonly #wall: () => Millis;
   #decisions: JobDecision[] = [];
   #changed = new Set<JobId>();
@@ -41,6 +44,7 @@
     this.#jobs = parts.jobs;
     this.#runs = parts.runs;
     this.#executors = parts.executors;
+    this.#durations = parts.durations;
     this.#wall = wall;
   }
 
@@ -91,7 +95,7 @@
         this.#drop(run);
         return;
       default:
-        this.#executors.pause(run.executor, now);
+        this.#executors.refused(run.executor, now);
         this.#drop(run);
     }
   }
@@ -168,6 +172,7 @@
     }
     step.saveCheckpoint(end.task.index, end.checkpoint);
     if (current) {
+      this.#recordDuration(job, step, run, end, now);
       this.#drop(run);
     }
     this.#applyEnd(job, end, now);
@@ -176,6 +181,12 @@
     }
   }
 
+  #recordDuration(job: Job, { spec }: StepProgress, run: Run, end: ReportedEnd, now: Millis): void {
+    if (end.how === 'done' && run.startedAt !== undefined) {
+      this.#durations.record(job.accepted.queue, spec.estimateMs, now - run.startedAt);
+    }
+  }
+
   #applyEnd(job: Job, end: ReportedEnd, now: Millis): void {
     const effect =
       end.how === 'done'
@@ -235,7 +246,14 @@
     job.started();
     const order = { task, attempt, executor, orderedAt: now };
     const begun = newRun(job, step, order);
-    this.#runs.add({ ...begun, phase: 'running', settledAt: now, percent, gauge });
+    this.#runs.add({
+      ...begun,
+      phase: 'running',
+      startedAt: undefined,
+      settledAt: now,
+      percent,
+      gauge,
+    });
   }
 
   /** A run that the report does not list. */
--- a/packages/core/src/jobs/run-table.ts
+++ b/packages/core/src/jobs/run-table.ts
@@ -31,6 +31,8 @@
   /** What counts towards the team's cap. */
   readonly resources: Resources;
   readonly orderedAt: Millis;
+  /** Own clock of its start; undefined for a run that an earlier owner started. */
+  readonly startedAt: Millis | undefined;
   /** Own clock from which a report without this run proves that it is gone; undefined: none does. */
   readonly settledAt: Millis | undefined;
   /** Own clock of the latest order to stop it. */
@@ -58,6 +60,7 @@
     targetMs: spec.targetMs,
     footprint: footprint(spec),
     resources: spec.resources,
+    startedAt: order.orderedAt,
     settledAt: undefined,
     stopSentAt: undefined,
     percent: 0,
