fix(jobs): ends of leases wait after a standstill of the owner

Cause: found by reading. After a standstill the tick comes before the answers and time-outs of looks that had extended leases, so runs that are at work could be given up and started elsewhere. Change: StandstillGuard; leases are not ended for 2 s after a gap of 1 s between two ticks.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -16,6 +16,7 @@
 import { RunBook } from './run-book.js';
 import { RunTable } from './run-table.js';
 import { Scheduler } from './scheduler.js';
+import { StandstillGuard } from './standstill-guard.js';
 import { TaskDurations } from './task-durations.js';
 
 export interface JobDeciderOptions {
@@ -56,6 +57,7 @@
   >();
   /** Start times of executors whose instances were ordered down. */
   readonly #retired = new Map<ExecutorId, Millis>();
+  readonly #standstill = new StandstillGuard();
   /** Every start of earlier owners has been accounted for. */
   #adoptedReleased = false;
   /** Cancelled jobs, since a cancellation may be seen before its job. */
@@ -303,8 +305,10 @@
   }
 
   #tick(now: Millis): readonly JobDecision[] {
-    for (const state of [...this.#executors.all()]) {
-      this.#checkLease(state, now);
+    if (this.#standstill.tick(now)) {
+      [...this.#executors.all()].forEach((state) => {
+        this.#checkLease(state, now);
+      });
     }
     this.#book.retryStops(now);
     this.#jobs.forgetEndedBefore(this.#options.clock.wall() - this.#options.rememberMs);
--- a/packages/core/test/jobs-executor-lives.test.ts
+++ b/packages/core/test/jobs-executor-lives.test.ts
@@ -79,6 +79,27 @@
   });
 });
 
+describe('an owner that stood still', () => {
+  test('starts tasks again before it has heard of the looks that extended their leases', () => {
+    const cell = new OneTaskCell();
+    cell.started(1_010);
+    cell.tell({ type: 'tick' }, 1_100);
+    const afterwards = [
+      ...cell.tell({ type: 'tick' }, 9_000),
+      ...cell.tell({ type: 'tick' }, 9_100),
+      ...cell.tell({ type: 'silent', executor: 'e1', leaseEndsAt: 11_500 }, 9_700),
+      ...cell.tell({ type: 'tick' }, 9_900),
+    ];
+    expect(afterwards.filter(({ type }) => type === 'start')).toEqual([]);
+    expect(cell.decider.executors).toHaveLength(1);
+    for (let now = 10_800; now < 11_500; now += 100) {
+      cell.tell({ type: 'tick' }, now);
+    }
+    cell.tell({ type: 'tick' }, 11_500);
+    expect(cell.look(11_600)).toContainEqual(expect.objectContaining(START));
+  });
+});
+
 describe('looks at an executor that overtake each other', () => {
   test('a task starts again because an older list, asked for later, does not show it', () => {
     const cell = new OneTaskCell();
