perf(jobs): waves do not wait for busy pools after all

A pool with a backlog stays busy, so its instances go down later, in its next burst. Change: that rule is reverted, with the time by which a wave is due, which nothing else uses; the one count of waiting processors stays. Conclusion: reverted.

--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -15,10 +15,6 @@
 const DRAIN_PATIENCE_MS: Millis = 3_000;
 /** Pause before an order that was refused or not answered is sent again. */
 const ORDER_RETRY_MS: Millis = 500;
-/** Time that one instance takes, from its cordon until it is back. */
-const INSTANCE_MS: Millis = 6_000;
-/** Kept free before the time by which a wave is due. */
-const DUE_MARGIN_MS: Millis = 4_000;
 
 export interface MaintenanceParts extends CellTables {
   readonly book: RunBook;
@@ -33,7 +29,7 @@
 /** An instance that can't be maintained yet. */
 export interface WaitingInstance {
   readonly instance: string;
-  readonly reason: 'not-up' | 'executor-unseen' | 'pool-busy' | 'budget' | 'finite-tasks';
+  readonly reason: 'not-up' | 'executor-unseen' | 'budget' | 'finite-tasks';
   /** The lasting step whose budget is used up. */
   readonly step?: string;
 }
@@ -183,16 +179,11 @@
       }
     }
     const decisions: JobDecision[] = [];
-    const urgent = isUrgent(wave.wave, remaining.length, now);
     let slots = wave.wave.maxParallel - this.#inFlight(wave);
     for (const name of this.#byReadiness(wave, remaining)) {
       if (slots <= 0) {
         break;
       }
-      if (!urgent && !wave.cordonedAt.has(name) && this.#isPoolBusy(name, now)) {
-        waiting.push({ instance: name, reason: 'pool-busy' });
-        continue;
-      }
       const step = this.#advance(wave, name, now);
       if (step.type === 'order') {
         decisions.push({ type: 'order', order: step.order });
@@ -271,12 +262,6 @@
       .map(({ name }) => name);
   }
 
-  /** Whether tasks wait for room in the instance's pool, so that it had better stay for now. */
-  #isPoolBusy(name: string, now: Millis): boolean {
-    const pool = this.#instances.get(name)?.pool;
-    return pool !== undefined && this.#parts.jobs.waitingProcessors(pool, now) > 0;
-  }
-
   #inFlight(wave: Wave): number {
     return wave.wave.instances.filter((name) => this.#down.has(name) || this.#pending.has(name))
       .length;
@@ -373,12 +358,6 @@
   return { type: 'wait', waiting, usesSlot };
 }
 
-/** Whether the instances that remain take all the time that is left. */
-function isUrgent(wave: MaintenanceWave, remaining: number, now: Millis): boolean {
-  const rounds = Math.ceil(remaining / Math.max(1, wave.maxParallel));
-  return now + rounds * INSTANCE_MS + DUE_MARGIN_MS >= wave.dueAt;
-}
-
 const AT_WORK_PERCENT = 100;
 
 function isAtWork(run: Run): boolean {
--- a/packages/core/src/jobs/messages.ts
+++ b/packages/core/src/jobs/messages.ts
@@ -34,8 +34,6 @@
 export interface MaintenanceWave {
   readonly number: number;
   readonly instances: readonly string[];
-  /** Own clock by which all should have begun. */
-  readonly dueAt: Millis;
   readonly maxParallel: number;
   /** Instances whose maintenance an earlier owner has begun. */
   readonly begun: readonly string[];
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -6,6 +6,7 @@
   type JobDecision,
   type JobEvent,
   type JobProgress,
+  type MaintenanceWave,
   type Millis,
 } from '@turmerichoist/core';
 import {
@@ -22,7 +23,6 @@
 import { ExecutorLinks } from './executor-links.js';
 import type { ExecutorConnector, InstanceFleet, OperatorView, RowDecoder } from './ports.js';
 import { ProgressWriter, type PendingAcknowledgement } from './progress-writer.js';
-import { WaveRows, type StoredWave } from './wave-rows.js';
 
 const TICK_MS: Millis = 100;
 /** Term of the leases of everything that runs, extended with each look at an executor. */
@@ -74,7 +74,10 @@
   readonly #ordersFrom: Millis;
   readonly #executors = new Map<string, ExecutorInfo>();
   readonly #progress = new Map<string, JobProgress>();
-  readonly #waves: WaveRows;
+  readonly #waves = new Map<
+    number,
+    { readonly begun: readonly string[]; readonly completed: boolean }
+  >();
   #polledAt: Millis = -Infinity;
   #polling = false;
   #loaded = false;
@@ -86,7 +89,6 @@
     super('owner', context);
     this.#options = options;
     const { clock, term, orderHandoverMs } = options;
-    this.#waves = new WaveRows(clock);
     const now = clock.now();
     const first = term.generation === 0;
     // Orders of an earlier process of this member come from the same holder.
@@ -173,7 +175,7 @@
       this.post({ type: 'config', config: config.scheduling });
     }
     this.post({ type: 'zones-out', zones: zonesOut });
-    this.post({ type: 'waves', waves: waves.map((wave) => this.#waves.resume(wave)) });
+    this.post({ type: 'waves', waves: waves.map((wave) => this.#wave(wave)) });
   }
 
   protected receive(event: JobEvent): void {
@@ -186,6 +188,15 @@
     });
   }
 
+  #wave(wave: OperatorView['waves'][number]): MaintenanceWave {
+    const stored = this.#waves.get(wave.number);
+    return {
+      ...wave,
+      begun: stored?.begun ?? [],
+      completed: stored?.completed ?? false,
+    };
+  }
+
   async #load(store: ChangeFeed, table: string): Promise<readonly RowChange[]> {
     while (!this.signal.aborted) {
       const read = await store.snapshot(table, this.signal);
@@ -202,7 +213,8 @@
     if (table === 'progress') {
       this.#progress.set(name, value as unknown as JobProgress);
     } else {
-      this.#waves.restore(Number(name), value as unknown as StoredWave);
+      const wave = value as { begun: readonly string[]; completed: boolean };
+      this.#waves.set(Number(name), wave);
     }
   }
 
@@ -330,7 +342,7 @@
   async #writeWave(status: Extract<JobDecision, { type: 'wave-status' }>): Promise<void> {
     const { progress, shared, decoder, newId, term } = this.#options;
     const { wave, state, begun } = status;
-    const value = this.#waves.updated(wave, begun, state === 'completed');
+    const value = { begun, completed: state === 'completed' };
     const row = decoder.waveStatus(wave, state);
     const conditions = [{ key: OWNER_KEY, version: term.epoch }];
     const writes = [{ key: `waves/${wave}`, value }];
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -71,17 +71,12 @@
   ): Promise<InstanceOrderOutcome>;
 }
 
-/** A wave as operators ask for it. */
-export interface RequestedWave extends Omit<MaintenanceWave, 'begun' | 'completed' | 'dueAt'> {
-  /** Time within which all instances should have begun. */
-  readonly durationMs: Millis;
-}
-
 /** What operators have asked for, as decoded from the platform. */
 export interface OperatorView {
   readonly config: JobConfig | undefined;
   readonly zonesOut: ReadonlySet<ZoneName>;
-  readonly waves: readonly RequestedWave[];
+  /** Waves without what was begun of them. */
+  readonly waves: readonly Omit<MaintenanceWave, 'begun' | 'completed'>[];
 }
 
 /** Decodes rows that others write. */
