--- a/packages/core/test/jobs-decider.test.ts
+++ b/packages/core/test/jobs-decider.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, test } from '@jest/globals';
 import fc from 'fast-check';
-import { JobDecider, ManualClock, type JobEvent, type ReportedEnd } from '../src/index.js';
-import { executor, job, POLICY, step } from './support/job-fixtures.js';
+import type { JobDecider } from '../src/index.js';
+import { ManualClock, type JobEvent, type ReportedEnd } from '../src/index.js';
+import { executor, job, POLICY, step, newDecider } from './support/job-fixtures.js';
 import { JobWorld } from './support/job-world.js';
 
 const THREE = [executor('e1'), executor('e2'), executor('e3', { rack: 'r2' })];
@@ -83,13 +84,7 @@
 
   function ruledOut(): { readonly decider: JobDecider; readonly clock: ManualClock } {
     const clock = new ManualClock(1_000);
-    const decider = new JobDecider({
-      clock,
-      firstAttempt: 1,
-      unaccountedUntil: 0,
-      ordersFrom: 0,
-      rememberMs: 60_000,
-    });
+    const decider = newDecider(clock);
     const look = (sentAt: number): JobEvent => ({
       type: 'report',
       leaseEndsAt: 100_000,
@@ -134,13 +129,7 @@
 
 test('failures of runs that were given up are acknowledged and not counted', () => {
   const clock = new ManualClock(1_000);
-  const decider = new JobDecider({
-    clock,
-    firstAttempt: 1,
-    unaccountedUntil: 0,
-    ordersFrom: 0,
-    rememberMs: 60_000,
-  });
+  const decider = newDecider(clock);
   const accepted = { ...job('a', [step()]), policy: { ...POLICY, maxAttempts: 1 } };
   const look = (sentAt: number, ended: readonly ReportedEnd[]): JobEvent => ({
     type: 'report',
@@ -164,13 +153,7 @@
 describe('after a takeover', () => {
   test('a failure that the former owner has counted is counted again', () => {
     const clock = new ManualClock(1_000);
-    const decider = new JobDecider({
-      clock,
-      firstAttempt: 1_001,
-      unaccountedUntil: 0,
-      ordersFrom: 0,
-      rememberMs: 60_000,
-    });
+    const decider = newDecider(clock, { firstAttempt: 1_001 });
     const failures = { '0.0.0': [1, 2, 3] };
     const progress = { state: 'running', endedWallMs: 0, done: {}, failures } as const;
     const accepted = job('a', [step()]);
@@ -185,13 +168,10 @@
 
   test('tasks of an executor that the platform does not list start a second time', () => {
     const clock = new ManualClock(1_000);
-    const decider = new JobDecider({
-      clock,
+    const decider = newDecider(clock, {
       firstAttempt: 1_001,
       unaccountedUntil: 6_000,
       inherited: ['e1', 'e2'],
-      ordersFrom: 0,
-      rememberMs: 60_000,
     });
     const report = { executor: 'e1', bornWallMs: 1, sentAt: 1_000, running: [], ended: [] };
     const looked: JobEvent = { type: 'report', leaseEndsAt: 100_000, report };
--- a/packages/core/test/jobs-executor-lives.test.ts
+++ b/packages/core/test/jobs-executor-lives.test.ts
@@ -1,25 +1,13 @@
 import { describe, expect, test } from '@jest/globals';
-import {
-  JobDecider,
-  ManualClock,
-  type JobDecision,
-  type JobEvent,
-  type ReportedEnd,
-} from '../src/index.js';
-import { executor, job, step } from './support/job-fixtures.js';
+import { ManualClock, type JobDecision, type JobEvent, type ReportedEnd } from '../src/index.js';
+import { executor, job, step, newDecider } from './support/job-fixtures.js';
 
 const TASK = { jobId: 'a', occurrence: 0, step: 0, index: 0 } as const;
 const START = { type: 'start', task: TASK };
 
 /** A cell with the executor `e1` and the job `a` of one task, which has been ordered to start. */
 class OneTaskCell {
-  readonly decider = new JobDecider({
-    clock: new ManualClock(1_000),
-    firstAttempt: 1,
-    unaccountedUntil: 0,
-    ordersFrom: 0,
-    rememberMs: 60_000,
-  });
+  readonly decider = newDecider(new ManualClock(1_000));
 
   constructor() {
     this.list(1, 1_000);
--- a/packages/core/test/jobs-lending.test.ts
+++ b/packages/core/test/jobs-lending.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals';
+import type { JobDecider } from '../src/index.js';
 import {
-  JobDecider,
   ManualClock,
   type JobDecision,
   type JobEvent,
@@ -8,7 +8,7 @@
   type PoolPolicy,
   type SchedulingConfig,
 } from '../src/index.js';
-import { executor, job, POLICY, step } from './support/job-fixtures.js';
+import { executor, job, POLICY, step, newDecider } from './support/job-fixtures.js';
 
 const CAPACITY = { processors: 8, memoryMb: 8_000, accelerators: 0 };
 
@@ -41,13 +41,9 @@
   readonly decider: JobDecider;
 
   constructor(ordersFrom = 0, poolSizes?: ReadonlyMap<string, number>) {
-    this.decider = new JobDecider({
-      clock: this.clock,
-      firstAttempt: 1,
-      unaccountedUntil: 0,
+    this.decider = newDecider(this.clock, {
       ordersFrom,
       ...(poolSizes === undefined ? {} : { poolSizes }),
-      rememberMs: 60_000,
     });
     this.handle({ type: 'config', config: CONFIG });
     const executors = ['a1', 'b1', 'b2', 'b3', 'b4'].map((id) =>
--- a/packages/core/test/jobs-maintenance.test.ts
+++ b/packages/core/test/jobs-maintenance.test.ts
@@ -1,25 +1,13 @@
 import { describe, expect, test } from '@jest/globals';
-import {
-  JobDecider,
-  ManualClock,
-  type JobDecision,
-  type JobEvent,
-  type PoolInstance,
-} from '../src/index.js';
-import { executor, job, step } from './support/job-fixtures.js';
+import { ManualClock, type JobDecision, type JobEvent, type PoolInstance } from '../src/index.js';
+import { executor, job, step, newDecider } from './support/job-fixtures.js';
 
 const LASTING = step({ lasting: true, taskCount: 2, maxPerExecutor: 1, maxUnavailable: 1 });
 
 /** Two executors on two instances of one wave, each with one lasting task at work. */
 class MaintainedCell {
   readonly clock = new ManualClock(10_000);
-  readonly decider = new JobDecider({
-    clock: this.clock,
-    firstAttempt: 1,
-    unaccountedUntil: 0,
-    ordersFrom: 0,
-    rememberMs: 60_000,
-  });
+  readonly decider = newDecider(this.clock);
 
   constructor(maxParallel: number) {
     this.handle({ type: 'executors', executors: [executor('e1'), executor('e2')] });
--- a/packages/core/test/support/job-fixtures.ts
+++ b/packages/core/test/support/job-fixtures.ts
@@ -1,4 +1,13 @@
-import type { AcceptedJob, ExecutorInfo, JobId, QueuePolicy, StepSpec } from '../../src/index.js';
+import {
+  JobDecider,
+  type AcceptedJob,
+  type Clock,
+  type ExecutorInfo,
+  type JobDeciderOptions,
+  type JobId,
+  type QueuePolicy,
+  type StepSpec,
+} from '../../src/index.js';
 
 export const POLICY: QueuePolicy = {
   pool: 'p1',
@@ -56,3 +65,18 @@
     ...over,
   };
 }
+
+/** A decider of a first owner, unless `over` says otherwise. */
+export function newDecider(
+  clock: Clock,
+  over: Partial<Omit<JobDeciderOptions, 'clock'>> = {},
+): JobDecider {
+  return new JobDecider({
+    clock,
+    firstAttempt: 1,
+    unaccountedUntil: 0,
+    ordersFrom: 0,
+    rememberMs: 60_000,
+    ...over,
+  });
+}
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -251,12 +251,12 @@
     const adopted = first && this.#options.term.generation > 0;
     this.post({ type: 'jobs', jobs, adopted });
     if (first) {
-      const { cell, shared } = this.#options;
+      const { cell, shared, decoder } = this.#options;
       this.#watch(cell, 'cancels', JOBS_PAUSE_MS, (changes) => {
         const ids = changes.map(({ key }) => key.slice(key.indexOf('/') + 1));
         this.post({ type: 'cancelled', ids });
       });
-      this.#watch(shared, 'servers', EXECUTORS_PAUSE_MS, (changes, whole) => {
+      this.#watch(shared, decoder.executorTable, EXECUTORS_PAUSE_MS, (changes, whole) => {
         this.#onExecutors(changes, whole);
       });
     }
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -81,6 +81,8 @@
 
 /** Decodes rows that others write. */
 export interface RowDecoder {
+  /** Table in which the platform lists executors. */
+  readonly executorTable: string;
   /** Executors by row key; undefined where the row names none that could be used. */
   executor(change: RowChange): ExecutorInfo | undefined;
   /** A status row about a wave, in the form that operators read. */
