--- a/packages/daemon/src/jobs/acceptor.ts
+++ b/packages/daemon/src/jobs/acceptor.ts
@@ -23,9 +23,11 @@
       readonly deadline: Millis;
       readonly reply: (result: Result<void, AppError>) => void;
     }
+  /** The deadline of a submission has passed. */
+  | { readonly type: 'expired'; readonly submission: Submission }
   | { readonly type: 'next' };
 
-type Waiting = Extract<AcceptMessage, { type: 'accept' }>;
+type Submission = Extract<AcceptMessage, { type: 'accept' }>;
 
 /**
  * Writes rows that must be new, such as accepted jobs, in batches. A row that exists already counts
@@ -37,7 +39,7 @@
   readonly #store: TableStore;
   readonly #clock: Clock;
   readonly #newId: () => string;
-  #waiting: Waiting[] = [];
+  #waiting: Submission[] = [];
   #busy = false;
 
   constructor(
@@ -53,15 +55,32 @@
   /** Writes a row unless it exists. `value` must not change between repeats in what matters. */
   accept(key: string, value: JsonValue, deadline: Millis): Promise<Result<void, AppError>> {
     return new Promise((resolve) => {
-      if (!this.post({ type: 'accept', key, value, deadline, reply: resolve })) {
-        resolve(fail('not-ready', 'stopping'));
+      const answered = new AbortController();
+      const reply = (result: Result<void, AppError>): void => {
+        answered.abort();
+        resolve(result);
+      };
+      const submission: Submission = { type: 'accept', key, value, deadline, reply };
+      if (!this.post(submission)) {
+        reply(fail('not-ready', 'stopping'));
       }
+      void this.#expire(submission, answered.signal);
     });
   }
 
+  async #expire(submission: Submission, answered: AbortSignal): Promise<void> {
+    const leftMs = Math.max(0, submission.deadline - this.#clock.now());
+    await sleep(leftMs, AbortSignal.any([this.signal, answered]));
+    if (!answered.aborted) {
+      this.post({ type: 'expired', submission });
+    }
+  }
+
   protected receive(message: AcceptMessage): void {
     if (message.type === 'accept') {
       this.#waiting.push(message);
+    } else if (message.type === 'expired') {
+      this.#expired(message.submission);
     }
     if (!this.#busy && this.#waiting.length > 0) {
       this.#busy = true;
@@ -72,6 +91,16 @@
     }
   }
 
+  /** A submission that waits has not been sent; of one that has been, nothing is known. */
+  #expired(submission: Submission): void {
+    if (this.#waiting.includes(submission)) {
+      this.#waiting = this.#waiting.filter((one) => one !== submission);
+      submission.reply(fail('deadline-passed', 'the store was busy'));
+    } else {
+      submission.reply(fail('outcome-unknown', submission.key));
+    }
+  }
+
   async #writeBatch(): Promise<void> {
     await sleep(GATHER_MS, this.signal);
     const batch = this.#takeBatch();
@@ -81,7 +110,7 @@
     }
   }
 
-  #takeBatch(): readonly Waiting[] {
+  #takeBatch(): readonly Submission[] {
     let bytes = 0;
     let count = 0;
     const keys = new Set<string>();
@@ -98,7 +127,7 @@
     return batch;
   }
 
-  #inTime(one: Waiting): boolean {
+  #inTime(one: Submission): boolean {
     if (this.#clock.now() < one.deadline) {
       return true;
     }
@@ -106,7 +135,7 @@
     return false;
   }
 
-  async #write(batch: readonly Waiting[]): Promise<void> {
+  async #write(batch: readonly Submission[]): Promise<void> {
     const txn = this.#transaction(batch);
     const deadline = Math.max(...batch.map((one) => one.deadline));
     const limit = AbortSignal.any([
@@ -136,7 +165,7 @@
     this.#waiting = [...rest, ...this.#waiting];
   }
 
-  #transaction(batch: readonly Waiting[]): Transaction {
+  #transaction(batch: readonly Submission[]): Transaction {
     return {
       txnId: this.#newId(),
       conditions: batch.map(({ key }) => ({ key, version: 0 })),
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -34,6 +34,8 @@
 
 /** Transactions of accepted jobs that may be in flight side by side. */
 const ACCEPT_LANES = 2;
+/** After this time without a word on an unknown outcome callers had better ask another entry. */
+const ACCEPT_SETTLE_MS: Millis = 400;
 /** The balancer needs two missed probes, one second apart, to send no more connections here. */
 const DRAIN_MS: Millis = 2_500;
 
@@ -73,7 +75,7 @@
     super('cell', context);
     this.#options = options;
     const { member, incarnation, cell, clock, random, metrics, newId } = options;
-    const store = this.#settling(`${member}/accept`, ACCEPT_LANES);
+    const store = this.#settling(`${member}/accept`, ACCEPT_LANES, ACCEPT_SETTLE_MS);
     const acceptor = new Acceptor({ store, clock, newId }, context);
     const { log, signal } = context;
     this.#service = new JobService({ acceptor, store: cell, clock, log, metrics, signal });
@@ -193,9 +195,15 @@
     this.#owner = undefined;
   }
 
-  #settling(memberId: string, lanes: number): SettlingStore {
+  #settling(memberId: string, lanes: number, settleTimeoutMs?: Millis): SettlingStore {
     const { cell, random } = this.#options;
     const seeded = new SeededRandom(random.below(2 ** 31));
-    return new SettlingStore({ store: cell, memberId, random: seeded, lanes });
+    return new SettlingStore({
+      store: cell,
+      memberId,
+      random: seeded,
+      lanes,
+      ...(settleTimeoutMs === undefined ? {} : { settleTimeoutMs }),
+    });
   }
 }
--- a/packages/daemon/test/job-writers.test.ts
+++ b/packages/daemon/test/job-writers.test.ts
@@ -82,6 +82,23 @@
     expect(result.unwrapErr().kind).toBe('store-unavailable');
   });
 
+  test('callers get no answer in time while a write before theirs gets none', async () => {
+    // The store answers nothing until the test ends.
+    const hanging = {
+      commit: () => new Promise<never>(() => undefined),
+      read: () => new Promise<never>(() => undefined),
+      range: () => new Promise<never>(() => undefined),
+    };
+    const clock = new SystemClock();
+    const one = new Acceptor({ store: hanging, clock, newId }, context());
+    const deadline = clock.now() + 60;
+    const sent = one.accept('jobs/a', { n: 1 }, deadline);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    const waiting = one.accept('jobs/b', { n: 1 }, deadline);
+    expect((await sent).unwrapErr().kind).toBe('outcome-unknown');
+    expect((await waiting).unwrapErr().kind).toBe('deadline-passed');
+  });
+
   test('a job whose caller has given up is written', async () => {
     const result = await acceptor().accept('jobs/a', { n: 1 }, new SystemClock().now() - 1);
     expect(result.unwrapErr().kind).toBe('deadline-passed');
