fix(jobs): a wave's bound counts instances that an earlier owner has taken down

Cause: found by reading. A member that takes over from its own former process ordered instances about at once, and the bound of a wave counted only instances that this owner had ordered down, so twice as many could be down (LIMIT); the longer wait of other members had hidden it. Orders could also still be on their way. Change: listed instances in maintenance count; a member that succeeds itself waits 1.5 s, the time-out of an order, in place of not at all.

--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -262,9 +262,13 @@
       .map(({ name }) => name);
   }
 
-  #inFlight(wave: Wave): number {
-    return wave.wave.instances.filter((name) => this.#down.has(name) || this.#pending.has(name))
-      .length;
+  /** Instances of the wave that are down for it or may be, also by order of an earlier owner. */
+  #inFlight({ wave }: Wave): number {
+    const down = (name: string): boolean =>
+      this.#down.has(name) ||
+      this.#pending.has(name) ||
+      this.#instances.get(name)?.state === 'maintenance';
+    return wave.instances.filter(down).length;
   }
 
   /** The first lasting step whose budget does not allow that these runs all end at once. */
--- a/packages/core/test/jobs-maintenance.test.ts
+++ b/packages/core/test/jobs-maintenance.test.ts
@@ -82,6 +82,13 @@
     expect(cell.orders()).not.toContain('m1');
   });
 
+  test('takes down more instances than it may, when an earlier owner has taken down some', () => {
+    const cell = new MaintainedCell(1);
+    cell.list({ state: 'maintenance', executor: undefined });
+    cell.report('e2', 1);
+    expect(cell.orders()).toEqual([]);
+  });
+
   test('starts tasks again that run on, when the maintenance had been done by an earlier owner', () => {
     const cell = new MaintainedCell(2);
     cell.orders();
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -29,6 +29,8 @@
 export const RUN_LEASE_MS: Millis = 4_500;
 /** Longest time for which an earlier owner's starts may still run unseen. */
 const UNACCOUNTED_MS: Millis = 5_200;
+/** Covers orders to instances that were on their way when an earlier process of this member ended. */
+const ORDER_SETTLE_MS: Millis = 1_500;
 /** Attempt numbers of one owner; the next owner starts with the next block. */
 const ATTEMPTS_PER_TERM = 1_000;
 const FEED_WAIT_MS: Millis = 10_000;
@@ -92,8 +94,8 @@
     const now = clock.now();
     const first = term.generation === 0;
     // Orders of an earlier process of this member come from the same holder.
-    const soleHolder = first || (term.succeedsSelf && options.inherited.mayOrder);
-    this.#ordersFrom = soleHolder ? now : now + orderHandoverMs;
+    const sameHolder = term.succeedsSelf && options.inherited.mayOrder;
+    this.#ordersFrom = first ? now : now + (sameHolder ? ORDER_SETTLE_MS : orderHandoverMs);
     const sizes = Object.entries(options.inherited.poolSizes);
     this.#decider = new JobDecider({
       clock,
