fix(jobs): the owner learns of an extended lease before the look is sent

After a look without an answer the next one does not extend the lease; once answered, it made the executor usable with 0.8 s of the old lease left. A task started there, the following look extended the lease and waited a second, and the owner, which heard of the extension only with the answer, ended the lease at 12.25 s and started the task elsewhere. Besides, each answered stop of a run that is not wanted led to a look and each look to a stop, every 8 ms. Change: a look that extends a lease which may end before its answer is announced to the owner; stops of foreign runs are repeated after 0.6 s at the earliest.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -152,6 +152,9 @@
         return this.#cancel(event.ids, now);
       case 'report':
         return this.#report(event.report, event.leaseEndsAt, now);
+      case 'lease':
+        this.#executors.update(event.executor, { leaseEndsAt: event.leaseEndsAt });
+        return [];
       case 'silent':
         this.#executors.update(event.executor, { leaseEndsAt: event.leaseEndsAt });
         this.#executors.unanswered(event.executor, now);
--- a/packages/core/src/jobs/messages.ts
+++ b/packages/core/src/jobs/messages.ts
@@ -56,6 +56,8 @@
   | { readonly type: 'jobs'; readonly jobs: readonly StoredJob[]; readonly adopted: boolean }
   | { readonly type: 'cancelled'; readonly ids: readonly JobId[] }
   | { readonly type: 'report'; readonly report: ExecutorReport; readonly leaseEndsAt: Millis }
+  /** A look that may extend the lease of an executor is about to be sent. */
+  | { readonly type: 'lease'; readonly executor: ExecutorId; readonly leaseEndsAt: Millis }
   /** An executor did not answer a look. */
   | { readonly type: 'silent'; readonly executor: ExecutorId; readonly leaseEndsAt: Millis }
   | {
--- a/packages/core/src/jobs/run-book.ts
+++ b/packages/core/src/jobs/run-book.ts
@@ -37,6 +37,8 @@
   readonly #executors: ExecutorTable;
   readonly #durations: TaskDurations;
   readonly #wall: () => Millis;
+  /** Own clock of the latest order to stop a run that is not this owner's. */
+  readonly #foreignStops = new Map<string, Millis>();
   #decisions: JobDecision[] = [];
   #changed = new Set<JobId>();
 
@@ -234,11 +236,11 @@
     const job = this.#jobs.get(task.jobId);
     const step = job?.step(task);
     if (job === undefined || step === undefined) {
-      this.#decisions.push({ type: 'stop', executor, task, attempt, why: 'job unknown' });
+      this.#stopForeign(executor, running, 'job unknown', now);
       return;
     }
     if (other !== undefined || step.isDone(task.index) || !job.open) {
-      this.#decisions.push({ type: 'stop', executor, task, attempt, why: 'not wanted' });
+      this.#stopForeign(executor, running, 'not wanted', now);
       return;
     }
     step.take(task.index);
@@ -256,6 +258,25 @@
     });
   }
 
+  /** Not repeated with each look, since each answered stop leads to a look. */
+  #stopForeign(
+    executor: ExecutorId,
+    { task, attempt }: ReportedRun,
+    why: string,
+    now: Millis,
+  ): void {
+    for (const [key, sentAt] of this.#foreignStops) {
+      if (now - sentAt >= STOP_RETRY_MS) {
+        this.#foreignStops.delete(key);
+      }
+    }
+    const key = `${executor}/${taskKey(task)}#${attempt}`;
+    if (!this.#foreignStops.has(key)) {
+      this.#foreignStops.set(key, now);
+      this.#decisions.push({ type: 'stop', executor, task, attempt, why });
+    }
+  }
+
   /** A run that the report does not list. */
   #absent(run: Run, report: ExecutorReport, now: Millis): void {
     if (run.phase === 'unknown' && report.sentAt >= run.orderedAt) {
--- a/packages/core/test/jobs-executor-lives.test.ts
+++ b/packages/core/test/jobs-executor-lives.test.ts
@@ -67,6 +67,17 @@
   });
 });
 
+test('a run that is not wanted is ordered to stop again with every look', () => {
+  const cell = new OneTaskCell();
+  const running = [{ task: TASK, attempt: 9, checkpoint: '', percent: 0, gauge: 0 }];
+  const stops = (now: number): number => {
+    const report = { executor: 'e1', bornWallMs: 1, sentAt: now, running, ended: [] };
+    const decisions = cell.tell({ type: 'report', leaseEndsAt: 9_000, report }, now);
+    return decisions.filter(({ type }) => type === 'stop').length;
+  };
+  expect([stops(1_010), stops(1_020), stops(1_300), stops(1_700)]).toEqual([1, 0, 0, 1]);
+});
+
 describe('an owner that stood still', () => {
   test('starts tasks again before it has heard of the looks that extended their leases', () => {
     const cell = new OneTaskCell();
--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -9,6 +9,8 @@
 /** Pause between looks while ends can't be written. */
 const UNWRITTEN_PAUSE_MS: Millis = 200;
 const SILENT_PAUSE_MS: Millis = 200;
+/** Longest time from the sending of a look to its answer or time-out, with a margin. */
+const MAX_LOOK_MS: Millis = 2_500;
 /** Executors' clocks may be this much slower than ours. */
 const CLOCK_DRIFT = 1.02;
 /** Covers the time that a look takes on its way. */
@@ -104,7 +106,12 @@
     const acknowledged = this.#acknowledged;
     if (extending) {
       const endsAt = sentAt + leaseMs * CLOCK_DRIFT + LEASE_MARGIN_MS;
+      const ending = this.#leaseEndsAt - sentAt < MAX_LOOK_MS;
       this.#leaseEndsAt = Math.max(this.#leaseEndsAt, endsAt);
+      if (ending) {
+        // The lease that the owner knows may end before this look is answered.
+        owner.post({ type: 'lease', executor: info.id, leaseEndsAt: this.#leaseEndsAt });
+      }
     }
     const answer = await calls.hold(
       { acknowledged, leaseMs: extending ? leaseMs : undefined, waitMs },
