feat(daemon): a load line a second tells how far a process is behind

Cause: logs and metrics could not tell the hypotheses of the grown collapse apart: whether the leader lacks processor time, whether its part of the store is full, or whether progress waits in its own queue. Change: each process logs its processor time, the delay of its event loop, calls to the store by outcome and duration, and calls of callers; the leader also the delay of its events, of accepted jobs and of progress, and ends as listed.

--- a/packages/coordination/src/io/store/index.ts
+++ b/packages/coordination/src/io/store/index.ts
@@ -1,3 +1,4 @@
+export * from './call-stats.js';
 export * from './decode.js';
 export * from './http-instance-list.js';
 export * from './http-object-store.js';
--- a/packages/coordination/src/io/store/transport.ts
+++ b/packages/coordination/src/io/store/transport.ts
@@ -11,6 +11,7 @@
 } from '@turmerichoist/core';
 import { sleep } from '@turmerichoist/runtime';
 import { CallLimiter, type CallLimiterSettings } from '../../state/call-limiter.js';
+import type { StoreCallObserver, StoreCallOutcome } from './call-stats.js';
 import { callTimeout } from './call-timeout.js';
 
 /**
@@ -57,6 +58,8 @@
   readonly backoffCapMs?: Millis;
   /** Maximum number of concurrent reads, including those that wait. Default `READ_CONCURRENCY`. */
   readonly readConcurrency?: number;
+  /** Told of each finished call, except for long polls. */
+  readonly observer?: StoreCallObserver;
 }
 
 export interface HttpCall {
@@ -112,10 +115,19 @@
 
   async call(call: HttpCall, signal: AbortSignal): Promise<Result<HttpResponse, AppError>> {
     const { limiter, queue } = this.#queues[call.kind];
+    const startedAt = this.#options.clock.now();
     if (queue.size >= MAX_QUEUED_CALLS) {
+      this.#observe(call, 'held-back', startedAt);
       return fail('store-unavailable', 'too many waiting calls');
     }
-    return queue.add(() => this.#admit(call, limiter, signal));
+    return queue.add(() => this.#admit(call, limiter, signal, startedAt));
+  }
+
+  #observe({ kind, waitMs }: HttpCall, outcome: StoreCallOutcome, startedAt: Millis): void {
+    if (waitMs === undefined) {
+      const ms = this.#options.clock.now() - startedAt;
+      this.#options.observer?.onCall({ kind, outcome, ms });
+    }
   }
 
   /** Runs when a connection is free, so that queued calls are refused once a backoff has begun. */
@@ -123,21 +135,24 @@
     call: HttpCall,
     limiter: CallLimiter,
     signal: AbortSignal,
+    calledAt: Millis,
   ): Promise<Result<HttpResponse, AppError>> {
     const admission = limiter.admit(this.#options.clock.now());
     if (admission.type === 'refuse') {
+      this.#observe(call, 'held-back', calledAt);
       return fail('store-unavailable', 'backing off', Math.ceil(admission.retryAfterMs));
     }
     if (admission.delayMs > 0) {
       await sleep(admission.delayMs, signal);
     }
-    return this.#send(call, limiter, signal);
+    return this.#send(call, limiter, signal, calledAt);
   }
 
   async #send(
     call: HttpCall,
     limiter: CallLimiter,
     signal: AbortSignal,
+    calledAt: Millis,
   ): Promise<Result<HttpResponse, AppError>> {
     if (signal.aborted || this.#options.signal.aborted) {
       limiter.abandoned();
@@ -148,8 +163,10 @@
     const timeout = callTimeout(signal, this.#timeoutMs + (call.waitMs ?? 0));
     try {
       const response = await this.#exchange(call, timeout.signal);
+      this.#observe(call, outcomeOf(response), calledAt);
       return this.#recordResponse(response, limiter, startedAt);
     } catch (err) {
+      this.#observe(call, 'unanswered', calledAt);
       return this.#toFailure(call, err, timeout.expired() ? 'timeout' : 'error', () => {
         if (signal.aborted) {
           limiter.abandoned();
@@ -235,3 +252,10 @@
     };
   }
 }
+
+function outcomeOf({ status }: HttpResponse): StoreCallOutcome {
+  if (status === TOO_MANY_REQUESTS) {
+    return 'rate-limited';
+  }
+  return status === UNAVAILABLE ? 'unavailable' : 'answered';
+}
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -16,6 +16,7 @@
   type JsonValue,
   type LeaderEvent,
   type LeaderTerm,
+  type StoreCallStats,
   type TableStore,
 } from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
@@ -23,6 +24,7 @@
 import { EMPTY_BULLETIN, type Bulletin } from './bulletin.js';
 import { JobOwner } from './job-owner.js';
 import { JobService } from './job-service.js';
+import { LoadReporter } from './load-reporter.js';
 import type {
   ExecutorConnector,
   InstanceFleet,
@@ -52,6 +54,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly metrics: Metrics;
+  readonly storeCalls: StoreCallStats;
   readonly newId: () => string;
   /** Longest lease that executors accept. */
   readonly maxLeaseMs: Millis;
@@ -69,6 +72,7 @@
   readonly #options: JobCellOptions;
   readonly #service: JobService;
   readonly #elector: LeaderElector;
+  readonly #loadReporter: LoadReporter;
   #view: OperatorView = { config: undefined, zonesOut: new Set(), waves: [] };
   #owner: { readonly owner: JobOwner; readonly abort: () => void } | undefined;
   /** Latest bulletin of the current leader, which may be this member. */
@@ -100,6 +104,16 @@
       },
       context,
     );
+    this.#loadReporter = new LoadReporter(
+      {
+        clock,
+        metrics,
+        storeCalls: options.storeCalls,
+        service: () => this.#service.takeLoad(),
+        owner: () => this.#owner?.owner.takeLoad(),
+      },
+      context,
+    );
   }
 
   get ready(): boolean {
@@ -112,6 +126,7 @@
 
   start(): void {
     this.#elector.start();
+    this.#loadReporter.start();
   }
 
   handle(call: JobCall): Promise<Result<JobReply, AppError>> {
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -18,11 +18,19 @@
   type RowChange,
   type TableStore,
 } from '@turmerichoist/coordination';
-import { Actor, every, type ActorContext, type Metrics } from '@turmerichoist/runtime';
+import {
+  Actor,
+  every,
+  type ActorContext,
+  type LogFields,
+  type Metrics,
+} from '@turmerichoist/runtime';
 import type { Bulletin } from './bulletin.js';
 import { ExecutorLinks } from './executor-links.js';
+import { OwnerLoad } from './owner-load.js';
 import type { ExecutorConnector, InstanceFleet, OperatorView, RowCodec } from './ports.js';
 import { ProgressWriter, type PendingAcknowledgement } from './progress-writer.js';
+import { WaveStatusWriter } from './wave-status-writer.js';
 
 const TICK_MS: Millis = 100;
 /** Term of the leases under which executors run tasks, extended with each poll. */
@@ -72,6 +80,8 @@
   readonly #decider: JobDecider;
   readonly #writer: ProgressWriter;
   readonly #links: ExecutorLinks;
+  readonly #waveStatus: WaveStatusWriter;
+  readonly #load: OwnerLoad;
   /** Monotonic time from which orders to instances may be sent. */
   readonly #ordersAllowedAt: Millis;
   readonly #executors = new Map<string, ExecutorInfo>();
@@ -91,6 +101,7 @@
     super('owner', context);
     this.#options = options;
     const { clock, term, orderHandoverMs } = options;
+    this.#load = new OwnerLoad(clock);
     const now = clock.now();
     const first = term.generation === 0;
     // Orders of an earlier process of this member have the same holder: no handover time.
@@ -112,6 +123,16 @@
       { connector, fencingToken: term.epoch, clock, leaseMs, mayAct, owner: this },
       context,
     );
+    const { shared, rowCodec, newId } = options;
+    this.#waveStatus = new WaveStatusWriter({
+      cell: options.progress,
+      shared,
+      rowCodec,
+      newId,
+      epoch: term.epoch,
+      log: this.log,
+      signal: this.signal,
+    });
     this.#writer = new ProgressWriter(
       {
         store: options.progress,
@@ -137,6 +158,11 @@
     };
   }
 
+  /** Takes the figures of this owner's load since the last call. */
+  takeLoad(): LogFields {
+    return { ...this.#load.take(), progress: this.#writer.backlog };
+  }
+
   /** Loads progress and waves from the store, then starts to watch jobs and to make decisions. */
   async start(view: OperatorView): Promise<void> {
     const { cell, term } = this.#options;
@@ -156,6 +182,7 @@
       this.#onJobs(rows, snapshot);
     });
     every(TICK_MS, this.signal, () => {
+      this.#load.onTickQueued();
       this.post({ type: 'tick' });
       this.#pollInstances();
     });
@@ -181,6 +208,7 @@
   }
 
   protected receive(event: JobEvent): void {
+    this.#load.onEvent(event);
     const decisions = this.#decider.handle(event, this.#options.clock.now());
     if (event.type === 'executors' || event.type === 'tick') {
       this.#links.sync(this.#decider.executors);
@@ -240,6 +268,7 @@
   }
 
   #onJobs(rows: readonly RowChange[], snapshot: boolean): void {
+    this.#load.onJobsRead();
     const jobs = rows.flatMap(({ value }) => {
       const accepted = value as unknown as AcceptedJob | undefined;
       if (accepted === undefined) {
@@ -327,7 +356,7 @@
         void this.#issueOrder(decision);
         return;
       case 'wave-status':
-        void this.#writeWaveStatus(decision);
+        void this.#waveStatus.write(decision);
         return;
       case 'superseded':
         this.#options.onSuperseded();
@@ -346,27 +375,6 @@
     this.#instancesPolledAt = -Infinity;
   }
 
-  async #writeWaveStatus(status: Extract<JobDecision, { type: 'wave-status' }>): Promise<void> {
-    const { progress, shared, rowCodec, newId, term } = this.#options;
-    const { wave, state, begun } = status;
-    const value = { begun, completed: state === 'completed' };
-    const row = rowCodec.waveStatus(wave, state);
-    const conditions = [{ key: CELL_OWNER_KEY, version: term.epoch }];
-    const writes = [{ key: `waves/${wave}`, value }];
-    const kept = await progress.commit({ txnId: newId(), conditions, writes }, this.signal);
-    const shown = await shared.commit(
-      { txnId: newId(), conditions: [], writes: [row] },
-      this.signal,
-    );
-    this.log.info('wave status', {
-      wave,
-      state,
-      begun: begun.length,
-      kept: kept.isOk(),
-      shown: shown.isOk(),
-    });
-  }
-
   #pollInstances(): void {
     const now = this.#options.clock.now();
     const periodMs = this.#decider.maintaining ? INSTANCES_POLL_MS : IDLE_INSTANCES_POLL_MS;
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -16,7 +16,13 @@
   type TeamName,
 } from '@turmerichoist/core';
 import type { TableStore } from '@turmerichoist/coordination';
-import { timeoutSignal, type Logger, type Metrics } from '@turmerichoist/runtime';
+import {
+  timeoutSignal,
+  WindowStats,
+  type LogFields,
+  type Logger,
+  type Metrics,
+} from '@turmerichoist/runtime';
 import { jobRow, type Acceptor } from './acceptor.js';
 import type { JobCall, JobReply } from './ports.js';
 
@@ -44,6 +50,12 @@
   #waiting: ReadonlyMap<QueueName, number> | undefined;
   /** Latest known state of jobs. A final state never changes. */
   readonly #cachedStates = new Map<JobId, JobState>();
+  readonly #calls = {
+    submit: new WindowStats(),
+    read: new WindowStats(),
+    cancel: new WindowStats(),
+  };
+  #waitingReadAt: Millis | undefined;
 
   constructor(options: JobServiceOptions) {
     this.#options = options;
@@ -65,6 +77,18 @@
 
   setWaiting(waiting: ReadonlyMap<QueueName, number>): void {
     this.#waiting = waiting;
+    this.#waitingReadAt = this.#options.clock.now();
+  }
+
+  /** Takes the figures of the calls since the last call; durations in milliseconds. */
+  takeLoad(): LogFields {
+    const { submit, read, cancel } = this.#calls;
+    const readAt = this.#waitingReadAt;
+    return {
+      calls: { submit: submit.take(), read: read.take(), cancel: cancel.take() },
+      waitingReadAgeMs:
+        readAt === undefined ? undefined : Math.round(this.#options.clock.now() - readAt),
+    };
   }
 
   async handle(call: JobCall): Promise<Result<JobReply, AppError>> {
@@ -89,10 +113,9 @@
     }
     const startedAt = this.#options.clock.now();
     const reply = await this.#dispatch(directory, route, team.value, rest, call);
-    this.#options.metrics.timing(
-      `calls.${call.action.type}`,
-      this.#options.clock.now() - startedAt,
-    );
+    const elapsedMs = this.#options.clock.now() - startedAt;
+    this.#options.metrics.timing(`calls.${call.action.type}`, elapsedMs);
+    this.#calls[call.action.type].add(elapsedMs);
     return reply;
   }
 
--- a/packages/daemon/src/jobs/progress-writer.ts
+++ b/packages/daemon/src/jobs/progress-writer.ts
@@ -47,6 +47,11 @@
     this.#options = options;
   }
 
+  /** Jobs whose progress and acknowledgements that wait to be stored or released. */
+  get backlog(): { readonly jobs: number; readonly acknowledgements: number } {
+    return { jobs: this.#progress.size, acknowledgements: this.#acknowledgements.size };
+  }
+
   protected receive(message: ProgressWriterMessage): void {
     switch (message.type) {
       case 'persist':
