fix(jobs): acknowledge ended runs although newer progress waits

Cause: acknowledgements were released only by a batch that emptied the queue of progress, and a job whose progress changed again moved to the end of the queue. Behind a slow store the queue never emptied: ends were never acknowledged, executors listed them again with every poll, and a job that kept changing was never written. A repeated acknowledgement also took a later place. Change: ProgressQueue numbers the changes. A job keeps its place when its progress changes again, an acknowledgement is released once all changes queued before it are stored, and a repeated one keeps its place. When more waits than fits into one batch, jobs that have ended go first, with a quarter of the batch kept for the oldest changes. After a rejected batch nothing is released: before, an acknowledgement that arrived behind it was released without its progress. There is still one transaction at a time, so progress never goes back. `ProgressWriter.backlog` shows queued jobs, acknowledgements and the age of the oldest change. Measured: failed before: seven of the eight new tests in job-writers (acknowledgement held for progress decided after it; repeated acknowledgement; job that keeps changing; ended job behind 200 others; ended jobs in every batch; backlog not visible; acknowledged after a takeover). The eighth, progress that changes while its batch is written, passed before and guards the new order. After: 18 of 18 pass.

--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -22,7 +22,8 @@
 import type { Bulletin } from './bulletin.js';
 import { ExecutorLinks } from './executor-links.js';
 import type { ExecutorConnector, InstanceFleet, OperatorView, RowCodec } from './ports.js';
-import { ProgressWriter, type PendingAcknowledgement } from './progress-writer.js';
+import type { PendingAcknowledgement } from './progress-queue.js';
+import { ProgressWriter } from './progress-writer.js';
 
 const TICK_MS: Millis = 100;
 /** Term of the leases under which executors run tasks, extended with each poll. */
@@ -117,6 +118,7 @@
         store: options.progress,
         ownerKey: CELL_OWNER_KEY,
         epoch: term.epoch,
+        clock,
         newId: options.newId,
         metrics: options.metrics,
         onAcknowledged: (acknowledgement) => {
--- a/packages/daemon/src/jobs/progress-writer.ts
+++ b/packages/daemon/src/jobs/progress-writer.ts
@@ -1,6 +1,12 @@
-import type { ExecutorId, JobId, JobProgress, Millis } from '@turmerichoist/core';
+import type { Clock, JobId, JobProgress, Millis } from '@turmerichoist/core';
 import type { JsonValue, TableStore } from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
+import {
+  ProgressQueue,
+  type PendingAcknowledgement,
+  type ProgressBacklog,
+  type QueuedProgress,
+} from './progress-queue.js';
 
 /** Progress rows per transaction, which leaves room for the owner's and the lane's rows. */
 const MAX_ROWS = 80;
@@ -8,13 +14,11 @@
 const BATCH_DELAY_MS: Millis = 6;
 const RETRY_MS: Millis = 100;
 
-/** An acknowledgement that is held back until all progress decided before it is stored. */
-export interface PendingAcknowledgement {
-  readonly executor: ExecutorId;
-  readonly startedWallMs: Millis;
-  /** Sequence number of the last ended run that is acknowledged. */
-  readonly through: number;
-}
+/**
+ * Rows of a batch that are kept for the oldest changes while ended jobs go first, so that the
+ * acknowledgements behind them are released.
+ */
+const OLDEST_ROWS = 20;
 
 export type ProgressWriterMessage =
   | { readonly type: 'persist'; readonly job: JobId; readonly progress: JobProgress }
@@ -28,6 +32,7 @@
   readonly ownerKey: string;
   /** Version of the owner's row in this term. */
   readonly epoch: number;
+  readonly clock: Clock;
   readonly newId: () => string;
   readonly metrics: Metrics;
   readonly onAcknowledged: (acknowledgement: PendingAcknowledgement) => void;
@@ -35,32 +40,39 @@
   readonly onSuperseded: () => void;
 }
 
-/** Stores the progress of jobs in batches and releases the acknowledgements that depend on it. */
+/**
+ * Stores the progress of jobs in batches, one at a time, and releases each acknowledgement once
+ * everything that was queued before it is stored.
+ */
 export class ProgressWriter extends Actor<ProgressWriterMessage> {
   readonly #options: ProgressWriterOptions;
-  readonly #progress = new Map<JobId, JobProgress>();
-  readonly #acknowledgements = new Map<ExecutorId, PendingAcknowledgement>();
+  readonly #queue = new ProgressQueue(MAX_ROWS, OLDEST_ROWS);
   #writing = false;
+  /** Another owner leads, so nothing is stored or released any more. */
+  #superseded = false;
 
   constructor(options: ProgressWriterOptions, context: ActorContext) {
     super('progress', context);
     this.#options = options;
   }
 
+  /** What waits to be stored now. */
+  get backlog(): ProgressBacklog {
+    return this.#queue.backlog(this.#options.clock.now());
+  }
+
   protected receive(message: ProgressWriterMessage): void {
     switch (message.type) {
       case 'persist':
-        // Reinserts the job at the end of the map, so that a batch takes the oldest changes.
-        this.#progress.delete(message.job);
-        this.#progress.set(message.job, message.progress);
+        this.#queue.add(message.job, message.progress, this.#options.clock.now());
         break;
       case 'acknowledge':
-        this.#acknowledgements.set(message.acknowledgement.executor, message.acknowledgement);
+        this.#queue.acknowledge(message.acknowledgement);
         break;
       case 'flush':
         break;
     }
-    if (!this.#writing && (this.#progress.size > 0 || this.#acknowledgements.size > 0)) {
+    if (!this.#writing && !this.#superseded && !this.#queue.isEmpty) {
       this.#writing = true;
       void this.#write().then(() => {
         this.#writing = false;
@@ -71,24 +83,19 @@
 
   async #write(): Promise<void> {
     await sleep(BATCH_DELAY_MS, this.signal);
-    const batch = [...this.#progress].slice(0, MAX_ROWS);
-    const isComplete = batch.length === this.#progress.size;
-    const released = isComplete ? [...this.#acknowledgements.values()] : [];
-    batch.forEach(([job]) => this.#progress.delete(job));
-    if (isComplete) {
-      this.#acknowledgements.clear();
-    }
-    if (batch.length === 0 || (await this.#commit(batch))) {
-      released.forEach((acknowledgement) => {
-        this.#options.onAcknowledged(acknowledgement);
-      });
+    const batch = this.#queue.take();
+    if (batch.length > 0 && !(await this.#commit(batch))) {
+      return;
     }
+    this.#queue.release().forEach((acknowledgement) => {
+      this.#options.onAcknowledged(acknowledgement);
+    });
   }
 
   /** Retries until the rows are stored. Returns false on shutdown or if another owner leads. */
-  async #commit(batch: readonly (readonly [JobId, JobProgress])[]): Promise<boolean> {
+  async #commit(batch: readonly QueuedProgress[]): Promise<boolean> {
     const { store, ownerKey, epoch, newId, metrics, onSuperseded } = this.#options;
-    const writes = batch.map(([job, progress]) => ({
+    const writes = batch.map(({ job, progress }) => ({
       key: `progress/${job}`,
       value: progress as unknown as JsonValue,
     }));
@@ -101,6 +108,7 @@
       }
       if (done.isOk()) {
         this.log.warn('progress rejected, another owner leads', { epoch });
+        this.#superseded = true;
         onSuperseded();
         return false;
       }
--- a/packages/daemon/test/job-writers.test.ts
+++ b/packages/daemon/test/job-writers.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals';
-import { MemoryTableStore } from '@turmerichoist/coordination';
+import { MemoryTableStore, type TableStore, type Transaction } from '@turmerichoist/coordination';
 import type { JobProgress } from '@turmerichoist/core';
 import { NoMetrics, silentLogger, SystemClock } from '@turmerichoist/runtime';
 import { Acceptor } from '../src/jobs/acceptor.js';
@@ -112,7 +112,7 @@
   const acknowledged: number[] = [];
   let superseded = 0;
 
-  async function createWriter(): Promise<ProgressWriter> {
+  async function createWriter(progressStore: TableStore = store): Promise<ProgressWriter> {
     acknowledged.length = 0;
     superseded = 0;
     const txn = {
@@ -124,9 +124,10 @@
     const epoch = claimed.committed ? (claimed.versions['cell/owner'] ?? 0) : 0;
     return new ProgressWriter(
       {
-        store,
+        store: progressStore,
         ownerKey: 'cell/owner',
         epoch,
+        clock: new SystemClock(),
         newId,
         metrics: new NoMetrics(),
         onAcknowledged: ({ through }) => acknowledged.push(through),
@@ -185,4 +186,138 @@
     expect(acknowledged).toEqual([]);
     expect(await valueOf('progress/a')).toBeUndefined();
   });
+
+  /** A store that commits each transaction only when the test says so. */
+  class SteppedStore implements TableStore {
+    readonly commits: (readonly string[])[] = [];
+    #next: (() => void) | undefined;
+
+    async commit(txn: Transaction, signal: AbortSignal): ReturnType<TableStore['commit']> {
+      this.commits.push(txn.writes.map(({ key }) => key.replace('progress/', '')));
+      await new Promise<void>((resolve) => {
+        this.#next = resolve;
+      });
+      return store.commit(txn, signal);
+    }
+
+    read: TableStore['read'] = (keys, signal) => store.read(keys, signal);
+    range: TableStore['range'] = (...args) => store.range(...args);
+
+    /** Waits for transaction `number`, from 1, and commits it. */
+    async step(number: number): Promise<void> {
+      await eventually(() => this.commits.length >= number);
+      this.#next?.();
+    }
+  }
+
+  const queueJobs = (writer: ProgressWriter, prefix: string, count: number): void => {
+    for (let job = 0; job < count; job += 1) {
+      writer.post({ type: 'persist', job: `${prefix}${job}`, progress: RUNNING });
+    }
+  };
+
+  test('an acknowledgement waits for progress that was decided after it', async () => {
+    const stepped = new SteppedStore();
+    const writer = await createWriter(stepped);
+    queueJobs(writer, 'a', 40);
+    writer.post({ type: 'acknowledge', acknowledgement });
+    queueJobs(writer, 'b', 200);
+    await stepped.step(1);
+    await eventually(() => acknowledged.length === 1);
+    expect(stepped.commits.length).toBeLessThanOrEqual(2);
+  });
+
+  test('an ended run that is listed again loses its place behind newer progress', async () => {
+    const stepped = new SteppedStore();
+    const writer = await createWriter(stepped);
+    queueJobs(writer, 'a', 40);
+    writer.post({ type: 'acknowledge', acknowledgement });
+    queueJobs(writer, 'b', 200);
+    writer.post({ type: 'acknowledge', acknowledgement });
+    await stepped.step(1);
+    await eventually(() => acknowledged.length === 1);
+    expect(stepped.commits.length).toBeLessThanOrEqual(2);
+  });
+
+  test('a job whose progress keeps changing is never written while others are', async () => {
+    const stepped = new SteppedStore();
+    const writer = await createWriter(stepped);
+    writer.post({ type: 'persist', job: 'first', progress: RUNNING });
+    await eventually(() => stepped.commits.length === 1);
+    writer.post({ type: 'persist', job: 'busy', progress: RUNNING });
+    queueJobs(writer, 'a', 200);
+    writer.post({
+      type: 'persist',
+      job: 'busy',
+      progress: { ...RUNNING, done: { '0.0': [1, 2] } },
+    });
+    await stepped.step(1);
+    await stepped.step(2);
+    expect(stepped.commits[1]).toContain('busy');
+    await eventually(() => stepped.commits.length === 3);
+    expect(await valueOf('progress/busy')).toMatchObject({ done: { '0.0': [1, 2] } });
+  });
+
+  test('a job that has ended is shown only after the progress of many others', async () => {
+    const stepped = new SteppedStore();
+    const writer = await createWriter(stepped);
+    queueJobs(writer, 'a', 200);
+    writer.post({ type: 'persist', job: 'ended', progress: DONE });
+    await eventually(() => stepped.commits.length === 1);
+    expect(stepped.commits[0]).toContain('ended');
+  });
+
+  test('acknowledgements wait for ever while ended jobs fill every batch', async () => {
+    const stepped = new SteppedStore();
+    const writer = await createWriter(stepped);
+    writer.post({ type: 'persist', job: 'open', progress: RUNNING });
+    writer.post({ type: 'acknowledge', acknowledgement });
+    for (let job = 0; job < 300; job += 1) {
+      writer.post({ type: 'persist', job: `e${job}`, progress: DONE });
+    }
+    await stepped.step(1);
+    expect(stepped.commits[0]).toContain('open');
+    await eventually(() => acknowledged.length === 1);
+  });
+
+  test('an acknowledgement overtakes progress that changed while its batch was written', async () => {
+    const stepped = new SteppedStore();
+    const writer = await createWriter(stepped);
+    writer.post({ type: 'persist', job: 'a', progress: RUNNING });
+    await eventually(() => stepped.commits.length === 1);
+    writer.post({ type: 'persist', job: 'a', progress: DONE });
+    writer.post({ type: 'acknowledge', acknowledgement });
+    await writer.idle();
+    await stepped.step(1);
+    await eventually(() => stepped.commits.length === 2);
+    expect(acknowledged).toEqual([]);
+    await stepped.step(2);
+    await eventually(() => acknowledged.length === 1);
+    expect(await valueOf('progress/a')).toEqual(DONE);
+  });
+
+  test('a backlog behind a slow store is not visible', async () => {
+    const stepped = new SteppedStore();
+    const writer = await createWriter(stepped);
+    expect(writer.backlog).toEqual({ jobs: 0, acknowledgements: 0, oldestAgeMs: 0 });
+    queueJobs(writer, 'a', 100);
+    writer.post({ type: 'acknowledge', acknowledgement });
+    await eventually(() => stepped.commits.length === 1 && writer.backlog.oldestAgeMs > 0);
+    expect(writer.backlog).toMatchObject({ jobs: 100, acknowledgements: 1 });
+  });
+
+  test('ended runs are acknowledged without their progress after another owner has taken over', async () => {
+    const writer = await createWriter();
+    const txn = {
+      txnId: newId(),
+      conditions: [],
+      writes: [{ key: 'cell/owner', value: { n: 2 } }],
+    };
+    await store.commit(txn, controller.signal);
+    writer.post({ type: 'persist', job: 'a', progress: DONE });
+    await eventually(() => superseded === 1);
+    writer.post({ type: 'acknowledge', acknowledgement });
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect(acknowledged).toEqual([]);
+  });
 });
