fix(jobs): poll an executor less often while its ends are not acknowledged

Cause: each executor with an unacknowledged end was polled every 200 ms without waiting, 1,250 polls a second for 250 executors, and listed the same ends each time (up to 500). That took the leader's processor and network link, and with them the renewals of its lease and the writes that the acknowledgements were waiting for. Each answered stop and each unanswered start made a poll of its own, all at once: 25 stops on one executor, 25 polls. Change: the pause between polls starts at 60 ms and doubles to 1 s, well within the lease of 4.5 s, and ends at once when all reported ends are acknowledged; then the executor is polled as before. Polls after stops and unanswered starts share one that is sent after the last of them; at most one is under way beside the long poll. Measured: failed before: "an executor lists the same ended runs five times a second while the store is slow" (fourth pause 200 ms, now 480 ms) and "each of many stops on one executor makes a poll of its own" (25 polls, now 2). The other two new tests guard the wake-up and the time at which a shared poll is sent; they passed before. After: 5 of 5 pass.

--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -1,13 +1,16 @@
 import type { Clock, ExecutorInfo, JobEvent, Millis, TaskRef } from '@turmerichoist/core';
 import { Actor, sleep, type ActorContext, type Recipient } from '@turmerichoist/runtime';
 import type { ExecutorClient, PollResponse, StartOrder } from './ports.js';
+import { WakeablePause } from './wakeable-pause.js';
 
 /** Long-poll time of one poll, which returns early when a run ends. Each poll extends the lease. */
 const POLL_WAIT_MS: Millis = 1_000;
-/** Longest wait for the acknowledgement of ended runs before the executor is polled again. */
-const ACKNOWLEDGE_WAIT_MS: Millis = 60;
-/** Pause between polls while progress can't be written to the store. */
-const PENDING_WRITE_PAUSE_MS: Millis = 200;
+/**
+ * Shortest and longest pause before an executor is polled again whose ended runs are not acknowledged.
+ * Behind a slow store, a fixed pause made thousands of polls a second that listed the same runs.
+ */
+const MIN_UNACKNOWLEDGED_PAUSE_MS: Millis = 60;
+const MAX_UNACKNOWLEDGED_PAUSE_MS: Millis = 1_000;
 /** Pause after a poll without an answer. */
 const UNANSWERED_PAUSE_MS: Millis = 200;
 /** Longest time from the sending of a poll to its answer or time-out, with a margin. */
@@ -50,13 +53,19 @@
   #reportedThrough = 0;
   #startedWallMs: Millis;
   #leaseEndsAt: Millis;
-  #wake: (() => void) | undefined;
+  readonly #pause: WakeablePause;
+  #unacknowledgedPauseMs = MIN_UNACKNOWLEDGED_PAUSE_MS;
+  /** Whether a poll that was asked for by `#pollSoon` is under way. */
+  #extraPolling = false;
+  /** Whether another such poll was asked for after that one was sent. */
+  #extraPollDue = false;
 
   constructor(options: ExecutorLinkOptions, context: ActorContext) {
     super('executor', context);
     this.#options = options;
     this.#startedWallMs = options.info.startedWallMs;
     this.#leaseEndsAt = options.clock.now();
+    this.#pause = new WakeablePause(this.signal);
   }
 
   start(): void {
@@ -75,33 +84,66 @@
         void this.#pace(message.task, message.attempt, message.percent);
         return;
       case 'acknowledged':
-        if (message.startedWallMs === this.#startedWallMs) {
-          this.#acknowledgedThrough = Math.max(this.#acknowledgedThrough, message.through);
-          this.#wake?.();
-        }
+        this.#acknowledge(message.startedWallMs, message.through);
         return;
       case 'poll':
-        void this.#poll(0);
+        void this.#pollSoon();
     }
   }
 
+  #acknowledge(startedWallMs: Millis, through: number): void {
+    if (startedWallMs !== this.#startedWallMs) {
+      return;
+    }
+    this.#acknowledgedThrough = Math.max(this.#acknowledgedThrough, through);
+    if (this.#allAcknowledged) {
+      this.#unacknowledgedPauseMs = MIN_UNACKNOWLEDGED_PAUSE_MS;
+      this.#pause.wake();
+    }
+  }
+
+  get #allAcknowledged(): boolean {
+    return this.#acknowledgedThrough >= this.#reportedThrough;
+  }
+
   async #runPollLoop(): Promise<void> {
     // The first poll returns at once: it reads the executor's clock, which a lease needs.
     let answered = await this.#poll(0);
     while (!this.signal.aborted) {
-      const allAcknowledged = this.#acknowledgedThrough >= this.#reportedThrough;
-      const waitMs = answered && allAcknowledged ? POLL_WAIT_MS : 0;
+      const waitMs = answered && this.#allAcknowledged ? POLL_WAIT_MS : 0;
       answered = await this.#poll(waitMs, answered);
       if (!answered) {
         await sleep(UNANSWERED_PAUSE_MS, this.signal);
-      } else if (this.#acknowledgedThrough < this.#reportedThrough) {
-        await this.#awaitAcknowledgement(
-          allAcknowledged ? ACKNOWLEDGE_WAIT_MS : PENDING_WRITE_PAUSE_MS,
-        );
+      } else if (!this.#allAcknowledged) {
+        await this.#awaitAcknowledgement();
       }
     }
   }
 
+  /** Pauses until all reported ends are acknowledged, each time longer if they are not. */
+  async #awaitAcknowledgement(): Promise<void> {
+    const ms = this.#unacknowledgedPauseMs;
+    this.#unacknowledgedPauseMs = Math.min(2 * ms, MAX_UNACKNOWLEDGED_PAUSE_MS);
+    await this.#pause.pause(ms);
+  }
+
+  /**
+   * Polls without delay beside the long poll. At most one such poll is under way, and requests that
+   * arrive meanwhile share the next one: what they ask about may have changed after it was sent.
+   */
+  async #pollSoon(): Promise<void> {
+    this.#extraPollDue = true;
+    if (this.#extraPolling) {
+      return;
+    }
+    this.#extraPolling = true;
+    while (this.#extraPollDue && !this.signal.aborted) {
+      this.#extraPollDue = false;
+      await this.#poll(0);
+    }
+    this.#extraPolling = false;
+  }
+
   /** Polls once. After an unanswered poll the lease is not extended until another is answered. */
   async #poll(waitMs: Millis, extend = true): Promise<boolean> {
     const { client, clock, info, leaseMs, mayAct, owner } = this.#options;
@@ -157,17 +199,6 @@
     });
   }
 
-  async #awaitAcknowledgement(ms: Millis): Promise<void> {
-    const woken = new AbortController();
-    this.#wake = () => {
-      if (this.#acknowledgedThrough >= this.#reportedThrough) {
-        woken.abort();
-      }
-    };
-    await sleep(ms, AbortSignal.any([this.signal, woken.signal]));
-    this.#wake = undefined;
-  }
-
   async #start(order: StartOrder): Promise<void> {
     const { client, info, mayAct, owner } = this.#options;
     const outcome = mayAct() ? await client.start(order, this.signal) : 'not-sent';
@@ -177,7 +208,7 @@
     }
     owner.post({ type: 'start-answer', task, attempt, executor: info.id, outcome });
     if (outcome === 'unknown') {
-      await this.#poll(0);
+      await this.#pollSoon();
     }
   }
 
@@ -186,7 +217,7 @@
     const answered = await client.stop(task, attempt, this.signal);
     owner.post({ type: 'stop-answer', task, attempt, executor: info.id, answered });
     if (answered) {
-      await this.#poll(0);
+      await this.#pollSoon();
     }
   }
 
--- a/packages/daemon/test/executor-link.test.ts
+++ b/packages/daemon/test/executor-link.test.ts
@@ -1,10 +1,10 @@
-import { expect, test } from '@jest/globals';
-import { ManualClock, type JobEvent } from '@turmerichoist/core';
-import { silentLogger } from '@turmerichoist/runtime';
+import { afterEach, beforeEach, expect, test } from '@jest/globals';
+import { ManualClock, type Clock, type EndedRun, type JobEvent } from '@turmerichoist/core';
+import { silentLogger, SystemClock } from '@turmerichoist/runtime';
 import { ExecutorLink } from '../src/jobs/executor-link.js';
 import type { ExecutorClient, PollResponse, PollRequest } from '../src/jobs/ports.js';
 
-// The test is named after the failure that it guards against.
+// Each test is named after the failure that it guards against.
 
 const REPORT: PollResponse = { type: 'report', startedWallMs: 1, running: [], ended: [] };
 const LEASE_MS = 4_500;
@@ -13,13 +13,14 @@
 class ScriptedExecutor {
   readonly polls: {
     readonly req: PollRequest;
+    readonly atMs: number;
     readonly answer: (answer: PollResponse) => void;
   }[] = [];
 
   readonly client: ExecutorClient = {
     poll: (req) =>
       new Promise((resolve) => {
-        this.polls.push({ req, answer: resolve });
+        this.polls.push({ req, atMs: performance.now(), answer: resolve });
       }),
     start: () => Promise.resolve('started'),
     stop: () => Promise.resolve(true),
@@ -35,11 +36,19 @@
   }
 }
 
-test('a lease ends for the owner while a poll that extends it is in flight', async () => {
-  const controller = new AbortController();
-  const clock = new ManualClock(10_000);
-  const executor = new ScriptedExecutor();
-  const events: JobEvent[] = [];
+let controller: AbortController;
+let events: JobEvent[];
+
+beforeEach(() => {
+  controller = new AbortController();
+  events = [];
+});
+
+afterEach(() => {
+  controller.abort();
+});
+
+function openLink(executor: ScriptedExecutor, clock: Clock = new SystemClock()): ExecutorLink {
   const link = new ExecutorLink(
     {
       info: {
@@ -67,6 +76,19 @@
     { log: silentLogger, signal: controller.signal },
   );
   link.start();
+  return link;
+}
+
+const TASK = { jobId: 'a', occurrence: 0, step: 0, index: 0 };
+const ENDED: EndedRun = { seq: 7, task: TASK, attempt: 1, reason: 'done', checkpoint: '' };
+const REPORT_OF_AN_END: PollResponse = { ...REPORT, ended: [ENDED] };
+
+const elapse = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+test('a lease ends for the owner while a poll that extends it is in flight', async () => {
+  const clock = new ManualClock(10_000);
+  const executor = new ScriptedExecutor();
+  openLink(executor, clock);
   (await executor.waitForPoll(1))(REPORT);
   clock.advance(1_700);
   (await executor.waitForPoll(2))({ type: 'unanswered' });
@@ -83,5 +105,77 @@
   const last = events.at(-1);
   expect(last).toMatchObject({ type: 'lease', executor: 'e1' });
   expect(last?.type === 'lease' && last.leaseEndsAt >= clock.now() + LEASE_MS).toBe(true);
-  controller.abort();
+});
+
+test('an executor lists the same ended runs five times a second while the store is slow', async () => {
+  const executor = new ScriptedExecutor();
+  openLink(executor);
+  for (let number = 1; number <= 6; number += 1) {
+    (await executor.waitForPoll(number))(REPORT_OF_AN_END);
+  }
+  // Pauses of 60, 120, 240 and 480 ms; the first two polls follow each other at once.
+  const [before, last] = executor.polls.slice(4).map(({ atMs }) => atMs);
+  expect((last ?? 0) - (before ?? 0)).toBeGreaterThan(450);
+  expect(executor.polls.every(({ req }) => req.waitMs === 0)).toBe(true);
+});
+
+test('an acknowledgement is passed on only after the pause of its executor', async () => {
+  const executor = new ScriptedExecutor();
+  const link = openLink(executor);
+  for (let number = 1; number <= 6; number += 1) {
+    (await executor.waitForPoll(number))(REPORT_OF_AN_END);
+  }
+  // The pause under way is of 960 ms.
+  await elapse(20);
+  const acknowledgedAt = performance.now();
+  link.post({ type: 'acknowledged', startedWallMs: 1, through: 7 });
+  const answer = await executor.waitForPoll(7);
+  const [last] = executor.polls.slice(6);
+  expect((last?.atMs ?? Infinity) - acknowledgedAt).toBeLessThan(500);
+  expect(last?.req).toMatchObject({ acknowledgedThrough: 7, waitMs: 1_000 });
+  // The next pause is short again.
+  const answeredAt = performance.now();
+  answer({ ...REPORT, ended: [{ ...ENDED, seq: 8 }] });
+  await executor.waitForPoll(8);
+  expect((executor.polls[7]?.atMs ?? Infinity) - answeredAt).toBeLessThan(500);
+});
+
+test('each of many stops on one executor makes a poll of its own', async () => {
+  const executor = new ScriptedExecutor();
+  const link = openLink(executor);
+  (await executor.waitForPoll(1))(REPORT);
+  await executor.waitForPoll(2);
+  for (let attempt = 1; attempt <= 25; attempt += 1) {
+    link.post({ type: 'stop', task: TASK, attempt });
+  }
+  await executor.waitForPoll(3);
+  await elapse(50);
+  expect(executor.polls.length).toBe(3);
+  // The requests that came while it was under way share one poll.
+  executor.polls[2]?.answer(REPORT);
+  (await executor.waitForPoll(4))(REPORT);
+  await elapse(50);
+  expect(executor.polls.slice(2).map(({ req }) => req.waitMs)).toEqual([0, 0]);
+  expect(events.filter(({ type }) => type === 'stop-answer').length).toBe(25);
+});
+
+test('a stop is followed only by a report that was asked for before the stop', async () => {
+  const clock = new ManualClock(10_000);
+  const executor = new ScriptedExecutor();
+  const link = openLink(executor, clock);
+  (await executor.waitForPoll(1))(REPORT);
+  await executor.waitForPoll(2);
+  link.post({ type: 'poll' });
+  const first = await executor.waitForPoll(3);
+  clock.advance(10);
+  const requestedAt = clock.now();
+  link.post({ type: 'stop', task: TASK, attempt: 1 });
+  await elapse(20);
+  clock.advance(10);
+  first(REPORT);
+  (await executor.waitForPoll(4))(REPORT);
+  await elapse(20);
+  const reports = events.flatMap((event) => (event.type === 'report' ? [event.report.sentAt] : []));
+  expect(reports.at(-1)).toBeGreaterThanOrEqual(requestedAt);
+  expect(executor.polls.length).toBe(4);
 });
