--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -29,7 +29,8 @@
 import { ExecutorLinks } from './executor-links.js';
 import { OwnerLoad } from './owner-load.js';
 import type { ExecutorConnector, InstanceFleet, OperatorView, RowCodec } from './ports.js';
-import { ProgressWriter, type PendingAcknowledgement } from './progress-writer.js';
+import type { PendingAcknowledgement } from './progress-queue.js';
+import { ProgressWriter } from './progress-writer.js';
 import { WaveStatusWriter } from './wave-status-writer.js';
 
 const TICK_MS: Millis = 100;
@@ -138,6 +139,7 @@
         store: options.progress,
         ownerKey: CELL_OWNER_KEY,
         epoch: term.epoch,
+        clock,
         newId: options.newId,
         metrics: options.metrics,
         onAcknowledged: (acknowledgement) => {
