perf(core): schedule a pool only when something may allow a start there

Cause: the decider ran a scheduling round of every pool after every event. A round starts all tasks that can start, so most rounds repeated one that had found nothing. Change: SchedulingAgenda has the pools that need a round: marked by new jobs, runs that ended or were dropped, progress, executors that become schedulable, configuration and zones, by usage of a team whose cap held a task back, and by time for backoffs and occurrences.

--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -3,6 +3,7 @@
 import type { Millis, PoolName } from '../types/index.js';
 import { type ExecutorId, type ExecutorInfo } from './model.js';
 import type { RunTable } from './run-table.js';
+import type { SchedulingAgenda } from './scheduling-agenda.js';
 
 /** Backoff after an executor has refused a start. */
 const REFUSAL_BACKOFF_MS: Millis = 500;
@@ -40,15 +41,20 @@
   readonly cordoned: boolean;
 }
 
-type ExecutorChange = Partial<Omit<ExecutorState, 'info'>> & { readonly info?: ExecutorInfo };
+/** Fields on which it depends, together with the time, whether new tasks may be placed there. */
+type ContactField = 'hasReported' | 'lastReportAt' | 'leaseEndsAt' | 'lastEndSeq';
+type ExecutorChange = Partial<Omit<ExecutorState, ContactField | TimingField>>;
+type TimingField = 'backoffUntil' | 'lastUnansweredAt' | 'failureStreak';
 
 /** All executors that the platform lists or that may still have runs. */
 export class ExecutorTable {
   readonly #runs: RunTable;
+  readonly #agenda: SchedulingAgenda;
   readonly #states = new Map<ExecutorId, ExecutorState>();
 
-  constructor(runs: RunTable) {
+  constructor(runs: RunTable, agenda: SchedulingAgenda) {
     this.#runs = runs;
+    this.#agenda = agenda;
   }
 
   get(id: ExecutorId): ExecutorState | undefined {
@@ -82,8 +88,31 @@
 
   update(id: ExecutorId, change: ExecutorChange): void {
     const state = this.#states.get(id);
-    if (state !== undefined) {
-      this.#states.set(id, { ...state, ...change });
+    if (state === undefined) {
+      return;
+    }
+    this.#states.set(id, { ...state, ...change });
+    if (mayAllowStarts(state, change)) {
+      const { pool } = change.info ?? state.info;
+      this.#agenda.mark(pool);
+      this.#agenda.wakeAt(pool, state.backoffUntil);
+    }
+  }
+
+  /** Updates what a poll of the executor shows or changes. */
+  updateContact(
+    id: ExecutorId,
+    change: Partial<Pick<ExecutorState, ContactField>>,
+    now: Millis,
+  ): void {
+    const state = this.#states.get(id);
+    if (state === undefined) {
+      return;
+    }
+    const updated = { ...state, ...change };
+    this.#states.set(id, updated);
+    if (!this.isSchedulable(state, now) && this.isSchedulable(updated, now)) {
+      this.#agenda.mark(state.info.pool);
     }
   }
 
@@ -93,12 +122,18 @@
 
   /** Records an unanswered call: the executor gets no new tasks until it answers a later poll. */
   unanswered(id: ExecutorId, now: Millis): void {
-    this.update(id, { lastUnansweredAt: now });
+    const state = this.#states.get(id);
+    if (state !== undefined) {
+      this.#states.set(id, { ...state, lastUnansweredAt: now });
+    }
   }
 
   /** Records a refused start and begins the backoff. */
   refused(id: ExecutorId, now: Millis): void {
-    this.update(id, { backoffUntil: now + REFUSAL_BACKOFF_MS });
+    const state = this.#states.get(id);
+    if (state !== undefined) {
+      this.#setBackoff(state, state.failureStreak, now + REFUSAL_BACKOFF_MS);
+    }
   }
 
   /** Records the end of a run; consecutive failures begin a backoff that grows exponentially. */
@@ -111,7 +146,12 @@
     const excess = failureStreak - MAX_FAILURE_STREAK;
     const backoffMs =
       excess < 0 ? 0 : FAILURE_BACKOFF_MS * 2 ** Math.min(excess, MAX_BACKOFF_DOUBLINGS);
-    this.update(id, { failureStreak, backoffUntil: Math.max(state.backoffUntil, now + backoffMs) });
+    this.#setBackoff(state, failureStreak, Math.max(state.backoffUntil, now + backoffMs));
+  }
+
+  #setBackoff(state: ExecutorState, failureStreak: number, backoffUntil: Millis): void {
+    this.#states.set(state.info.id, { ...state, failureStreak, backoffUntil });
+    this.#agenda.wakeAt(state.info.pool, backoffUntil);
   }
 
   /** Capacity that is not taken by any run. */
@@ -144,3 +184,12 @@
     );
   }
 }
+
+/** Whether a change may make an executor schedulable, whatever the time is. */
+function mayAllowStarts(state: ExecutorState, change: ExecutorChange): boolean {
+  return (
+    (change.listed === true && !state.listed) ||
+    (change.cordoned === false && state.cordoned) ||
+    (change.info !== undefined && change.info !== state.info)
+  );
+}
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -15,6 +15,7 @@
 import { PaceController } from './pace-controller.js';
 import { RunReconciler } from './run-reconciler.js';
 import { RunTable } from './run-table.js';
+import { SchedulingAgenda } from './scheduling-agenda.js';
 import { Scheduler } from './scheduler.js';
 import { ProcessPauseDetector } from './process-pause-detector.js';
 import { TaskDurations } from './task-durations.js';
@@ -46,6 +47,7 @@
 export class JobDecider implements Decider<JobEvent, JobDecision> {
   readonly #options: JobDeciderOptions;
   readonly #runs = new RunTable();
+  readonly #agenda = new SchedulingAgenda();
   readonly #durations = new TaskDurations();
   readonly #executors: ExecutorTable;
   readonly #jobs: JobTable;
@@ -73,13 +75,14 @@
 
   constructor(options: JobDeciderOptions) {
     this.#options = options;
-    this.#jobs = new JobTable(options);
-    this.#executors = new ExecutorTable(this.#runs);
+    this.#jobs = new JobTable(options, this.#agenda);
+    this.#executors = new ExecutorTable(this.#runs, this.#agenda);
     const parts = {
       jobs: this.#jobs,
       runs: this.#runs,
       executors: this.#executors,
       durations: this.#durations,
+      agenda: this.#agenda,
     };
     this.#reconciler = new RunReconciler(parts, () => options.clock.wall());
     this.#scheduler = new Scheduler({
@@ -129,7 +132,7 @@
   handle(event: JobEvent, now: Millis): readonly JobDecision[] {
     const extra = this.#apply(event, now);
     const changes = this.#reconciler.drainChanges();
-    const starts = this.#scheduleAll(now);
+    const starts = this.#schedule(now);
     return [
       ...changes.decisions,
       ...extra,
@@ -144,9 +147,11 @@
       case 'config':
         this.#config = event.config;
         this.#jobs.configure(event.config);
+        this.#agenda.markAll();
         return [];
       case 'zones-out':
         this.#zonesOut = event.zones;
+        this.#agenda.markAll();
         return [];
       case 'executors':
         this.#setExecutors(event.executors, now);
@@ -162,10 +167,10 @@
       case 'report':
         return this.#report(event.report, event.leaseEndsAt, now);
       case 'lease':
-        this.#executors.update(event.executor, { leaseEndsAt: event.leaseEndsAt });
+        this.#executors.updateContact(event.executor, { leaseEndsAt: event.leaseEndsAt }, now);
         return [];
       case 'silent':
-        this.#executors.update(event.executor, { leaseEndsAt: event.leaseEndsAt });
+        this.#executors.updateContact(event.executor, { leaseEndsAt: event.leaseEndsAt }, now);
         this.#executors.unanswered(event.executor, now);
         return [];
       case 'start-answer': {
@@ -229,7 +234,7 @@
     this.#reconciler.handleRestart(info.id, now);
     this.#pendingAcknowledgements.delete(info.id);
     this.#executors.add(info, now);
-    this.#executors.update(info.id, { leaseEndsAt });
+    this.#executors.updateContact(info.id, { leaseEndsAt }, now);
   }
 
   #cancel(ids: readonly JobId[], now: Millis): readonly JobDecision[] {
@@ -262,12 +267,11 @@
     if (report.ended.length > 0) {
       this.#pendingAcknowledgements.set(report.executor, lastEndSeq);
     }
-    this.#executors.update(report.executor, {
-      hasReported: true,
-      lastReportAt: report.sentAt,
-      leaseEndsAt,
-      lastEndSeq,
-    });
+    this.#executors.updateContact(
+      report.executor,
+      { hasReported: true, lastReportAt: report.sentAt, leaseEndsAt, lastEndSeq },
+      now,
+    );
     return this.#paceController.onReport(report.executor, now);
   }
 
@@ -344,14 +348,17 @@
     }
   }
 
-  #scheduleAll(now: Millis): readonly JobDecision[] {
+  #schedule(now: Millis): readonly JobDecision[] {
     const holdAdopted = this.#isRecovering(now);
-    if (!holdAdopted) {
+    if (!holdAdopted && !this.#recoveryComplete) {
       this.#recoveryComplete = true;
       this.#jobs.clearAdopted();
+      this.#agenda.markAll();
     }
     const limits = { zonesOut: this.#zonesOut, teams: this.#config.teams, holdAdopted };
-    return this.#jobs.pools.flatMap((pool) => this.#scheduler.schedule(pool, limits, now));
+    return this.#agenda
+      .takeDue(this.#jobs.pools, now)
+      .flatMap((pool) => this.#scheduler.schedule(pool, limits, now));
   }
 
   /** Whether executors that have not reported yet may still run tasks of an earlier owner. */
--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -2,6 +2,7 @@
 import { Job } from './job.js';
 import type { JobId, SchedulingConfig, TaskRef } from './model.js';
 import type { StoredJob } from './messages.js';
+import type { SchedulingAgenda } from './scheduling-agenda.js';
 import type { StepProgress } from './step-progress.js';
 
 export interface JobTableOptions {
@@ -13,13 +14,15 @@
 /** The jobs of a cell. Ended jobs are retained for a while, so that late reports find them. */
 export class JobTable {
   readonly #options: JobTableOptions;
+  readonly #agenda: SchedulingAgenda;
   readonly #jobs = new Map<JobId, Job>();
   readonly #openByPool = new Map<PoolName, Map<JobId, Job>>();
   readonly #adopted = new Set<JobId>();
   #config: SchedulingConfig | undefined;
 
-  constructor(options: JobTableOptions) {
+  constructor(options: JobTableOptions, agenda: SchedulingAgenda) {
     this.#options = options;
+    this.#agenda = agenda;
   }
 
   get(id: JobId): Job | undefined {
@@ -89,7 +92,7 @@
     this.#applyPolicy(job);
     this.#jobs.set(job.id, job);
     if (job.open) {
-      this.#openJobsOf(job.policy.pool).set(job.id, job);
+      this.#open(job);
       if (adopted) {
         this.#adopted.add(job.id);
       }
@@ -122,7 +125,7 @@
         this.#applyPolicy(job);
         if (job.policy.pool !== pool) {
           jobs.delete(job.id);
-          this.#openJobsOf(job.policy.pool).set(job.id, job);
+          this.#open(job);
         }
       }
     }
@@ -132,9 +135,13 @@
     job.policy = this.#config?.queues.get(job.accepted.queue) ?? job.policy;
   }
 
-  #openJobsOf(pool: PoolName): Map<JobId, Job> {
+  #open(job: Job): void {
+    const { pool } = job.policy;
     const jobs = this.#openByPool.get(pool) ?? new Map<JobId, Job>();
-    this.#openByPool.set(pool, jobs);
-    return jobs;
+    this.#openByPool.set(pool, jobs.set(job.id, job));
+    this.#agenda.mark(pool);
+    job.occurrences.forEach(({ dueAt }) => {
+      this.#agenda.wakeAt(pool, dueAt);
+    });
   }
 }
--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -15,6 +15,7 @@
   type TaskRef,
 } from './model.js';
 import { newRun, type Run, type RunTable } from './run-table.js';
+import type { SchedulingAgenda } from './scheduling-agenda.js';
 import type { StepProgress } from './step-progress.js';
 import type { TaskDurations } from './task-durations.js';
 
@@ -36,6 +37,7 @@
   readonly #runs: RunTable;
   readonly #executors: ExecutorTable;
   readonly #durations: TaskDurations;
+  readonly #agenda: SchedulingAgenda;
   readonly #wallNow: () => Millis;
   /** When a stop was last sent for a run that is not on record, by executor and attempt. */
   readonly #untrackedStops = new Map<string, Millis>();
@@ -47,6 +49,7 @@
     this.#runs = parts.runs;
     this.#executors = parts.executors;
     this.#durations = parts.durations;
+    this.#agenda = parts.agenda;
     this.#wallNow = wall;
   }
 
@@ -203,6 +206,7 @@
           : 'none';
     if (effect !== 'none') {
       this.#changedJobs.add(job.id);
+      this.#agenda.mark(job.policy.pool);
     }
     if (effect === 'completed' || effect === 'failed') {
       this.#jobs.markClosed(job);
@@ -303,7 +307,20 @@
   /** Removes a run and requeues its task unless the task is done. */
   #drop(run: Run): void {
     this.#runs.remove(run.key);
-    this.#jobs.step(run.task)?.requeue(run.task.index);
+    const job = this.#jobs.get(run.task.jobId);
+    job?.step(run.task)?.requeue(run.task.index);
+    this.#markFreed(run, job);
+  }
+
+  /** Both pools may get starts: the executor may have been moved to another one than the job's. */
+  #markFreed(run: Run, job: Job | undefined): void {
+    const pools = [this.#executors.get(run.executor)?.info.pool, job?.policy.pool];
+    pools.forEach((pool) => {
+      if (pool !== undefined) {
+        this.#agenda.mark(pool);
+      }
+    });
+    this.#agenda.usageDecreased(run.team);
   }
 
   /** The run that an answer refers to, or undefined if it is no longer on record. */
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -94,9 +94,11 @@
     limits: StartLimits,
   ): readonly PlacedTask[] {
     const placed: PlacedTask[] = [];
-    let usage = this.#dependencies.runs.teamUsage(job.accepted.team);
+    const { runs, agenda } = this.#dependencies;
+    let usage = runs.teamUsage(job.accepted.team);
     for (const index of step.pending) {
       if (!withinCap(usage, step.spec.resources, limits.teams.get(job.accepted.team))) {
+        agenda.heldByCap(job.accepted.team, job.policy.pool);
         break;
       }
       const state = round.choose(step.spec, this.#stepExecutors(job, ref, placed));
@@ -119,10 +121,15 @@
     limits: StartLimits,
   ): readonly PlacedTask[] {
     const { spec } = step;
-    const usage = this.#dependencies.runs.teamUsage(job.accepted.team);
+    const { runs, agenda } = this.#dependencies;
+    const usage = runs.teamUsage(job.accepted.team);
     const all = scale(spec.resources, spec.taskCount);
     const team = limits.teams.get(job.accepted.team);
-    if (step.pending.size < spec.taskCount || !withinCap(usage, all, team)) {
+    if (step.pending.size < spec.taskCount) {
+      return [];
+    }
+    if (!withinCap(usage, all, team)) {
+      agenda.heldByCap(job.accepted.team, job.policy.pool);
       return [];
     }
     const racks = spec.sameRack ? [...round.racks, undefined] : [undefined];
--- a/packages/core/test/support/job-world.ts
+++ b/packages/core/test/support/job-world.ts
@@ -61,6 +61,8 @@
   /** Violations of the rule that a task never runs twice at once nor after it was done. */
   readonly violations: string[] = [];
   faults: JobFaults = NO_FAULTS;
+  /** Called after each event that a decider has handled. */
+  onHandled: ((decider: JobDecider, event: JobEvent) => void) | undefined;
   term: Term | undefined;
   #infos: readonly ExecutorInfo[];
   readonly #random: SeededRandom;
@@ -172,6 +174,7 @@
       term.decider.handle(event, this.now).forEach((decision) => {
         this.#carryOut(term, decision);
       });
+      this.onHandled?.(term.decider, event);
     }
   }
 
