perf(core): keep runs and free capacity of executors between events

Cause: each report copied the record of every run that it listed, also without a change, built two keys a run, and sorted out best-effort runs that most executors don't have; each scheduling round summed up the runs of every executor of the pool again. Change: a report updates only runs whose progress changed. RunTable keeps the list of runs and the free capacity of an executor until a run there changes; the sum is taken in the same order as before, so its rounding is the same.

--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -1,4 +1,3 @@
-import { subtract } from '../tasks/resource-arithmetic.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName } from '../types/index.js';
 import { type ExecutorId, type ExecutorInfo } from './model.js';
@@ -156,9 +155,7 @@
 
   /** Capacity that is not taken by any run. */
   freeCapacity(state: ExecutorState): Resources {
-    return this.#runs
-      .at(state.info.id)
-      .reduce((free, run) => subtract(free, run.footprint), state.info.capacity);
+    return this.#runs.freeCapacity(state.info.id, state.info.capacity);
   }
 
   /** Whether its latest report is recent and no call has gone unanswered since. */
--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -202,7 +202,7 @@
 
   #trackIdle(now: Millis): void {
     for (const { info, hasReported } of this.#tables.executors.all()) {
-      if (!hasReported || this.#tables.runs.at(info.id).length > 0) {
+      if (!hasReported || this.#tables.runs.countAt(info.id) > 0) {
         this.#idleSince.delete(info.id);
       } else if (!this.#idleSince.has(info.id)) {
         this.#idleSince.set(info.id, now);
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -255,7 +255,7 @@
   #inDrainOrder(wave: WaveState, names: readonly string[]): readonly string[] {
     const runsAt = (name: string): number => {
       const executor = this.#instances.get(name)?.executor;
-      return executor === undefined ? 0 : this.#dependencies.runs.at(executor).length;
+      return executor === undefined ? 0 : this.#dependencies.runs.countAt(executor);
     };
     return names
       .map((name) => ({
--- a/packages/core/src/jobs/pace-controller.ts
+++ b/packages/core/src/jobs/pace-controller.ts
@@ -30,12 +30,12 @@
   /** Adjusts the pace of an executor's best-effort tasks after a report. */
   onReport(executor: ExecutorId, now: Millis): readonly JobDecision[] {
     const runs = this.#runs.at(executor);
-    const serving = runs.filter((run) => run.targetMs > 0 && !run.fills && run.gauge > 0);
     const bestEffort = runs.filter((run) => run.fills && run.phase === 'running');
     const last = this.#changedAt.get(executor) ?? -Infinity;
     if (bestEffort.length === 0 || now - last < MIN_CHANGE_INTERVAL_MS) {
       return [];
     }
+    const serving = runs.filter((run) => run.targetMs > 0 && !run.fills && run.gauge > 0);
     const highestRatio = Math.max(0, ...serving.map(({ gauge, targetMs }) => gauge / targetMs));
     const changes = bestEffort
       .map((run) => ({ run, percent: nextPercent(run.pace, highestRatio) }))
--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -12,6 +12,7 @@
   type JobId,
   type ReportedRun,
   type StartOutcome,
+  type TaskKey,
   type TaskRef,
 } from './model.js';
 import { newRun, type Run, type RunTable } from './run-table.js';
@@ -62,18 +63,21 @@
   }
 
   report(state: ExecutorState, report: ExecutorReport, now: Millis): void {
-    const listed = new Set<string>();
+    const listed = new Set<TaskKey>();
     for (const end of report.ended) {
       if (end.seq > state.lastEndSeq) {
         this.#handleEnd(report.executor, end, now);
       }
     }
     for (const running of report.running) {
-      listed.add(`${taskKey(running.task)}#${running.attempt}`);
-      this.#handleRunning(report, running, now);
+      const key = taskKey(running.task);
+      this.#handleRunning(report, running, key, now);
+      if (this.#runs.get(key)?.attempt === running.attempt) {
+        listed.add(key);
+      }
     }
     for (const run of this.#runs.at(report.executor)) {
-      if (!listed.has(`${run.key}#${run.attempt}`)) {
+      if (!listed.has(run.key)) {
         this.#handleMissing(run, report, now);
       }
     }
@@ -214,21 +218,21 @@
     }
   }
 
-  #handleRunning(report: ExecutorReport, running: ReportedRun, now: Millis): void {
+  #handleRunning(report: ExecutorReport, running: ReportedRun, key: TaskKey, now: Millis): void {
     const { executor } = report;
     const { task, attempt, checkpoint, percent, gauge } = running;
-    const run = this.#runs.get(taskKey(task));
+    const run = this.#runs.get(key);
     const step = this.#jobs.step(task);
     step?.recordAttempt(task.index, attempt);
     if (run?.executor === executor && run.attempt === attempt) {
       step?.saveCheckpoint(task.index, checkpoint);
       const unconfirmed = run.phase === 'starting' || run.phase === 'unknown';
-      this.#runs.update(run, {
-        percent,
-        gauge,
+      if (unconfirmed) {
         // Reports of polls that were sent before this time may predate the start.
-        ...(unconfirmed ? { phase: 'running', confirmedAt: now } : {}),
-      });
+        this.#runs.update(run, { percent, gauge, phase: 'running', confirmedAt: now });
+      } else if (run.percent !== percent || run.gauge !== gauge) {
+        this.#runs.update(run, { percent, gauge });
+      }
       return;
     }
     this.#adoptOrStop(executor, running, run, now);
--- a/packages/core/src/jobs/run-table.ts
+++ b/packages/core/src/jobs/run-table.ts
@@ -74,19 +74,49 @@
   };
 }
 
+interface FreeCapacity {
+  readonly capacity: Resources;
+  readonly free: Resources;
+}
+
 /** All runs that may be on executors, indexed by task, executor and job, with usage by team. */
 export class RunTable {
   readonly #byKey = new Map<TaskKey, Run>();
   readonly #byExecutor = new Map<ExecutorId, Map<TaskKey, Run>>();
   readonly #byJob = new Map<string, Map<TaskKey, Run>>();
   readonly #teamUsage = new Map<TeamName, Resources>();
+  /** Free capacity by executor, until a run begins or ends there. */
+  readonly #free = new Map<ExecutorId, FreeCapacity>();
+  /** Runs by executor as `at` returned them, until one changes. */
+  readonly #listedAt = new Map<ExecutorId, readonly Run[]>();
 
   get(key: TaskKey): Run | undefined {
     return this.#byKey.get(key);
   }
 
   at(executor: ExecutorId): readonly Run[] {
-    return [...(this.#byExecutor.get(executor)?.values() ?? [])];
+    const listed = this.#listedAt.get(executor);
+    if (listed !== undefined) {
+      return listed;
+    }
+    const runs = [...(this.#byExecutor.get(executor)?.values() ?? [])];
+    this.#listedAt.set(executor, runs);
+    return runs;
+  }
+
+  /** What these runs leave of an executor's capacity. */
+  freeCapacity(executor: ExecutorId, capacity: Resources): Resources {
+    const known = this.#free.get(executor);
+    if (known?.capacity === capacity) {
+      return known.free;
+    }
+    const free = this.at(executor).reduce((left, run) => subtract(left, run.footprint), capacity);
+    this.#free.set(executor, { capacity, free });
+    return free;
+  }
+
+  countAt(executor: ExecutorId): number {
+    return this.#byExecutor.get(executor)?.size ?? 0;
   }
 
   ofJob(jobId: string): readonly Run[] {
@@ -104,6 +134,7 @@
   add(run: Run): void {
     this.remove(run.key);
     this.#store(run);
+    this.#free.delete(run.executor);
     this.#teamUsage.set(run.team, add(this.teamUsage(run.team), run.resources));
   }
 
@@ -121,6 +152,8 @@
     }
     this.#byKey.delete(key);
     this.#byExecutor.get(run.executor)?.delete(key);
+    this.#listedAt.delete(run.executor);
+    this.#free.delete(run.executor);
     const ofJob = this.#byJob.get(run.task.jobId);
     ofJob?.delete(key);
     if (ofJob?.size === 0) {
@@ -132,6 +165,7 @@
 
   #store(run: Run): void {
     this.#byKey.set(run.key, run);
+    this.#listedAt.delete(run.executor);
     getOrCreate(this.#byExecutor, run.executor).set(run.key, run);
     getOrCreate(this.#byJob, run.task.jobId).set(run.key, run);
   }
