--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -12,9 +12,11 @@
   type JobId,
   type ReportedRun,
   type StartOutcome,
+  type TaskKey,
   type TaskRef,
 } from './model.js';
 import { newRun, type Run, type RunTable } from './run-table.js';
+import type { SchedulingAgenda } from './scheduling-agenda.js';
 import type { StepProgress } from './step-progress.js';
 import type { TaskDurations } from './task-durations.js';
 
@@ -36,6 +38,7 @@
   readonly #runs: RunTable;
   readonly #executors: ExecutorTable;
   readonly #durations: TaskDurations;
+  readonly #agenda: SchedulingAgenda;
   readonly #wallNow: () => Millis;
   /** When a stop was last sent for a run that is not on record, by executor and attempt. */
   readonly #untrackedStops = new Map<string, Millis>();
@@ -47,6 +50,7 @@
     this.#runs = parts.runs;
     this.#executors = parts.executors;
     this.#durations = parts.durations;
+    this.#agenda = parts.agenda;
     this.#wallNow = wall;
   }
 
@@ -59,18 +63,21 @@
   }
 
   report(state: ExecutorState, report: ExecutorReport, now: Millis): void {
-    const listed = new Set<string>();
+    const listed = new Set<TaskKey>();
     for (const end of report.ended) {
       if (end.seq > state.lastEndSeq) {
         this.#handleEnd(report.executor, end, now);
       }
     }
     for (const running of report.running) {
-      listed.add(`${taskKey(running.task)}#${running.attempt}`);
-      this.#handleRunning(report, running, now);
+      const key = taskKey(running.task);
+      this.#handleRunning(report, running, key, now);
+      if (this.#runs.get(key)?.attempt === running.attempt) {
+        listed.add(key);
+      }
     }
     for (const run of this.#runs.at(report.executor)) {
-      if (!listed.has(`${run.key}#${run.attempt}`)) {
+      if (!listed.has(run.key)) {
         this.#handleMissing(run, report, now);
       }
     }
@@ -203,6 +210,7 @@
           : 'none';
     if (effect !== 'none') {
       this.#changedJobs.add(job.id);
+      this.#agenda.mark(job.policy.pool);
     }
     if (effect === 'completed' || effect === 'failed') {
       this.#jobs.markClosed(job);
@@ -210,21 +218,21 @@
     }
   }
 
-  #handleRunning(report: ExecutorReport, running: ReportedRun, now: Millis): void {
+  #handleRunning(report: ExecutorReport, running: ReportedRun, key: TaskKey, now: Millis): void {
     const { executor } = report;
     const { task, attempt, checkpoint, percent, gauge } = running;
-    const run = this.#runs.get(taskKey(task));
+    const run = this.#runs.get(key);
     const step = this.#jobs.step(task);
     step?.recordAttempt(task.index, attempt);
     if (run?.executor === executor && run.attempt === attempt) {
       step?.saveCheckpoint(task.index, checkpoint);
       const unconfirmed = run.phase === 'starting' || run.phase === 'unknown';
-      this.#runs.update(run, {
-        percent,
-        gauge,
+      if (unconfirmed) {
         // Reports of polls that were sent before this time may predate the start.
-        ...(unconfirmed ? { phase: 'running', confirmedAt: now } : {}),
-      });
+        this.#runs.update(run, { percent, gauge, phase: 'running', confirmedAt: now });
+      } else if (run.percent !== percent || run.gauge !== gauge) {
+        this.#runs.update(run, { percent, gauge });
+      }
       return;
     }
     this.#adoptOrStop(executor, running, run, now);
@@ -303,7 +311,20 @@
   /** Removes a run and requeues its task unless the task is done. */
   #drop(run: Run): void {
     this.#runs.remove(run.key);
-    this.#jobs.step(run.task)?.requeue(run.task.index);
+    const job = this.#jobs.get(run.task.jobId);
+    job?.step(run.task)?.requeue(run.task.index);
+    this.#markFreed(run, job);
+  }
+
+  /** Both pools may get starts: the executor may have been moved to another one than the job's. */
+  #markFreed(run: Run, job: Job | undefined): void {
+    const pools = [this.#executors.get(run.executor)?.info.pool, job?.policy.pool];
+    pools.forEach((pool) => {
+      if (pool !== undefined) {
+        this.#agenda.mark(pool);
+      }
+    });
+    this.#agenda.usageDecreased(run.team);
   }
 
   /** The run that an answer refers to, or undefined if it is no longer on record. */
