fix(leader): leave a free cell to larger members first

Cause: the first member that claims leads, and most entries of the grown deployments have 0.324 of a core and a 10 Mbit/s link, against 1.35 cores and 200 Mbit/s of the others. The leader is the busiest process by far; a small one falls behind and does not catch up.

Change: a member's capacity for leading is worked out in one place from its processor and its link. A member below 0.6 cores leaves a free or expired cell to larger ones for up to 500 ms, and for up to 1.5 s if nobody has led it yet; it claims with its next read after that, if the rows are still the same. A restarted former leader waits, too. The capacity is published in the owner row; rows without it are read as before.

Evidence: leader-capacity. Failed before: with a large and a small member polling, "s" led in all four cases (expired, released, first start a second apart, restart). Now "l" leads in all four, and a cell of small members only is led within the bounds.

--- a/packages/coordination/src/io/leader-elector.ts
+++ b/packages/coordination/src/io/leader-elector.ts
@@ -32,6 +32,8 @@
 export interface LeaderElectorOptions {
   readonly member: MemberId;
   readonly incarnation: Incarnation;
+  /** Capacity of this member for leading, as returned by `leaderCapacity`. */
+  readonly capacity: number;
   readonly store: TableStore;
   readonly clock: Clock;
   readonly random: Random;
@@ -54,7 +56,7 @@
   constructor(options: LeaderElectorOptions, context: ActorContext) {
     super('leader', context);
     this.#options = options;
-    this.#lease = new LeaderLease(options.member, options.incarnation);
+    this.#lease = new LeaderLease(options.member, options.incarnation, options.capacity);
   }
 
   start(): void {
@@ -138,6 +140,7 @@
       this.log.info('leadership claimed', {
         epoch: this.#lease.term?.epoch,
         generation: claim.value.generation,
+        capacity: claim.value.capacity,
       });
       this.#notifyIfTermChanged();
       await this.#renew();
@@ -198,14 +201,17 @@
     if (term === undefined) {
       return;
     }
-    const { store, newId, member, incarnation } = this.#options;
+    const { store, newId, member, incarnation, capacity } = this.#options;
     const { generation } = term;
     await store.commit(
       {
         txnId: newId(),
         conditions: [{ key: CELL_OWNER_KEY, version: term.epoch }],
         writes: [
-          { key: CELL_OWNER_KEY, value: { member, incarnation, generation, released: true } },
+          {
+            key: CELL_OWNER_KEY,
+            value: { member, incarnation, generation, released: true, capacity },
+          },
         ],
       },
       this.signal,
--- a/packages/coordination/src/state/index.ts
+++ b/packages/coordination/src/state/index.ts
@@ -8,4 +8,5 @@
 export * from './ownership.js';
 export * from './session.js';
 export * from './txn-lane.js';
+export * from './leader-capacity.js';
 export * from './leader-lease.js';
--- a/packages/coordination/src/state/leader-lease.ts
+++ b/packages/coordination/src/state/leader-lease.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { Incarnation, MemberId, Millis } from '@turmerichoist/core';
 import type { Row, RowVersion } from '../store/types.js';
+import { AMPLE_CAPACITY, claimDelayMs } from './leader-capacity.js';
 
 /** Lifetime of a leader lease, measured from the time its last renewal was sent. */
 export const LEADER_TTL_MS: Millis = 1_500;
@@ -15,6 +16,8 @@
   /** Number of earlier leaders of the cell. */
   generation: z.int().min(0),
   released: z.boolean(),
+  /** Capacity of the leader; 0 in rows of versions that did not publish it. */
+  capacity: z.number().min(0).default(0),
 });
 export type LeaderValue = Readonly<z.infer<typeof leaderSchema>>;
 
@@ -26,7 +29,10 @@
   readonly receivedAt: Millis;
 }
 
-/** A claim to be written if the owner row still has `version`. */
+/**
+ * A claim to be written if the owner row still has `version` and the lease row `leaseVersion`. A
+ * renewal changes only the lease row, so one that is carried out before the claim prevents it.
+ */
 export interface LeaderClaim {
   readonly version: RowVersion;
   readonly value: LeaderValue;
@@ -63,6 +69,17 @@
   readonly lastReadAt: Millis;
 }
 
+/** A state of the rows in which this member may claim the cell. */
+interface ClaimableRows {
+  readonly version: string;
+  /** Time at which the first read that found this state was sent. */
+  readonly since: Millis;
+}
+
+function versionsOf({ owner, lease }: LeaderRows): string {
+  return `${owner?.version ?? 0}/${lease?.version ?? 0}`;
+}
+
 /**
  * Decides when this member may lead a cell. The owner row changes only with the leader, so its
  * version serves as the epoch; the lease row is written with each renewal.
@@ -70,13 +87,16 @@
 export class LeaderLease {
   readonly #member: MemberId;
   readonly #incarnation: Incarnation;
+  readonly #capacity: number;
   #term: LeaderTerm | undefined;
   #renewedAt: ClockReadings | undefined;
   #observed: ObservedRows | undefined;
+  #claimable: ClaimableRows | undefined;
 
-  constructor(member: MemberId, incarnation: Incarnation) {
+  constructor(member: MemberId, incarnation: Incarnation, capacity = AMPLE_CAPACITY) {
     this.#member = member;
     this.#incarnation = incarnation;
+    this.#capacity = capacity;
   }
 
   get term(): LeaderTerm | undefined {
@@ -94,7 +114,10 @@
     );
   }
 
-  /** Processes one read of the rows; returns a claim when the cell has no leader. */
+  /**
+   * Processes one read of the rows; returns a claim when the cell has no leader and members of
+   * larger capacity have had time to claim it.
+   */
   observe(rows: LeaderRows): LeaderClaim | undefined {
     const owner = decodeLeaderValue(rows.owner);
     if (owner?.incarnation === this.#incarnation && !owner.released) {
@@ -105,7 +128,12 @@
     // Two processes of one member never run at once, so the former leader process has ended.
     const restarted = owner?.member === this.#member;
     const free = owner === undefined || owner.released || restarted;
-    return free || this.#hasExpired(rows) ? this.#buildClaim(rows.owner, owner) : undefined;
+    if (!free && !this.#hasExpired(rows)) {
+      this.#claimable = undefined;
+      return undefined;
+    }
+    const delayMs = claimDelayMs(this.#capacity, owner === undefined);
+    return this.#claimableFor(rows) >= delayMs ? this.#buildClaim(rows, owner) : undefined;
   }
 
   /** Records that a renewal sent at `sentAt` took effect. */
@@ -134,8 +162,9 @@
     }
   }
 
-  #hasExpired({ owner, lease, sentAt, receivedAt }: LeaderRows): boolean {
-    const version = `${owner?.version ?? 0}/${lease?.version ?? 0}`;
+  #hasExpired(rows: LeaderRows): boolean {
+    const { sentAt, receivedAt } = rows;
+    const version = versionsOf(rows);
     const before = this.#observed;
     const unchanged = before?.version === version && sentAt - before.lastReadAt <= MAX_READ_GAP_MS;
     const since = unchanged ? before.since : receivedAt;
@@ -143,14 +172,24 @@
     return sentAt - since >= LEADER_TTL_MS + LEADER_MARGIN_MS;
   }
 
-  #buildClaim(row: Row | undefined, owner: LeaderValue | undefined): LeaderClaim {
+  /** Time for which this member has known that the cell may be claimed. */
+  #claimableFor(rows: LeaderRows): Millis {
+    const version = versionsOf(rows);
+    if (this.#claimable?.version !== version) {
+      this.#claimable = { version, since: rows.sentAt };
+    }
+    return rows.sentAt - this.#claimable.since;
+  }
+
+  #buildClaim(rows: LeaderRows, owner: LeaderValue | undefined): LeaderClaim {
     return {
-      version: row?.version ?? 0,
+      version: rows.owner?.version ?? 0,
       value: {
         member: this.#member,
         incarnation: this.#incarnation,
         generation: owner === undefined ? 0 : owner.generation + 1,
         released: false,
+        capacity: this.#capacity,
       },
       succeedsSelf: owner?.member === this.#member,
     };
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -12,9 +12,11 @@
 import {
   LeaderElector,
   OutcomeResolvingStore,
+  leaderCapacity,
   type ChangeFeed,
   type JsonValue,
   type LeaderEvent,
+  type LeaderResources,
   type LeaderTerm,
   type TableStore,
 } from '@turmerichoist/coordination';
@@ -42,6 +44,8 @@
 export interface JobCellOptions {
   readonly member: MemberId;
   readonly incarnation: Incarnation;
+  /** What this member has for leading the cell. */
+  readonly resources: LeaderResources;
   /** The cell's own tables. */
   readonly cell: TableStore & ChangeFeed;
   /** Tables that the platform and its operators share. */
@@ -91,6 +95,7 @@
       {
         member,
         incarnation,
+        capacity: leaderCapacity(options.resources),
         store: cell,
         clock,
         random,
