fix(leader): a claim fails if the lease was renewed just before

Cause: a claim had a condition on the owner row only, and a renewal leaves that row as it is. When a leader that was cut off came back between the read that showed its lease as expired and the claim, both were carried out, and the former leader held its lease, renewed and valid, until its next read or renewal (up to 350 ms).

Change: the claim has a condition on the lease row as read, too. Whichever of the two is carried out first prevents the other.

Evidence: leader-elector "claims a cell whose leader has renewed its lease just before" failed before (elected in epoch 2 after the renewal); passes now.

--- a/packages/coordination/src/io/leader-elector.ts
+++ b/packages/coordination/src/io/leader-elector.ts
@@ -130,7 +130,10 @@
     const claimed = await store.commit(
       {
         txnId: newId(),
-        conditions: [{ key: CELL_OWNER_KEY, version: claim.version }],
+        conditions: [
+          { key: CELL_OWNER_KEY, version: claim.version },
+          { key: CELL_LEASE_KEY, version: claim.leaseVersion },
+        ],
         writes: [{ key: CELL_OWNER_KEY, value: claim.value }],
       },
       this.signal,
--- a/packages/coordination/src/state/leader-lease.ts
+++ b/packages/coordination/src/state/leader-lease.ts
@@ -35,6 +35,7 @@
  */
 export interface LeaderClaim {
   readonly version: RowVersion;
+  readonly leaseVersion: RowVersion;
   readonly value: LeaderValue;
   /** Whether the former leader was an earlier process of this member, which has ended. */
   readonly succeedsSelf: boolean;
@@ -184,6 +185,7 @@
   #buildClaim(rows: LeaderRows, owner: LeaderValue | undefined): LeaderClaim {
     return {
       version: rows.owner?.version ?? 0,
+      leaseVersion: rows.lease?.version ?? 0,
       value: {
         member: this.#member,
         incarnation: this.#incarnation,
