fix(jobs): a wave's status does not hold up the progress of jobs

Cause: each instance of a wave made two transactions, one of them in the lane of the progress writer, which commits one at a time. With 25 statuses a second and 50 ms a transaction, progress got less than half of the lane. Change: WaveStatusWriter has a lane of its own; while one status is being written, later ones of the wave replace each other; the operators' row, which has no list, is written only when the state changes.

--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -195,6 +195,7 @@
         mayAct: () => this.#elector.isLeaderOf(term),
         cell,
         progress: this.#createResolvingStore(`${member}/owner`, 1),
+        waves: this.#createResolvingStore(`${member}/waves`, 1),
         shared,
         connector,
         fleet,
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -58,6 +58,8 @@
   readonly cell: TableStore & ChangeFeed;
   /** Store for progress, which resolves unknown outcomes and commits one transaction at a time. */
   readonly progress: TableStore;
+  /** Store for the progress of waves, in a lane of its own. */
+  readonly waves: TableStore;
   /** Tables that the platform and its operators share. */
   readonly shared: TableStore & ChangeFeed;
   readonly connector: ExecutorConnector;
@@ -125,15 +127,10 @@
       context,
     );
     const { shared, rowCodec, newId } = options;
-    this.#waveStatus = new WaveStatusWriter({
-      cell: options.progress,
-      shared,
-      rowCodec,
-      newId,
-      epoch: term.epoch,
-      log: this.log,
-      signal: this.signal,
-    });
+    this.#waveStatus = new WaveStatusWriter(
+      { cell: options.waves, shared, rowCodec, newId, epoch: term.epoch },
+      context,
+    );
     this.#writer = new ProgressWriter(
       {
         store: options.progress,
@@ -358,7 +355,7 @@
         void this.#issueOrder(decision);
         return;
       case 'wave-status':
-        void this.#waveStatus.write(decision);
+        this.#waveStatus.post(decision);
         return;
       case 'superseded':
         this.#options.onSuperseded();
--- a/packages/daemon/src/jobs/wave-status-writer.ts
+++ b/packages/daemon/src/jobs/wave-status-writer.ts
@@ -1,43 +1,82 @@
 import type { JobDecision } from '@turmerichoist/core';
 import { CELL_OWNER_KEY, type TableStore } from '@turmerichoist/coordination';
-import type { Logger } from '@turmerichoist/runtime';
+import { Actor, type ActorContext } from '@turmerichoist/runtime';
 import type { RowCodec } from './ports.js';
 
+export type WaveStatus = Extract<JobDecision, { type: 'wave-status' }>;
+
+export type WaveStatusMessage = WaveStatus | { readonly type: 'written' };
+
 export interface WaveStatusWriterOptions {
-  /** The cell's own rows. Writes are conditional on the owner's epoch. */
+  /**
+   * The cell's own rows. Writes are conditional on the owner's epoch. Must not share a lane with
+   * the progress of jobs: a wave writes a status for each of its instances.
+   */
   readonly cell: TableStore;
   /** Tables that the platform and its operators share. */
   readonly shared: TableStore;
   readonly rowCodec: RowCodec;
   readonly epoch: number;
   readonly newId: () => string;
-  readonly log: Logger;
-  readonly signal: AbortSignal;
 }
 
-/** Stores the progress of maintenance waves and shows their status to the operators. */
-export class WaveStatusWriter {
+/**
+ * Stores the progress of maintenance waves and shows their status to the operators. While a status
+ * is being written, later ones of the same wave replace each other.
+ */
+export class WaveStatusWriter extends Actor<WaveStatusMessage> {
   readonly #options: WaveStatusWriterOptions;
+  readonly #waiting = new Map<number, WaveStatus>();
+  readonly #shown = new Map<number, WaveStatus['state']>();
+  #writing = false;
 
-  constructor(options: WaveStatusWriterOptions) {
+  constructor(options: WaveStatusWriterOptions, context: ActorContext) {
+    super('waves', context);
     this.#options = options;
   }
 
-  async write(status: Extract<JobDecision, { type: 'wave-status' }>): Promise<void> {
-    const { cell, shared, rowCodec, newId, epoch, log, signal } = this.#options;
+  protected receive(message: WaveStatusMessage): void {
+    if (message.type === 'wave-status') {
+      this.#waiting.set(message.wave, message);
+    } else {
+      this.#writing = false;
+    }
+    const [next] = this.#waiting.values();
+    if (!this.#writing && next !== undefined) {
+      this.#waiting.delete(next.wave);
+      this.#writing = true;
+      void this.#write(next).then(() => this.post({ type: 'written' }));
+    }
+  }
+
+  async #write(status: WaveStatus): Promise<void> {
     const { wave, state, begun } = status;
+    const kept = await this.#keep(status);
+    const shown = await this.#show(status);
+    this.log.info('wave status', { wave, state, begun: begun.length, kept, shown });
+  }
+
+  /** Stores which instances have begun, for the next owner. */
+  async #keep({ wave, state, begun }: WaveStatus): Promise<boolean> {
+    const { cell, newId, epoch } = this.#options;
     const value = { begun, completed: state === 'completed' };
-    const row = rowCodec.waveStatus(wave, state);
     const conditions = [{ key: CELL_OWNER_KEY, version: epoch }];
     const writes = [{ key: `waves/${wave}`, value }];
-    const kept = await cell.commit({ txnId: newId(), conditions, writes }, signal);
-    const shown = await shared.commit({ txnId: newId(), conditions: [], writes: [row] }, signal);
-    log.info('wave status', {
-      wave,
-      state,
-      begun: begun.length,
-      kept: kept.isOk(),
-      shown: shown.isOk(),
-    });
+    const kept = await cell.commit({ txnId: newId(), conditions, writes }, this.signal);
+    return kept.isOk();
+  }
+
+  /** Writes the operators' row, which only says whether the wave is completed. */
+  async #show({ wave, state }: WaveStatus): Promise<boolean> {
+    if (this.#shown.get(wave) === state) {
+      return true;
+    }
+    const { shared, rowCodec, newId } = this.#options;
+    const writes = [rowCodec.waveStatus(wave, state)];
+    const shown = await shared.commit({ txnId: newId(), conditions: [], writes }, this.signal);
+    if (shown.isOk()) {
+      this.#shown.set(wave, state);
+    }
+    return shown.isOk();
   }
 }
