feat(leader): a small leader hands the cell over to a larger member

The leader releases the cell and names the candidate as its successor; other members leave it to that one for 600 ms. A term whose release got no answer is not resumed, since the release may still be carried out; the cell is claimed anew. Reads that overlap a claim or a release are not taken for what follows it; before, such a read could end a term that had just begun.

--- a/packages/coordination/src/io/leader-elector.ts
+++ b/packages/coordination/src/io/leader-elector.ts
@@ -8,6 +8,11 @@
   Result,
 } from '@turmerichoist/core';
 import { Actor, every, sleep, type ActorContext, type Recipient } from '@turmerichoist/runtime';
+import {
+  LeaderCandidacy,
+  type CandidateRequest,
+  type CandidateRows,
+} from '../state/leader-candidacy.js';
 import {
   LEADER_TTL_MS,
   LeaderLease,
@@ -34,6 +39,7 @@
 
 export const CELL_OWNER_KEY = 'cell/owner';
 export const CELL_LEASE_KEY = 'cell/lease';
+export const CELL_CANDIDATE_KEY = 'cell/candidate';
 
 export type LeaderMessage =
   | { readonly type: 'poll' }
@@ -64,16 +70,23 @@
 export class LeaderElector extends Actor<LeaderMessage> {
   readonly #options: LeaderElectorOptions;
   readonly #lease: LeaderLease;
+  readonly #candidacy: LeaderCandidacy;
   #announcedTerm: LeaderTerm | undefined;
   #stopped = false;
   #polling = false;
+  /** Whether a claim or a release is under way. */
+  #changingOwner = false;
+  /** Monotonic time at which the last claim or release ended; earlier reads are out of date. */
+  #ownerChangedAt: Millis = -Infinity;
   #renewalsInFlight = 0;
   #renewalCount = 0;
 
   constructor(options: LeaderElectorOptions, context: ActorContext) {
     super('leader', context);
     this.#options = options;
-    this.#lease = new LeaderLease(options.member, options.incarnation, options.capacity);
+    const { member, incarnation, capacity } = options;
+    this.#lease = new LeaderLease(member, incarnation, capacity);
+    this.#candidacy = new LeaderCandidacy(member, incarnation, capacity);
   }
 
   start(): void {
@@ -129,19 +142,56 @@
       const { bulletin } = lease.value as { readonly bulletin: JsonValue };
       this.#options.listener.post({ type: 'published', bulletin });
     }
-    if (this.#stopped) {
+    if (this.#stopped || this.#changingOwner || sentAt < this.#ownerChangedAt) {
       return;
     }
     const receivedAt = this.#options.clock.now();
     const claim = this.#lease.observe({ owner, lease, sentAt, receivedAt });
     this.#notifyIfTermChanged();
     if (claim !== undefined) {
-      await sleep(this.#options.random.next() * MAX_CLAIM_JITTER_MS, this.signal);
-      await this.#claim(claim);
+      await this.#changeOwner(() => this.#claim(claim));
+      return;
+    }
+    const candidate = rows.find(({ key }) => key === CELL_CANDIDATE_KEY);
+    await this.#considerHandover({ owner, candidate, now: receivedAt });
+  }
+
+  /** Asks a smaller leader for the cell, or hands it over to a larger candidate. */
+  async #considerHandover(rows: CandidateRows): Promise<void> {
+    this.#candidacy.observe(rows);
+    const { term } = this.#lease;
+    const request = term === undefined ? this.#candidacy.request(rows) : undefined;
+    if (request !== undefined) {
+      await this.#writeCandidate(request);
+    }
+    const successor = term === undefined ? undefined : this.#candidacy.successor(rows);
+    if (successor !== undefined) {
+      await this.#changeOwner(() => this.#release(successor));
     }
   }
 
+  async #writeCandidate({ version, value }: CandidateRequest): Promise<void> {
+    const { store, newId } = this.#options;
+    const key = CELL_CANDIDATE_KEY;
+    const conditions = [{ key, version }];
+    const writes = [{ key, value }];
+    const written = await store.commit({ txnId: newId(), conditions, writes }, this.signal);
+    this.log.info('leadership asked for', { written: written.isOk(), capacity: value.capacity });
+  }
+
+  /** Keeps reads that overlap a change of the owner row from being taken for what follows it. */
+  async #changeOwner(change: () => Promise<void>): Promise<void> {
+    this.#changingOwner = true;
+    await change();
+    this.#ownerChangedAt = this.#options.clock.now();
+    this.#changingOwner = false;
+  }
+
   async #claim(claim: LeaderClaim): Promise<void> {
+    await sleep(this.#options.random.next() * MAX_CLAIM_JITTER_MS, this.signal);
+    if (this.#stopped) {
+      return;
+    }
     const { store, newId } = this.#options;
     const sentAt = this.#readClocks();
     const claimed = await store.commit(
@@ -163,7 +213,7 @@
         capacity: claim.value.capacity,
       });
       this.#notifyIfTermChanged();
-      await this.#renew();
+      void this.#renew();
     }
   }
 
@@ -226,30 +276,28 @@
     }
   }
 
-  /** Releases the lease, so that another member can claim it without waiting for its expiry. */
   async #stop(): Promise<void> {
     this.#stopped = true;
-    const term = this.#lease.term;
-    this.#lease.lost();
-    if (term === undefined) {
+    await this.#release('');
+  }
+
+  /** Ends the term, so that another member can claim the cell without waiting for its expiry. */
+  async #release(successor: MemberId): Promise<void> {
+    const released = this.#lease.release(successor);
+    if (released === undefined) {
       return;
     }
-    const { store, newId, member, incarnation, capacity } = this.#options;
-    const { generation } = term;
+    const { store, newId } = this.#options;
+    const { version, value } = released;
     await store.commit(
       {
         txnId: newId(),
-        conditions: [{ key: CELL_OWNER_KEY, version: term.epoch }],
-        writes: [
-          {
-            key: CELL_OWNER_KEY,
-            value: { member, incarnation, generation, released: true, capacity },
-          },
-        ],
+        conditions: [{ key: CELL_OWNER_KEY, version }],
+        writes: [{ key: CELL_OWNER_KEY, value }],
       },
       this.signal,
     );
     this.#notifyIfTermChanged();
-    this.log.info('leadership released', { epoch: term.epoch });
+    this.log.info('leadership released', { epoch: version, successor });
   }
 }
--- a/packages/coordination/src/state/index.ts
+++ b/packages/coordination/src/state/index.ts
@@ -8,5 +8,6 @@
 export * from './ownership.js';
 export * from './session.js';
 export * from './txn-lane.js';
+export * from './leader-candidacy.js';
 export * from './leader-capacity.js';
 export * from './leader-lease.js';
--- a/packages/coordination/src/state/leader-lease.ts
+++ b/packages/coordination/src/state/leader-lease.ts
@@ -7,6 +7,8 @@
 export const LEADER_TTL_MS: Millis = 1_500;
 /** Added to the lifetime by observers, for clock drift and the duration of a read. */
 export const LEADER_MARGIN_MS: Millis = 250;
+/** Time for which other members leave a released cell to the successor named in it. */
+export const SUCCESSOR_GRACE_MS: Millis = 600;
 /** Reads further apart than this do not prove that the lease was not renewed in between. */
 const MAX_READ_GAP_MS: Millis = 1_000;
 
@@ -18,6 +20,10 @@
   released: z.boolean(),
   /** Capacity of the leader; 0 in rows of versions that did not publish it. */
   capacity: z.number().min(0).default(0),
+  /** Member to which a released cell is left for a while; empty if there is none. */
+  successor: z.string().default(''),
+  /** Whether the leader got the cell from a leader that named a successor. */
+  handedOver: z.boolean().default(false),
 });
 export type LeaderValue = Readonly<z.infer<typeof leaderSchema>>;
 
@@ -41,6 +47,12 @@
   readonly succeedsSelf: boolean;
 }
 
+/** The end of a term, to be written if the owner row still has `version`. */
+export interface LeaderRelease {
+  readonly version: RowVersion;
+  readonly value: LeaderValue;
+}
+
 /** A leadership term. `epoch` increases with each leader and serves as the fencing token. */
 export interface LeaderTerm {
   readonly epoch: RowVersion;
@@ -93,6 +105,8 @@
   #renewedAt: ClockReadings | undefined;
   #observed: ObservedRows | undefined;
   #claimable: ClaimableRows | undefined;
+  /** Epoch of the last term that this member released; the release may be carried out late. */
+  #releasedEpoch: RowVersion | undefined;
 
   constructor(member: MemberId, incarnation: Incarnation, capacity = AMPLE_CAPACITY) {
     this.#member = member;
@@ -121,7 +135,9 @@
    */
   observe(rows: LeaderRows): LeaderClaim | undefined {
     const owner = decodeLeaderValue(rows.owner);
-    if (owner?.incarnation === this.#incarnation && !owner.released) {
+    const own = owner?.incarnation === this.#incarnation && !owner.released;
+    // A term whose release may still be carried out is not resumed: the cell is claimed anew.
+    if (own && rows.owner?.version !== this.#releasedEpoch) {
       this.#adoptOwnClaim(rows.owner?.version ?? 0, owner.generation);
       return undefined;
     }
@@ -133,8 +149,24 @@
       this.#claimable = undefined;
       return undefined;
     }
-    const delayMs = claimDelayMs(this.#capacity, owner === undefined);
-    return this.#claimableFor(rows) >= delayMs ? this.#buildClaim(rows, owner) : undefined;
+    return this.#claimableFor(rows) >= this.#claimDelay(owner)
+      ? this.#buildClaim(rows, owner)
+      : undefined;
+  }
+
+  /**
+   * Ends the term at once and returns the row that frees the cell, for `successor` first if it is
+   * not empty.
+   */
+  release(successor: MemberId): LeaderRelease | undefined {
+    const term = this.#term;
+    if (term === undefined) {
+      return undefined;
+    }
+    this.lost();
+    this.#releasedEpoch = term.epoch;
+    const value = { ...this.#ownValue(term.generation), released: true, successor };
+    return { version: term.epoch, value };
   }
 
   /** Records that a renewal sent at `sentAt` took effect. Answers may come in any order. */
@@ -185,16 +217,33 @@
     return rows.sentAt - this.#claimable.since;
   }
 
+  #claimDelay(owner: LeaderValue | undefined): Millis {
+    const delayMs = claimDelayMs(this.#capacity, owner === undefined);
+    if (owner?.released !== true || owner.successor === '') {
+      return delayMs;
+    }
+    return owner.successor === this.#member ? 0 : SUCCESSOR_GRACE_MS + delayMs;
+  }
+
+  #ownValue(generation: number): LeaderValue {
+    return {
+      member: this.#member,
+      incarnation: this.#incarnation,
+      generation,
+      released: false,
+      capacity: this.#capacity,
+      successor: '',
+      handedOver: false,
+    };
+  }
+
   #buildClaim(rows: LeaderRows, owner: LeaderValue | undefined): LeaderClaim {
     return {
       version: rows.owner?.version ?? 0,
       leaseVersion: rows.lease?.version ?? 0,
       value: {
-        member: this.#member,
-        incarnation: this.#incarnation,
-        generation: owner === undefined ? 0 : owner.generation + 1,
-        released: false,
-        capacity: this.#capacity,
+        ...this.#ownValue(owner === undefined ? 0 : owner.generation + 1),
+        handedOver: owner?.released === true && owner.successor !== '',
       },
       succeedsSelf: owner?.member === this.#member,
     };
--- a/packages/coordination/test/leader-elector.test.ts
+++ b/packages/coordination/test/leader-elector.test.ts
@@ -119,4 +119,18 @@
     }
     expect(lapses).toBe(0);
   });
+
+  test('keeps the cell on a small member after a large one has started', async () => {
+    const small = startElector('s', 0.1);
+    await sleep(2_500, controller.signal);
+    const first = events.find((event) => event.type === 'elected');
+    expect(first && small.isLeaderOf(first.term)).toBe(true);
+    const large = startElector('l', 1.35);
+    await sleep(4_500, controller.signal);
+    const terms = events.filter((event) => event.type === 'elected').map(({ term }) => term);
+    expect(terms).toHaveLength(2);
+    expect(terms.map((term) => large.isLeaderOf(term))).toEqual([false, true]);
+    expect(terms.map((term) => small.isLeaderOf(term))).toEqual([false, false]);
+    expect(events.filter(({ type }) => type === 'deposed')).toHaveLength(1);
+  });
 });
