feat(leader): an overloaded leader makes way for an equal member

Cause: a leader that cannot keep up renews its lease and so keeps the cell, although other members of its size have time.

Change: the elector measures the lateness of its renewal timer. Members whose own timer was late do not ask.

--- a/packages/coordination/src/io/leader-elector.ts
+++ b/packages/coordination/src/io/leader-elector.ts
@@ -7,7 +7,14 @@
   Random,
   Result,
 } from '@turmerichoist/core';
-import { Actor, every, sleep, type ActorContext, type Recipient } from '@turmerichoist/runtime';
+import {
+  Actor,
+  LoopLateness,
+  every,
+  sleep,
+  type ActorContext,
+  type Recipient,
+} from '@turmerichoist/runtime';
 import {
   LeaderCandidacy,
   type CandidateRequest,
@@ -66,11 +73,17 @@
   readonly bulletin: () => JsonValue;
 }
 
+/** Leases of versions that did not publish it count as not overloaded. */
+function isOverloaded(lease: Row | undefined): boolean {
+  return (lease?.value as { readonly overloaded?: unknown } | undefined)?.overloaded === true;
+}
+
 /** Leader election for one cell: watches the lease, claims it when it is free and renews it. */
 export class LeaderElector extends Actor<LeaderMessage> {
   readonly #options: LeaderElectorOptions;
   readonly #lease: LeaderLease;
   readonly #candidacy: LeaderCandidacy;
+  readonly #lateness = new LoopLateness(RENEW_INTERVAL_MS);
   #announcedTerm: LeaderTerm | undefined;
   #stopped = false;
   #polling = false;
@@ -92,7 +105,10 @@
   start(): void {
     this.post({ type: 'poll' });
     every(POLL_INTERVAL_MS, this.signal, () => this.post({ type: 'poll' }));
-    every(RENEW_INTERVAL_MS, this.signal, () => this.post({ type: 'renew' }));
+    every(RENEW_INTERVAL_MS, this.signal, () => {
+      this.#lateness.tick(this.#options.clock.now());
+      this.post({ type: 'renew' });
+    });
   }
 
   /** Whether this member is the leader of `term` now, with a lease that has not expired. */
@@ -153,7 +169,13 @@
       return;
     }
     const candidate = rows.find(({ key }) => key === CELL_CANDIDATE_KEY);
-    await this.#considerHandover({ owner, candidate, now: receivedAt });
+    await this.#considerHandover({
+      owner,
+      candidate,
+      leaderOverloaded: isOverloaded(lease),
+      busy: this.#lateness.late,
+      now: receivedAt,
+    });
   }
 
   /** Asks a smaller leader for the cell, or hands it over to a larger candidate. */
@@ -244,7 +266,8 @@
 
   async #writeLease({ epoch }: LeaderTerm): Promise<Result<TxnOutcome, AppError>> {
     this.#renewalCount += 1;
-    const value = { beat: this.#renewalCount, bulletin: this.#options.bulletin() };
+    const { overloaded } = this.#lateness;
+    const value = { beat: this.#renewalCount, bulletin: this.#options.bulletin(), overloaded };
     const timeout = callTimeout(this.signal, RENEW_TIMEOUT_MS);
     try {
       return await this.#options.store.commit(
--- a/packages/coordination/src/state/leader-candidacy.ts
+++ b/packages/coordination/src/state/leader-candidacy.ts
@@ -26,10 +26,14 @@
   readonly value: CandidateValue;
 }
 
-/** The owner and candidate rows of a cell, as returned by one read. */
+/** The owner and candidate rows of a cell, as returned by one read, and what goes with them. */
 export interface CandidateRows {
   readonly owner: Row | undefined;
   readonly candidate: Row | undefined;
+  /** Whether the leader published with its lease that it cannot keep up. */
+  readonly leaderOverloaded: boolean;
+  /** Whether this member is busy itself. */
+  readonly busy: boolean;
   /** Monotonic time of this member. */
   readonly now: Millis;
 }
@@ -78,7 +82,7 @@
   request(rows: CandidateRows): CandidateRequest | undefined {
     const { now } = rows;
     const owner = decodeLeaderValue(rows.owner);
-    if (owner === undefined || !this.#canReplace(owner, now) || this.#hasRival(rows)) {
+    if (owner === undefined || !this.#canReplace(owner, rows) || this.#hasRival(rows)) {
       return undefined;
     }
     if (now - this.#requestedAt < CANDIDATE_REFRESH_MS) {
@@ -98,26 +102,36 @@
     }
     const accepted =
       candidate.member !== this.#self.member &&
-      isClearlyLarger(candidate.capacity, this.#self.capacity) &&
       this.#isCandidateFresh(rows.now) &&
-      this.#mayHandOver(owner, rows.now);
+      this.#isBetter(candidate.capacity, owner, rows);
     return accepted ? candidate.member : undefined;
   }
 
   /** A capacity of 0 belongs to a version that hands nothing over. */
-  #canReplace(owner: LeaderValue, now: Millis): boolean {
+  #canReplace(owner: LeaderValue, rows: CandidateRows): boolean {
     return (
+      !rows.busy &&
       !owner.released &&
       owner.member !== this.#self.member &&
       owner.capacity > 0 &&
-      isClearlyLarger(this.#self.capacity, owner.capacity) &&
-      now - (this.#owner?.at ?? now) >= CANDIDATE_AFTER_MS &&
-      this.#mayHandOver(owner, now)
+      this.#leaderSeenFor(rows.now) >= CANDIDATE_AFTER_MS &&
+      this.#isBetter(this.#self.capacity, owner, rows)
     );
   }
 
-  #mayHandOver({ handedOver }: LeaderValue, now: Millis): boolean {
-    return !handedOver || now - (this.#owner?.at ?? now) >= HANDOVER_INTERVAL_MS;
+  /**
+   * Whether a member of `capacity` should lead in place of the owner. An overloaded leader is left
+   * alone for a while, too, since taking over is a load of its own.
+   */
+  #isBetter(capacity: number, owner: LeaderValue, rows: CandidateRows): boolean {
+    const settled = this.#leaderSeenFor(rows.now) >= HANDOVER_INTERVAL_MS;
+    return isClearlyLarger(capacity, owner.capacity)
+      ? settled || !owner.handedOver
+      : settled && rows.leaderOverloaded && capacity >= owner.capacity;
+  }
+
+  #leaderSeenFor(now: Millis): Millis {
+    return now - (this.#owner?.at ?? now);
   }
 
   #hasRival({ candidate, now }: CandidateRows): boolean {
--- a/packages/coordination/test/leader-candidacy.test.ts
+++ b/packages/coordination/test/leader-candidacy.test.ts
@@ -21,19 +21,31 @@
   handedOver: false,
 };
 
-function read(now: number, owner: object, candidate?: object, version = 1): CandidateRows {
+function read(
+  now: number,
+  owner: object,
+  candidate?: object,
+  version = 1,
+  load = { leaderOverloaded: false, busy: false },
+): CandidateRows {
   return {
     owner: { key: 'cell/owner', version: 5, value: { ...owner } },
     candidate: candidate && { key: 'cell/candidate', version, value: { ...candidate } },
+    ...load,
     now,
   };
 }
 
 /** Reads every 250 ms; returns the time of the first request. */
-function firstRequest(capacity: number, owner: object, candidate?: object): number | undefined {
+function firstRequest(
+  capacity: number,
+  owner: object,
+  candidate?: object,
+  load?: { readonly leaderOverloaded: boolean; readonly busy: boolean },
+): number | undefined {
   const candidacy = new LeaderCandidacy('l', 'l1', capacity);
   for (let now = 0; now < 30_000; now += 250) {
-    const rows = read(now, owner, candidate, now);
+    const rows = read(now, owner, candidate, now, load);
     candidacy.observe(rows);
     if (candidacy.request(rows) !== undefined) {
       return now;
@@ -57,6 +69,22 @@
   });
 });
 
+describe('an overloaded leader', () => {
+  const equal = { ...LEADER, capacity: LARGE };
+
+  test('keeps the cell although a member of the same capacity is not busy', () => {
+    const load = { leaderOverloaded: true, busy: false };
+    expect(firstRequest(LARGE, equal, undefined, load)).toBe(HANDOVER_INTERVAL_MS);
+  });
+
+  test('is replaced by a smaller member, or by one that is busy, too', () => {
+    const load = { leaderOverloaded: true, busy: false };
+    expect(firstRequest(SMALL, equal, undefined, load)).toBeUndefined();
+    expect(firstRequest(LARGE, equal, undefined, { ...load, busy: true })).toBeUndefined();
+    expect(firstRequest(LARGE, LEADER, undefined, { ...load, busy: true })).toBeUndefined();
+  });
+});
+
 describe('leadership moves without need', () => {
   test('to a member that is hardly larger', () => {
     expect(firstRequest(LARGE, { ...LEADER, capacity: LARGE / 1.4 })).toBeUndefined();
--- a/packages/coordination/test/leader-world.ts
+++ b/packages/coordination/test/leader-world.ts
@@ -11,6 +11,8 @@
 const CALL_TIMEOUT_MS = 1_200;
 /** Share of commits that are carried out up to `LONG_DELAY_MS` after they were sent. */
 const SLOW_SHARE = 0.1;
+/** Share of reads in which the leader says that it is overloaded. */
+const OVERLOADED_SHARE = 0.3;
 const SHORT_DELAY_MS = 40;
 const LONG_DELAY_MS = 3_000;
 
@@ -145,7 +147,8 @@
       this.#claim(claim);
       return;
     }
-    const read = { owner, candidate, now };
+    const leaderOverloaded = this.#world.random.next() < OVERLOADED_SHARE;
+    const read = { owner, candidate, leaderOverloaded, busy: false, now };
     this.#candidacy.observe(read);
     if (this.#lease.term === undefined) {
       this.#ask(this.#candidacy.request(read));
