--- a/packages/daemon/src/jobs/index.ts
+++ b/packages/daemon/src/jobs/index.ts
@@ -1,2 +1,3 @@
+export { ExecutorLinks, type ExecutorLinksOptions } from './executor-links.js';
 export { JobCell, type JobCellOptions } from './job-cell.js';
 export * from './ports.js';
