--- a/packages/daemon/src/jobs/wakeable-pause.ts
+++ b/packages/daemon/src/jobs/wakeable-pause.ts
@@ -2,7 +2,7 @@
 
 /**
  * A pause of one task that other code may end early. It listens to the signal once, so that a pause
- * costs one timer: combining signals for each pause took more processor time than the pause itself.
+ * costs one timer and no signal of its own.
  */
 export class WakeablePause {
   readonly #signal: AbortSignal;
