fix(jobs): repeat the insert of a job until its deadline instead of resolving it

Cause: each accepted job was written through `OutcomeResolvingStore`, so it also wrote a lane row of its member and, after a lost response, read and fenced that row, all in the one part of the leader. A refusal of a moment (429, 503, backing off) was final for the caller, who was told that the job never runs, with seconds of its deadline left. Change: an insert on the absence of its row is idempotent, so the acceptor repeats it, with full jitter, until the caller's deadline, and a row that exists counts as accepted. The answer is `store-unavailable` or `deadline-passed` only if every attempt of the call was refused or none was sent; after one attempt with an unknown outcome it stays `outcome-unknown`. Submissions that wait when the process stops are answered. Tests: "a job is reported as never run although its write may have taken effect" expected `outcome-unknown` after one lost response. The repeated insert now finds the row, so the test lets every later attempt be refused and expects the same answer. "a job is accepted while the store is down" also checks that the job is not written after the refusal.

--- a/packages/daemon/src/jobs/acceptor.ts
+++ b/packages/daemon/src/jobs/acceptor.ts
@@ -5,51 +5,68 @@
   type AppError,
   type Clock,
   type Millis,
+  type Random,
   type Result,
 } from '@turmerichoist/core';
-import type { JsonValue, TableStore, Transaction } from '@turmerichoist/coordination';
+import type { JsonValue, TableStore, Transaction, TxnOutcome } from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext } from '@turmerichoist/runtime';
 
 /** Delay before a write, so that submissions that arrive close together share a transaction. */
 const BATCH_DELAY_MS: Millis = 3;
 const MAX_ROWS = 40;
 const MAX_BYTES = 400_000;
+/** Upper bound of the delay before the first retry; doubles with each failure. */
+const RETRY_BASE_MS: Millis = 25;
+/** Upper bound of the delay before any retry, well below the time for which callers wait. */
+const RETRY_CAP_MS: Millis = 200;
 
 export type AcceptMessage =
-  | {
-      readonly type: 'accept';
-      readonly key: string;
-      readonly value: JsonValue;
-      readonly deadline: Millis;
-      readonly reply: (result: Result<void, AppError>) => void;
-    }
+  | { readonly type: 'accept'; readonly submission: Submission }
   /** The deadline of a submission has passed without a result. */
   | { readonly type: 'expired'; readonly submission: Submission }
   | { readonly type: 'next' };
 
-type Submission = Extract<AcceptMessage, { type: 'accept' }>;
+interface Submission {
+  readonly key: string;
+  readonly value: JsonValue;
+  readonly deadline: Millis;
+  readonly reply: (result: Result<void, AppError>) => void;
+}
+
+/** What is known about the attempts to write a submission that has not been answered. */
+interface Attempts {
+  /** An attempt had an unknown outcome, so a later refusal does not mean that no row was written. */
+  readonly maybeWritten: boolean;
+  readonly lastError: AppError;
+}
+
+export interface AcceptorOptions {
+  /** Store of one part; outcomes need not be resolved, because inserts are repeated. */
+  readonly store: TableStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly newId: () => string;
+}
 
 /**
  * Inserts rows, such as accepted jobs and cancellations, in batches. A row that already exists
- * counts as written, because callers retry requests whose response they did not receive.
- * Errors: `store-unavailable` if the row was not written and never will be, `outcome-unknown` if it
- * may have been written, `deadline-passed` if it was not sent in time, `not-ready` on shutdown.
+ * counts as written, because callers retry requests whose response they did not receive. For the
+ * same reason an insert that failed or whose outcome is unknown is repeated until the deadline.
+ * Errors: `store-unavailable` or `deadline-passed` if none of the attempts for this call wrote the
+ * row and none ever will, `outcome-unknown` if one may have written it or the process stops,
+ * `not-ready` on shutdown.
  */
 export class Acceptor extends Actor<AcceptMessage> {
-  readonly #store: TableStore;
-  readonly #clock: Clock;
-  readonly #newId: () => string;
-  #waiting: Submission[] = [];
+  readonly #options: AcceptorOptions;
+  readonly #attempts = new Map<Submission, Attempts>();
+  #waiting: readonly Submission[] = [];
   #writing = false;
+  /** Consecutive failed writes. */
+  #failures = 0;
 
-  constructor(
-    options: { readonly store: TableStore; readonly clock: Clock; readonly newId: () => string },
-    context: ActorContext,
-  ) {
+  constructor(options: AcceptorOptions, context: ActorContext) {
     super('acceptor', context);
-    this.#store = options.store;
-    this.#clock = options.clock;
-    this.#newId = options.newId;
+    this.#options = options;
   }
 
   /** Inserts a row if it does not exist. A retry must pass an equivalent value; the first stays. */
@@ -60,8 +77,8 @@
         answered.abort();
         resolve(result);
       };
-      const submission: Submission = { type: 'accept', key, value, deadline, reply };
-      if (!this.post(submission)) {
+      const submission: Submission = { key, value, deadline, reply };
+      if (!this.post({ type: 'accept', submission })) {
         reply(fail('not-ready', 'stopping'));
       }
       void this.#expireAtDeadline(submission, answered.signal);
@@ -69,16 +86,17 @@
   }
 
   async #expireAtDeadline(submission: Submission, answered: AbortSignal): Promise<void> {
-    const remainingMs = Math.max(0, submission.deadline - this.#clock.now());
+    const remainingMs = Math.max(0, submission.deadline - this.#options.clock.now());
     await sleep(remainingMs, AbortSignal.any([this.signal, answered]));
-    if (!answered.aborted) {
-      this.post({ type: 'expired', submission });
+    if (!answered.aborted && !this.post({ type: 'expired', submission })) {
+      // Whether a write is in flight is not known here.
+      this.#answer(submission, fail('outcome-unknown', 'stopping'));
     }
   }
 
   protected receive(message: AcceptMessage): void {
     if (message.type === 'accept') {
-      this.#waiting.push(message);
+      this.#waiting = [...this.#waiting, message.submission];
     } else if (message.type === 'expired') {
       this.#onExpired(message.submission);
     }
@@ -91,22 +109,47 @@
     }
   }
 
-  /** Fails a submission. A queued one was not sent; the outcome of any other is unknown. */
+  /** Fails a submission. The outcome of one that is in flight is unknown. */
   #onExpired(submission: Submission): void {
     if (this.#waiting.includes(submission)) {
       this.#waiting = this.#waiting.filter((other) => other !== submission);
-      submission.reply(fail('deadline-passed', 'not sent to the store in time'));
+      this.#giveUp(submission);
     } else {
-      submission.reply(fail('outcome-unknown', submission.key));
+      this.#answer(submission, fail('outcome-unknown', submission.key));
     }
   }
 
+  /** Fails a submission of which no attempt is in flight. */
+  #giveUp(submission: Submission): void {
+    const attempts = this.#attempts.get(submission);
+    if (attempts === undefined) {
+      this.#answer(submission, fail('deadline-passed', 'not sent to the store in time'));
+    } else if (attempts.maybeWritten) {
+      this.#answer(submission, fail('outcome-unknown', submission.key));
+    } else {
+      const { kind, detail } = attempts.lastError;
+      this.#answer(submission, fail(kind, detail));
+    }
+  }
+
+  #answer(submission: Submission, result: Result<void, AppError>): void {
+    this.#attempts.delete(submission);
+    submission.reply(result);
+  }
+
   async #writeBatch(): Promise<void> {
     await sleep(BATCH_DELAY_MS, this.signal);
-    const batch = this.#takeBatch();
-    const live = batch.filter((submission) => this.#checkDeadline(submission));
-    if (live.length > 0) {
-      await this.#commitBatch(live);
+    const live = this.#takeBatch().filter((submission) => this.#checkDeadline(submission));
+    if (live.length === 0) {
+      return;
+    }
+    const done = await this.#commit(live);
+    if (done.isOk()) {
+      this.#failures = 0;
+      this.#onCommitted(live, done.value);
+    } else {
+      this.#onFailed(live, done.error);
+      await sleep(this.#retryDelay(done.error), this.signal);
     }
   }
 
@@ -129,46 +172,64 @@
 
   /** Returns whether the deadline is still ahead; otherwise fails the submission. */
   #checkDeadline(submission: Submission): boolean {
-    if (this.#clock.now() < submission.deadline) {
+    if (this.#options.clock.now() < submission.deadline) {
       return true;
     }
-    submission.reply(fail('deadline-passed', 'not sent to the store in time'));
+    this.#giveUp(submission);
     return false;
   }
 
-  async #commitBatch(batch: readonly Submission[]): Promise<void> {
-    const txn = this.#transaction(batch);
+  #commit(batch: readonly Submission[]): Promise<Result<TxnOutcome, AppError>> {
+    const { store, clock } = this.#options;
     const deadline = Math.max(...batch.map((submission) => submission.deadline));
     const limit = AbortSignal.any([
       this.signal,
-      AbortSignal.timeout(Math.max(1, Math.ceil(deadline - this.#clock.now()))),
+      AbortSignal.timeout(Math.max(1, Math.ceil(deadline - clock.now()))),
     ]);
-    const done = await this.#store.commit(txn, limit);
-    if (done.isErr()) {
-      batch.forEach(({ reply }) => {
-        reply(done);
-      });
-      return;
+    return store.commit(this.#transaction(batch), limit);
+  }
+
+  /** Answers the submissions whose rows exist now, and queues the others again. */
+  #onCommitted(batch: readonly Submission[], outcome: TxnOutcome): void {
+    const existing = outcome.committed ? undefined : new Set(outcome.failed);
+    const isWritten = ({ key }: Submission): boolean => existing?.has(key) ?? true;
+    batch.filter(isWritten).forEach((submission) => {
+      this.#answer(submission, Ok(undefined));
+    });
+    this.#requeue(batch.filter((submission) => !isWritten(submission)));
+  }
+
+  #onFailed(batch: readonly Submission[], error: AppError): void {
+    this.#failures += 1;
+    // `store-rejected` may also stand for a response that could not be decoded.
+    const unknown = error.kind !== 'store-unavailable';
+    const unanswered = batch.filter(({ deadline }) => this.#options.clock.now() < deadline);
+    for (const submission of unanswered) {
+      const maybeWritten = unknown || (this.#attempts.get(submission)?.maybeWritten ?? false);
+      this.#attempts.set(submission, { maybeWritten, lastError: error });
     }
-    if (done.value.committed) {
-      batch.forEach(({ reply }) => {
-        reply(Ok(undefined));
+    if (error.kind === 'store-rejected' || this.signal.aborted) {
+      unanswered.forEach((submission) => {
+        this.#giveUp(submission);
       });
-      return;
+    } else {
+      this.#requeue(unanswered);
     }
-    const existing = new Set(done.value.failed);
-    batch
-      .filter(({ key }) => existing.has(key))
-      .forEach(({ reply }) => {
-        reply(Ok(undefined));
-      });
-    const rest = batch.filter(({ key }) => !existing.has(key));
-    this.#waiting = [...rest, ...this.#waiting];
+  }
+
+  #requeue(batch: readonly Submission[]): void {
+    this.#waiting = [...batch, ...this.#waiting];
+  }
+
+  /** Full jitter, but not before the time from which the store client admits calls again. */
+  #retryDelay({ retryAfterMs = 0 }: AppError): Millis {
+    const bound = Math.min(RETRY_CAP_MS, RETRY_BASE_MS * 2 ** (this.#failures - 1));
+    return Math.min(retryAfterMs, RETRY_CAP_MS) + this.#options.random.next() * bound;
   }
 
   #transaction(batch: readonly Submission[]): Transaction {
     return {
-      txnId: this.#newId(),
+      txnId: this.#options.newId(),
       conditions: batch.map(({ key }) => ({ key, version: 0 })),
       writes: batch.map(({ key, value }) => ({ key, value })),
     };
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -32,10 +32,6 @@
   RowCodec,
 } from './ports.js';
 
-/** Transactions with accepted jobs that may be in flight at the same time. */
-const ACCEPT_LANES = 2;
-/** Longest time to resolve an unknown outcome; after it, callers do better to retry elsewhere. */
-const ACCEPT_RESOLVE_TIMEOUT_MS: Millis = 400;
 /** The load balancer sends no more connections after two failed probes, one second apart. */
 const DRAIN_MS: Millis = 2_500;
 
@@ -79,12 +75,7 @@
     super('cell', context);
     this.#options = options;
     const { member, incarnation, cell, clock, random, metrics, newId } = options;
-    const store = this.#createResolvingStore(
-      `${member}/accept`,
-      ACCEPT_LANES,
-      ACCEPT_RESOLVE_TIMEOUT_MS,
-    );
-    const acceptor = new Acceptor({ store, clock, newId }, context);
+    const acceptor = new Acceptor({ store: cell, clock, random, newId }, context);
     const { log, signal } = context;
     this.#service = new JobService({ acceptor, store: cell, clock, log, metrics, signal });
     this.#elector = new LeaderElector(
@@ -203,19 +194,9 @@
     this.#owner = undefined;
   }
 
-  #createResolvingStore(
-    memberId: string,
-    lanes: number,
-    settleTimeoutMs?: Millis,
-  ): OutcomeResolvingStore {
+  #createResolvingStore(memberId: string, lanes: number): OutcomeResolvingStore {
     const { cell, random } = this.#options;
     const seeded = new SeededRandom(random.nextInt(2 ** 31));
-    return new OutcomeResolvingStore({
-      store: cell,
-      memberId,
-      random: seeded,
-      lanes,
-      ...(settleTimeoutMs === undefined ? {} : { resolveTimeoutMs: settleTimeoutMs }),
-    });
+    return new OutcomeResolvingStore({ store: cell, memberId, random: seeded, lanes });
   }
 }
--- a/packages/daemon/test/job-writers.test.ts
+++ b/packages/daemon/test/job-writers.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals';
-import { MemoryTableStore } from '@turmerichoist/coordination';
-import type { JobProgress } from '@turmerichoist/core';
+import { MemoryTableStore, type TableStore, type Transaction } from '@turmerichoist/coordination';
+import { SeededRandom, fail, type JobProgress } from '@turmerichoist/core';
 import { NoMetrics, silentLogger, SystemClock } from '@turmerichoist/runtime';
 import { Acceptor } from '../src/jobs/acceptor.js';
 import { ProgressWriter } from '../src/jobs/progress-writer.js';
@@ -50,10 +50,29 @@
   return rows[0]?.value;
 }
 
+/** Store whose commits pass through `commit`, with the number of the call, starting at 1. */
+function intercept(
+  commit: (txn: Transaction, call: number) => ReturnType<TableStore['commit']> | undefined,
+): TableStore {
+  let calls = 0;
+  return {
+    commit: (txn, signal) => {
+      calls += 1;
+      return commit(txn, calls) ?? store.commit(txn, signal);
+    },
+    read: (keys, signal) => store.read(keys, signal),
+    range: (prefix, after, limit, signal) => store.range(prefix, after, limit, signal),
+  };
+}
+
 describe('accepting jobs', () => {
   const context = () => ({ log: silentLogger, signal: controller.signal });
-  const acceptor = () => new Acceptor({ store, clock: new SystemClock(), newId }, context());
-  const soon = () => new SystemClock().now() + 2_000;
+  const clock = new SystemClock();
+  const random = new SeededRandom(1);
+  const acceptor = (of: TableStore = store) =>
+    new Acceptor({ store: of, clock, random, newId }, context());
+  const soon = () => clock.now() + 2_000;
+  const shortly = () => clock.now() + 150;
 
   test('a repeated submission replaces the job that was accepted', async () => {
     const first = acceptor();
@@ -73,15 +92,67 @@
   });
 
   test('a job is reported as never run although its write may have taken effect', async () => {
+    // The response to the first attempt is lost, and the store is gone for all later ones.
+    const losing = intercept((txn, call) => {
+      if (call > 1) {
+        return Promise.resolve(fail('store-unavailable', 'status 429'));
+      }
+      store.setFaults({ loseAnswers: 1 });
+      return store.commit(txn, controller.signal);
+    });
+    const result = await acceptor(losing).accept('jobs/a', { n: 1 }, shortly());
+    expect(result.unwrapErr().kind).toBe('outcome-unknown');
+    expect(await valueOf('jobs/a')).toEqual({ n: 1 });
+  });
+
+  test('a job whose response was lost is not confirmed although it is stored', async () => {
     store.setFaults({ loseAnswers: 1 });
     const result = await acceptor().accept('jobs/a', { n: 1 }, soon());
-    expect(result.unwrapErr().kind).toBe('outcome-unknown');
+    expect(result.isOk()).toBe(true);
+  });
+
+  test('a job whose request was lost is not sent again', async () => {
+    store.setFaults({ loseRequests: 2 });
+    const result = await acceptor().accept('jobs/a', { n: 1 }, soon());
+    expect(result.isOk()).toBe(true);
+    expect(await valueOf('jobs/a')).toEqual({ n: 1 });
+  });
+
+  test('a refusal of a moment is final although the caller still waits', async () => {
+    const busy = intercept((_txn, call) =>
+      call <= 3 ? Promise.resolve(fail('store-unavailable', 'status 429', 20)) : undefined,
+    );
+    const result = await acceptor(busy).accept('jobs/a', { n: 1 }, soon());
+    expect(result.isOk()).toBe(true);
+  });
+
+  test('a store that refuses writes is called without a pause', async () => {
+    let calls = 0;
+    const refusing = intercept(() => {
+      calls += 1;
+      return Promise.resolve(fail('store-unavailable', 'status 429'));
+    });
+    await acceptor(refusing).accept('jobs/a', { n: 1 }, clock.now() + 1_000);
+    expect(calls).toBeGreaterThan(2);
+    // The delays are 100 ms on average once they have grown to their bound.
+    expect(calls).toBeLessThan(40);
+  });
+
+  test('an attempt that was cut short by the end of the process is reported as never run', async () => {
+    const hanging = intercept(() => new Promise<never>(() => undefined));
+    const sent = acceptor(hanging).accept('jobs/a', { n: 1 }, soon());
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    controller.abort();
+    expect((await sent).unwrapErr().kind).toBe('outcome-unknown');
   });
 
   test('a job is accepted while the store is down', async () => {
     store.setFaults({ down: true });
-    const result = await acceptor().accept('jobs/a', { n: 1 }, soon());
+    const result = await acceptor().accept('jobs/a', { n: 1 }, shortly());
     expect(result.unwrapErr().kind).toBe('store-unavailable');
+    store.setFaults({ down: false });
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    expect(await valueOf('jobs/a')).toBeUndefined();
   });
 
   test('callers get no answer by their deadline while an earlier write is unanswered', async () => {
@@ -91,8 +162,7 @@
       read: () => new Promise<never>(() => undefined),
       range: () => new Promise<never>(() => undefined),
     };
-    const clock = new SystemClock();
-    const shared = new Acceptor({ store: hanging, clock, newId }, context());
+    const shared = acceptor(hanging);
     const deadline = clock.now() + 60;
     const sent = shared.accept('jobs/a', { n: 1 }, deadline);
     await new Promise((resolve) => setTimeout(resolve, 20));
@@ -102,7 +172,7 @@
   });
 
   test('a job whose caller has given up is written', async () => {
-    const result = await acceptor().accept('jobs/a', { n: 1 }, new SystemClock().now() - 1);
+    const result = await acceptor().accept('jobs/a', { n: 1 }, clock.now() - 1);
     expect(result.unwrapErr().kind).toBe('deadline-passed');
     expect(await valueOf('jobs/a')).toBeUndefined();
   });
