perf(jobs): keep accepted jobs and cancellations out of the leader's part of the store

Cause: a part of the store carries out about 150 transactions a second, one after another, and answers 429 when more than a second of them waits. All rows of the cell were in part `c0`: the accepted jobs of every entry, at up to 107 a second, beside the leader's progress and its lease renewals, so the end of work and the lease waited behind submissions. Change: `jobs/<id>` and `cancels/<id>` are in one of 8 intake parts, chosen by a hash of the job id, so the same job meets the same row at each entry. Each entry has an acceptor for each part, so a part that is slow or refuses writes holds up its own jobs only. `JobService` reads the job in its intake part and the progress in the part of the leader. Measured: transactions counted by part in `job-cell-parts`; failed before: "accepted jobs take the write capacity of the leader from it" (every submission in `c0`; now none) and "the jobs of all members share the capacity of one part" (1 part; now 8). With a random part in place of the hash, "a job is stored twice because two entries chose different parts" and "an accepted job is said not to exist by another entry" fail; without the last part in the feed, "the leader never learns of jobs or cancellations in some parts" fails. `job-intake`: with one part that refuses or never answers, all jobs of the other 7 are accepted.

--- a/packages/daemon/src/jobs/acceptor.ts
+++ b/packages/daemon/src/jobs/acceptor.ts
@@ -1,7 +1,6 @@
 import {
   Ok,
   fail,
-  type AcceptedJob,
   type AppError,
   type Clock,
   type Millis,
@@ -235,8 +234,3 @@
     };
   }
 }
-
-/** Encodes an accepted job as a row. */
-export function jobRow(job: AcceptedJob): { readonly key: string; readonly value: JsonValue } {
-  return { key: `jobs/${job.id}`, value: job as unknown as JsonValue };
-}
--- a/packages/daemon/src/jobs/index.ts
+++ b/packages/daemon/src/jobs/index.ts
@@ -1,2 +1,3 @@
 export { JobCell, type JobCellOptions } from './job-cell.js';
+export { INTAKE_PARTS, INTAKE_PART_NAMES, intakePartOf } from './intake.js';
 export * from './ports.js';
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -19,13 +19,15 @@
   type TableStore,
 } from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
-import { Acceptor } from './acceptor.js';
 import { EMPTY_BULLETIN, type Bulletin } from './bulletin.js';
+import { INTAKE_PART_NAMES, JobIntake } from './intake.js';
 import { JobOwner } from './job-owner.js';
 import { JobService } from './job-service.js';
 import type {
+  CallerTables,
   ExecutorConnector,
   InstanceFleet,
+  IntakeFeedOpener,
   JobCall,
   JobReply,
   OperatorView,
@@ -38,8 +40,10 @@
 export interface JobCellOptions {
   readonly member: MemberId;
   readonly incarnation: Incarnation;
-  /** The cell's own tables. */
+  /** The leader's own tables: leadership, progress and waves. */
   readonly cell: TableStore & ChangeFeed;
+  readonly callerTables: CallerTables;
+  readonly openIntakeFeed: IntakeFeedOpener;
   /** Tables that the platform and its operators share. */
   readonly shared: TableStore & ChangeFeed;
   readonly connector: ExecutorConnector;
@@ -74,10 +78,17 @@
   constructor(options: JobCellOptions, context: ActorContext) {
     super('cell', context);
     this.#options = options;
-    const { member, incarnation, cell, clock, random, metrics, newId } = options;
-    const acceptor = new Acceptor({ store: cell, clock, random, newId }, context);
+    const { member, incarnation, cell, callerTables, clock, random, metrics, newId } = options;
+    const intake = new JobIntake({ tables: callerTables, clock, random, newId }, context);
     const { log, signal } = context;
-    this.#service = new JobService({ acceptor, store: cell, clock, log, metrics, signal });
+    this.#service = new JobService({
+      intake,
+      cell: callerTables.cell,
+      clock,
+      log,
+      metrics,
+      signal,
+    });
     this.#elector = new LeaderElector(
       {
         member,
@@ -157,7 +168,7 @@
   #startTerm(term: LeaderTerm): void {
     this.#endTerm();
     const { member, connector, fleet, rowCodec, clock, metrics, newId } = this.#options;
-    const { cell, shared, maxLeaseMs, orderHandoverMs } = this.#options;
+    const { cell, openIntakeFeed, shared, maxLeaseMs, orderHandoverMs } = this.#options;
     const controller = new AbortController();
     const signal = AbortSignal.any([this.signal, controller.signal]);
     const owner = new JobOwner(
@@ -165,6 +176,7 @@
         term,
         mayAct: () => this.#elector.isLeaderOf(term),
         cell,
+        intake: openIntakeFeed(INTAKE_PART_NAMES),
         progress: this.#createResolvingStore(`${member}/owner`, 1),
         shared,
         connector,
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -47,6 +47,8 @@
   /** Whether this member holds the leader lease now; checked directly before each action. */
   readonly mayAct: () => boolean;
   readonly cell: TableStore & ChangeFeed;
+  /** Accepted jobs and cancellations. */
+  readonly intake: ChangeFeed;
   /** Store for progress, which resolves unknown outcomes and commits one transaction at a time. */
   readonly progress: TableStore;
   /** Tables that the platform and its operators share. */
@@ -139,7 +141,7 @@
 
   /** Loads progress and waves from the store, then starts to watch jobs and to make decisions. */
   async start(view: OperatorView): Promise<void> {
-    const { cell, term } = this.#options;
+    const { cell, intake, term } = this.#options;
     const startedAt = this.#options.clock.now();
     for (const table of ['progress', 'waves']) {
       const rows = await this.#loadTable(cell, table);
@@ -152,7 +154,7 @@
     }
     this.#restored = true;
     this.setView(this.#view ?? view);
-    this.#watchTable(cell, 'jobs', JOBS_PAUSE_MS, (rows, snapshot) => {
+    this.#watchTable(intake, 'jobs', JOBS_PAUSE_MS, (rows, snapshot) => {
       this.#onJobs(rows, snapshot);
     });
     every(TICK_MS, this.signal, () => {
@@ -253,8 +255,8 @@
     const adopted = first && this.#options.term.generation > 0;
     this.post({ type: 'jobs', jobs, adopted });
     if (first) {
-      const { cell, shared, rowCodec } = this.#options;
-      this.#watchTable(cell, 'cancels', JOBS_PAUSE_MS, (changes) => {
+      const { intake, shared, rowCodec } = this.#options;
+      this.#watchTable(intake, 'cancels', JOBS_PAUSE_MS, (changes) => {
         const ids = changes.map(({ key }) => key.slice(key.indexOf('/') + 1));
         this.post({ type: 'cancelled', ids });
       });
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -15,10 +15,10 @@
   type Result,
   type TeamName,
 } from '@turmerichoist/core';
-import type { TableStore } from '@turmerichoist/coordination';
+import type { JsonValue } from '@turmerichoist/coordination';
 import { timeoutSignal, type Logger, type Metrics } from '@turmerichoist/runtime';
-import { jobRow, type Acceptor } from './acceptor.js';
-import type { JobCall, JobReply } from './ports.js';
+import type { JobIntake } from './intake.js';
+import type { CallerTables, JobCall, JobReply } from './ports.js';
 
 const JOB_ID = /^[0-9a-f]{16}$/;
 /** Part of the caller's timeout that is reserved for sending the response. */
@@ -29,8 +29,9 @@
 const MAX_CACHED_STATES = 20_000;
 
 export interface JobServiceOptions {
-  readonly acceptor: Acceptor;
-  readonly store: TableStore;
+  readonly intake: JobIntake;
+  /** Holds the progress of jobs. */
+  readonly cell: CallerTables['cell'];
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: Metrics;
@@ -124,14 +125,14 @@
     spec: JobSpec,
     timeoutMs: Millis,
   ): Promise<Result<JobReply, AppError>> {
-    const { acceptor, clock, log } = this.#options;
+    const { intake, clock, log } = this.#options;
     const policy = directory.policyOf(queue);
     if (policy === undefined) {
       return fail('unknown-queue', queue);
     }
     const job: AcceptedJob = { id, queue, team, acceptedWallMs: clock.wall(), policy, spec };
-    const row = jobRow(job);
-    const stored = await acceptor.accept(row.key, row.value, clock.now() + timeoutMs);
+    const row = job as unknown as JsonValue;
+    const stored = await intake.accept('jobs', id, row, clock.now() + timeoutMs);
     log.info('job submitted', {
       job: id,
       queue,
@@ -159,21 +160,24 @@
     if (known !== undefined && isFinal(known)) {
       return Ok(known);
     }
-    const { store, signal, log } = this.#options;
+    const { cell, intake, signal, log } = this.#options;
     const limit = timeoutSignal(signal, timeoutMs);
-    const keys = known === undefined ? [`progress/${id}`, `jobs/${id}`] : [`progress/${id}`];
-    const rows = await store.read(keys, limit);
+    const [stored, accepted] = await Promise.all([
+      cell.read([`progress/${id}`], limit),
+      known === undefined ? intake.read('jobs', id, limit) : Ok([]),
+    ]);
+    const rows = stored.andThen((progress) => accepted.map((jobs) => ({ progress, jobs })));
     if (rows.isErr()) {
       log.info('failed to read job state', { job: id, known, error: rows.error.kind });
       return known === undefined ? rows : Ok(known);
     }
-    const progress = rows.value.find(({ key }) => key === `progress/${id}`);
+    const [progress] = rows.value.progress;
     if (progress !== undefined) {
       const { state } = progress.value as unknown as JobProgress;
       this.#cacheState(id, state);
       return Ok(state);
     }
-    if (known === undefined && rows.value.length === 0) {
+    if (known === undefined && rows.value.jobs.length === 0) {
       return fail('job-unknown', id);
     }
     this.#cacheState(id, known ?? 'queued');
@@ -181,7 +185,7 @@
   }
 
   async #cancel(id: JobId, timeoutMs: Millis): Promise<Result<JobReply, AppError>> {
-    const { acceptor, clock, log } = this.#options;
+    const { intake, clock, log } = this.#options;
     const deadline = clock.now() + timeoutMs;
     if (this.#cachedStates.get(id) === undefined) {
       const state = await this.#getState(id, timeoutMs);
@@ -194,7 +198,7 @@
       return Ok({ type: 'cancelled' });
     }
     const value = { wallMs: clock.wall() };
-    const stored = await acceptor.accept(`cancels/${id}`, value, deadline);
+    const stored = await intake.accept('cancels', id, value, deadline);
     const outcome = stored.isOk() ? 'accepted' : stored.error.kind;
     log.info('job cancellation', { job: id, outcome });
     return stored.map(() => ({ type: 'cancelled' }));
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -16,7 +16,7 @@
   TaskRef,
   ZoneName,
 } from '@turmerichoist/core';
-import type { RowChange } from '@turmerichoist/coordination';
+import type { ChangeFeed, RowChange, TableStore } from '@turmerichoist/coordination';
 
 export interface StartOrder {
   readonly task: TaskRef;
@@ -95,6 +95,20 @@
   ): { readonly key: string; readonly value: Readonly<Record<string, string>> };
 }
 
+/**
+ * Tables for the calls of callers. Their limits and their backoff are apart from those of the
+ * leader's tables.
+ */
+export interface CallerTables {
+  /** The leader's part of the cell, which callers only read. */
+  readonly cell: Pick<TableStore, 'read'>;
+  /** Opens the part of the cell with this name, for the rows of some of the jobs. */
+  openIntake(part: string): TableStore;
+}
+
+/** Opens the changes of all these parts of the cell, which the leader follows. */
+export type IntakeFeedOpener = (parts: readonly string[]) => ChangeFeed;
+
 /** A decoded call of a caller. */
 export interface JobCall {
   readonly host: string;
