fix(store): renew the leader lease and write progress while submissions are turned away

Cause: all writes of a member went through one circuit breaker. A 429 for an accepted job, or for any other transaction, opened it, and lease renewals, claims and progress were refused with "backing off" without being sent. A 429 says that one part of the store is full, not that the store is away. Change: calls for the leader lease, for the other work of the leader and for callers each have a transport of their own, as calls that wait for changes had. `PartedLimiter` backs off calls to a part that was rate limited, and all calls of a transport only when the service fails (503, no answer).

--- a/packages/coordination/src/io/store/transport.ts
+++ b/packages/coordination/src/io/store/transport.ts
@@ -10,7 +10,8 @@
   type Result,
 } from '@turmerichoist/core';
 import { sleep } from '@turmerichoist/runtime';
-import { CallLimiter, type CallLimiterSettings } from '../../state/call-limiter.js';
+import type { CallLimiterSettings } from '../../state/call-limiter.js';
+import { PartedLimiter } from '../../state/parted-limiter.js';
 import { callTimeout } from './call-timeout.js';
 
 /**
@@ -55,6 +56,8 @@
   readonly readBudgetPerS?: number;
   /** Upper bound of any backoff. Default `BACKOFF_CAP_MS`. */
   readonly backoffCapMs?: Millis;
+  /** Maximum number of concurrent writes. Default `WRITE_CONCURRENCY`. */
+  readonly writeConcurrency?: number;
   /** Maximum number of concurrent reads, including those that wait. Default `READ_CONCURRENCY`. */
   readonly readConcurrency?: number;
 }
@@ -65,6 +68,8 @@
   readonly path: string;
   readonly body?: string | Uint8Array;
   readonly contentType?: string;
+  /** Part of the service whose own rate limit the call is subject to. */
+  readonly part?: string;
   /** Time that the service may wait before it responds (long polling); extends the time-out. */
   readonly waitMs?: Millis;
 }
@@ -75,7 +80,7 @@
 }
 
 interface LimitedQueue {
-  readonly limiter: CallLimiter;
+  readonly limiter: PartedLimiter;
   readonly queue: PQueue;
 }
 
@@ -89,6 +94,7 @@
 export class StoreTransport {
   readonly #options: TransportOptions;
   readonly #timeoutMs: Millis;
+  readonly #concurrency: Readonly<Record<HttpCall['kind'], number>>;
   readonly #queues: Readonly<Record<HttpCall['kind'], LimitedQueue>>;
   #pool: Pool;
   #generation = 1;
@@ -96,11 +102,15 @@
   constructor(options: TransportOptions) {
     this.#options = options;
     this.#timeoutMs = options.callTimeoutMs ?? CALL_TIMEOUT_MS;
+    this.#concurrency = {
+      write: options.writeConcurrency ?? WRITE_CONCURRENCY,
+      read: options.readConcurrency ?? READ_CONCURRENCY,
+    };
     this.#pool = this.#newPool();
     const { writeBudgetPerS = WRITE_BUDGET_PER_S, readBudgetPerS = READ_BUDGET_PER_S } = options;
     this.#queues = {
-      write: this.#newQueue(writeBudgetPerS, WRITE_BURST, WRITE_CONCURRENCY),
-      read: this.#newQueue(readBudgetPerS, READ_BURST, options.readConcurrency ?? READ_CONCURRENCY),
+      write: this.#newQueue(writeBudgetPerS, WRITE_BURST, this.#concurrency.write),
+      read: this.#newQueue(readBudgetPerS, READ_BURST, this.#concurrency.read),
     };
     options.signal.addEventListener('abort', () => void this.#pool.destroy(), { once: true });
   }
@@ -121,10 +131,10 @@
   /** Runs when a connection is free, so that queued calls are refused once a backoff has begun. */
   async #admit(
     call: HttpCall,
-    limiter: CallLimiter,
+    limiter: PartedLimiter,
     signal: AbortSignal,
   ): Promise<Result<HttpResponse, AppError>> {
-    const admission = limiter.admit(this.#options.clock.now());
+    const admission = limiter.admit(call.part, this.#options.clock.now());
     if (admission.type === 'refuse') {
       return fail('store-unavailable', 'backing off', Math.ceil(admission.retryAfterMs));
     }
@@ -136,11 +146,11 @@
 
   async #send(
     call: HttpCall,
-    limiter: CallLimiter,
+    limiter: PartedLimiter,
     signal: AbortSignal,
   ): Promise<Result<HttpResponse, AppError>> {
     if (signal.aborted || this.#options.signal.aborted) {
-      limiter.abandoned();
+      limiter.abandoned(call.part);
       return fail('store-unavailable', 'given up before sending');
     }
     const startedAt = this.#options.clock.now();
@@ -148,14 +158,14 @@
     const timeout = callTimeout(signal, this.#timeoutMs + (call.waitMs ?? 0));
     try {
       const response = await this.#exchange(call, timeout.signal);
-      return this.#recordResponse(response, limiter, startedAt);
+      return this.#recordResponse(call, response, limiter, startedAt);
     } catch (err) {
       return this.#toFailure(call, err, timeout.expired() ? 'timeout' : 'error', () => {
         if (signal.aborted) {
-          limiter.abandoned();
+          limiter.abandoned(call.part);
           return;
         }
-        limiter.failed(startedAt, this.#options.clock.now());
+        limiter.failed(call.part, startedAt, this.#options.clock.now());
         if (timeout.expired()) {
           this.#retireGeneration(generation);
         }
@@ -177,16 +187,23 @@
   }
 
   #recordResponse(
+    { part }: HttpCall,
     response: HttpResponse,
-    limiter: CallLimiter,
+    limiter: PartedLimiter,
     startedAt: Millis,
   ): Result<HttpResponse, AppError> {
-    if (response.status === TOO_MANY_REQUESTS || response.status === UNAVAILABLE) {
-      limiter.failed(startedAt, this.#options.clock.now());
-      return fail('store-unavailable', `status ${response.status}`);
+    const now = this.#options.clock.now();
+    switch (response.status) {
+      case TOO_MANY_REQUESTS:
+        limiter.rateLimited(part, startedAt, now);
+        return fail('store-unavailable', `status ${response.status}`);
+      case UNAVAILABLE:
+        limiter.failed(part, startedAt, now);
+        return fail('store-unavailable', `status ${response.status}`);
+      default:
+        limiter.succeeded(part);
+        return Ok(response);
     }
-    limiter.succeeded();
-    return Ok(response);
   }
 
   #toFailure(
@@ -215,7 +232,7 @@
 
   #newPool(): Pool {
     return new Pool(this.#options.url, {
-      connections: WRITE_CONCURRENCY + READ_CONCURRENCY,
+      connections: this.#concurrency.write + this.#concurrency.read,
       pipelining: 1,
       connect: { timeout: CONNECT_TIMEOUT_MS },
     });
@@ -230,7 +247,7 @@
       backoffCapMs: this.#options.backoffCapMs ?? BACKOFF_CAP_MS,
     };
     return {
-      limiter: new CallLimiter(settings, this.#options.random),
+      limiter: new PartedLimiter(settings, this.#options.random),
       queue: new PQueue({ concurrency }),
     };
   }
--- a/packages/coordination/src/state/index.ts
+++ b/packages/coordination/src/state/index.ts
@@ -1,6 +1,7 @@
 export * from './audit-export.js';
 export * from './audit-record.js';
 export * from './call-limiter.js';
+export * from './parted-limiter.js';
 export * from './canonical-json.js';
 export * from './config-freshness.js';
 export * from './config-log.js';
--- /dev/null
+++ b/packages/coordination/src/state/parted-limiter.ts
@@ -0,0 +1,75 @@
+import type { Millis, Random } from '@turmerichoist/core';
+import { CallLimiter, type CallAdmission, type CallLimiterSettings } from './call-limiter.js';
+
+/**
+ * Limiter of calls to a service of which each part has a limit of its own. A call that was rate
+ * limited backs off calls to the same part only, since it is no sign that the service fails; a
+ * failure backs off all calls. A call without a part counts against the service alone.
+ */
+export class PartedLimiter {
+  readonly #settings: CallLimiterSettings;
+  readonly #random: Random;
+  readonly #service: CallLimiter;
+  readonly #parts = new Map<string, CallLimiter>();
+
+  constructor(settings: CallLimiterSettings, random: Random) {
+    this.#settings = settings;
+    this.#random = random;
+    this.#service = new CallLimiter(settings, random);
+  }
+
+  /** Decides whether and when a call may start. The end of each admitted call must be reported. */
+  admit(part: string | undefined, now: Millis): CallAdmission {
+    const limiter = this.#partLimiter(part);
+    const admission = limiter?.admit(now);
+    if (admission?.type === 'refuse') {
+      return admission;
+    }
+    const ofService = this.#service.admit(now);
+    if (ofService.type === 'refuse') {
+      limiter?.abandoned();
+    }
+    return ofService;
+  }
+
+  /** Records that the service answered an admitted call. */
+  succeeded(part: string | undefined): void {
+    this.#service.succeeded();
+    this.#partLimiter(part)?.succeeded();
+  }
+
+  /** Records that the service rate limited an admitted call, started at `startedAt`. */
+  rateLimited(part: string | undefined, startedAt: Millis, now: Millis): void {
+    const limiter = this.#partLimiter(part);
+    if (limiter === undefined) {
+      this.#service.failed(startedAt, now);
+      return;
+    }
+    this.#service.succeeded();
+    limiter.failed(startedAt, now);
+  }
+
+  /** Records that an admitted call, started at `startedAt`, failed. */
+  failed(part: string | undefined, startedAt: Millis, now: Millis): void {
+    this.#service.failed(startedAt, now);
+    this.#partLimiter(part)?.abandoned();
+  }
+
+  /** Records that the caller cancelled an admitted call, which says nothing about the service. */
+  abandoned(part: string | undefined): void {
+    this.#service.abandoned();
+    this.#partLimiter(part)?.abandoned();
+  }
+
+  #partLimiter(part: string | undefined): CallLimiter | undefined {
+    if (part === undefined) {
+      return undefined;
+    }
+    // The rate budget is that of the service.
+    const limiter =
+      this.#parts.get(part) ??
+      new CallLimiter({ ...this.#settings, budgetPerS: Infinity }, this.#random);
+    this.#parts.set(part, limiter);
+    return limiter;
+  }
+}
--- /dev/null
+++ b/packages/coordination/test/parted-limiter.test.ts
@@ -0,0 +1,56 @@
+import { expect, test } from '@jest/globals';
+import { PartedLimiter } from '@turmerichoist/coordination';
+import type { Random } from '@turmerichoist/core';
+
+// Each test is named after the failure that it guards against.
+
+const SETTINGS = {
+  budgetPerS: 100,
+  burst: 10,
+  maxWaitMs: 1_000,
+  backoffBaseMs: 50,
+  backoffCapMs: 400,
+};
+/** Longest backoff at each failure. */
+const random: Random = { next: () => 0.99, nextInt: (bound) => bound - 1 };
+
+function admitted(limiter: PartedLimiter, part: string | undefined, now: number): boolean {
+  return limiter.admit(part, now).type === 'go';
+}
+
+test('a part that is rate limited stops calls to the other parts', () => {
+  const limiter = new PartedLimiter(SETTINGS, random);
+  expect(admitted(limiter, 'a', 0)).toBe(true);
+  limiter.rateLimited('a', 0, 1);
+  expect(admitted(limiter, 'a', 2)).toBe(false);
+  expect(admitted(limiter, 'b', 2)).toBe(true);
+});
+
+test('a service that fails is called by each of its parts', () => {
+  const limiter = new PartedLimiter(SETTINGS, random);
+  expect(admitted(limiter, 'a', 0)).toBe(true);
+  limiter.failed('a', 0, 1);
+  expect(admitted(limiter, 'b', 2)).toBe(false);
+  expect(admitted(limiter, 'a', 100)).toBe(true);
+  expect(admitted(limiter, 'b', 100)).toBe(false);
+});
+
+test('a part is never called again after the service refused its probe', () => {
+  const limiter = new PartedLimiter(SETTINGS, random);
+  expect(admitted(limiter, 'a', 0)).toBe(true);
+  limiter.rateLimited('a', 0, 0);
+  expect(admitted(limiter, 'b', 10)).toBe(true);
+  limiter.failed('b', 10, 30);
+  // The part's backoff is over, that of the service is not.
+  expect(admitted(limiter, 'a', 60)).toBe(false);
+  expect(admitted(limiter, 'a', 100)).toBe(true);
+  limiter.succeeded('a');
+  expect(admitted(limiter, 'a', 101)).toBe(true);
+});
+
+test('a call without a part that is rate limited is repeated without backoff', () => {
+  const limiter = new PartedLimiter(SETTINGS, random);
+  expect(admitted(limiter, undefined, 0)).toBe(true);
+  limiter.rateLimited(undefined, 0, 1);
+  expect(admitted(limiter, undefined, 2)).toBe(false);
+});
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -40,7 +40,9 @@
 export interface JobCellOptions {
   readonly member: MemberId;
   readonly incarnation: Incarnation;
-  /** The leader's own tables: leadership, progress and waves. */
+  /** The rows of the leadership, whose calls must not wait for or back off with any others. */
+  readonly leadership: TableStore;
+  /** The leader's own tables: progress and waves. */
   readonly cell: TableStore & ChangeFeed;
   readonly callerTables: CallerTables;
   readonly openIntakeFeed: IntakeFeedOpener;
@@ -78,7 +80,8 @@
   constructor(options: JobCellOptions, context: ActorContext) {
     super('cell', context);
     this.#options = options;
-    const { member, incarnation, cell, callerTables, clock, random, metrics, newId } = options;
+    const { member, incarnation, leadership, callerTables, clock, random, metrics, newId } =
+      options;
     const intake = new JobIntake({ tables: callerTables, clock, random, newId }, context);
     const { log, signal } = context;
     this.#service = new JobService({
@@ -93,7 +96,7 @@
       {
         member,
         incarnation,
-        store: cell,
+        store: leadership,
         clock,
         random,
         newId,
--- a/packages/daemon/test/job-cell-parts.test.ts
+++ b/packages/daemon/test/job-cell-parts.test.ts
@@ -73,6 +73,7 @@
     {
       member,
       incarnation: member,
+      leadership: tables.open('c0'),
       cell: tables.open('c0'),
       shared: tables.open(''),
       callerTables: { cell: tables.open('c0'), openIntake: (part) => tables.open(part) },
