--- a/packages/daemon/src/jobs/index.ts
+++ b/packages/daemon/src/jobs/index.ts
@@ -1,3 +1,4 @@
 export { ExecutorLinks, type ExecutorLinksOptions } from './executor-links.js';
 export { JobCell, type JobCellOptions } from './job-cell.js';
+export { INTAKE_PARTS, INTAKE_PART_NAMES, intakePartOf } from './intake.js';
 export * from './ports.js';
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -22,24 +22,22 @@
   type TableStore,
 } from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
-import { Acceptor } from './acceptor.js';
 import { EMPTY_BULLETIN, type Bulletin } from './bulletin.js';
+import { INTAKE_PART_NAMES, JobIntake } from './intake.js';
 import { JobOwner } from './job-owner.js';
 import { JobService } from './job-service.js';
 import { LoadReporter } from './load-reporter.js';
 import type {
+  CallerTables,
   ExecutorConnector,
   InstanceFleet,
+  IntakeFeedOpener,
   JobCall,
   JobReply,
   OperatorView,
   RowCodec,
 } from './ports.js';
 
-/** Transactions with accepted jobs that may be in flight at the same time. */
-const ACCEPT_LANES = 2;
-/** Longest time to resolve an unknown outcome; after it, callers do better to retry elsewhere. */
-const ACCEPT_RESOLVE_TIMEOUT_MS: Millis = 400;
 /** The load balancer sends no more connections after two failed probes, one second apart. */
 const DRAIN_MS: Millis = 2_500;
 
@@ -48,8 +46,12 @@
   readonly incarnation: Incarnation;
   /** What this member has for leading the cell. */
   readonly resources: LeaderResources;
-  /** The cell's own tables. */
+  /** The rows of the leadership, whose calls must not wait for or back off with any others. */
+  readonly leadership: TableStore;
+  /** The leader's own tables: progress and waves. */
   readonly cell: TableStore & ChangeFeed;
+  readonly callerTables: CallerTables;
+  readonly openIntakeFeed: IntakeFeedOpener;
   /** Tables that the platform and its operators share. */
   readonly shared: TableStore & ChangeFeed;
   readonly connector: ExecutorConnector;
@@ -86,21 +88,24 @@
   constructor(options: JobCellOptions, context: ActorContext) {
     super('cell', context);
     this.#options = options;
-    const { member, incarnation, cell, clock, random, metrics, newId } = options;
-    const store = this.#createResolvingStore(
-      `${member}/accept`,
-      ACCEPT_LANES,
-      ACCEPT_RESOLVE_TIMEOUT_MS,
-    );
-    const acceptor = new Acceptor({ store, clock, newId }, context);
+    const { member, incarnation, leadership, callerTables, clock, random, metrics, newId } =
+      options;
+    const intake = new JobIntake({ tables: callerTables, clock, random, newId }, context);
     const { log, signal } = context;
-    this.#service = new JobService({ acceptor, store: cell, clock, log, metrics, signal });
+    this.#service = new JobService({
+      intake,
+      cell: callerTables.cell,
+      clock,
+      log,
+      metrics,
+      signal,
+    });
     this.#elector = new LeaderElector(
       {
         member,
         incarnation,
         capacity: leaderCapacity(options.resources),
-        store: cell,
+        store: leadership,
         clock,
         random,
         newId,
@@ -186,7 +191,7 @@
   #startTerm(term: LeaderTerm): void {
     this.#endTerm();
     const { member, connector, fleet, rowCodec, clock, metrics, newId } = this.#options;
-    const { cell, shared, maxLeaseMs, orderHandoverMs } = this.#options;
+    const { cell, openIntakeFeed, shared, maxLeaseMs, orderHandoverMs } = this.#options;
     const controller = new AbortController();
     const signal = AbortSignal.any([this.signal, controller.signal]);
     const owner = new JobOwner(
@@ -194,6 +199,7 @@
         term,
         mayAct: () => this.#elector.isLeaderOf(term),
         cell,
+        intake: openIntakeFeed(INTAKE_PART_NAMES),
         progress: this.#createResolvingStore(`${member}/owner`, 1),
         waves: this.#createResolvingStore(`${member}/waves`, 1),
         shared,
@@ -224,19 +230,9 @@
     this.#owner = undefined;
   }
 
-  #createResolvingStore(
-    memberId: string,
-    lanes: number,
-    settleTimeoutMs?: Millis,
-  ): OutcomeResolvingStore {
+  #createResolvingStore(memberId: string, lanes: number): OutcomeResolvingStore {
     const { cell, random } = this.#options;
     const seeded = new SeededRandom(random.nextInt(2 ** 31));
-    return new OutcomeResolvingStore({
-      store: cell,
-      memberId,
-      random: seeded,
-      lanes,
-      ...(settleTimeoutMs === undefined ? {} : { resolveTimeoutMs: settleTimeoutMs }),
-    });
+    return new OutcomeResolvingStore({ store: cell, memberId, random: seeded, lanes });
   }
 }
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -56,6 +56,8 @@
   /** Whether this member holds the leader lease now; checked directly before each action. */
   readonly mayAct: () => boolean;
   readonly cell: TableStore & ChangeFeed;
+  /** Accepted jobs and cancellations. */
+  readonly intake: ChangeFeed;
   /** Store for progress, which resolves unknown outcomes and commits one transaction at a time. */
   readonly progress: TableStore;
   /** Store for the progress of waves, in a lane of its own. */
@@ -164,7 +166,7 @@
 
   /** Loads progress and waves from the store, then starts to watch jobs and to make decisions. */
   async start(view: OperatorView): Promise<void> {
-    const { cell, term } = this.#options;
+    const { cell, intake, term } = this.#options;
     const startedAt = this.#options.clock.now();
     for (const table of ['progress', 'waves']) {
       const rows = await this.#loadTable(cell, table);
@@ -177,7 +179,7 @@
     }
     this.#restored = true;
     this.setView(this.#view ?? view);
-    this.#watchTable(cell, 'jobs', JOBS_PAUSE_MS, (rows, snapshot) => {
+    this.#watchTable(intake, 'jobs', JOBS_PAUSE_MS, (rows, snapshot) => {
       this.#onJobs(rows, snapshot);
     });
     every(TICK_MS, this.signal, () => {
@@ -281,8 +283,8 @@
     const adopted = first && this.#options.term.generation > 0;
     this.post({ type: 'jobs', jobs, adopted });
     if (first) {
-      const { cell, shared, rowCodec } = this.#options;
-      this.#watchTable(cell, 'cancels', JOBS_PAUSE_MS, (changes) => {
+      const { intake, shared, rowCodec } = this.#options;
+      this.#watchTable(intake, 'cancels', JOBS_PAUSE_MS, (changes) => {
         const ids = changes.map(({ key }) => key.slice(key.indexOf('/') + 1));
         this.post({ type: 'cancelled', ids });
       });
