perf(core): rank only jobs whose tasks may fit, and end a round when nothing fits

Cause: a scheduling round sorted all open jobs of the pool, with estimates and critical paths worked out again for each, and went through them all although no executor had room any more. For each task it built a list of all runs of the job, which only few steps need. Change: a round leaves out jobs whose ready steps are larger than the largest free capacity, and ends when the smallest of the remaining tasks does not fit. Ready steps, critical paths and duration estimates are kept until they change; runs of a step are counted once a round, and only for steps whose placement depends on them. Executors are indexed by pool.

--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -50,6 +50,8 @@
   readonly #runs: RunTable;
   readonly #agenda: SchedulingAgenda;
   readonly #states = new Map<ExecutorId, ExecutorState>();
+  /** Executors by pool as `ofPool` found them, until the list or a description changes. */
+  readonly #idsByPool = new Map<PoolName, readonly ExecutorId[]>();
 
   constructor(runs: RunTable, agenda: SchedulingAgenda) {
     this.#runs = runs;
@@ -65,10 +67,19 @@
   }
 
   ofPool(pool: PoolName): readonly ExecutorState[] {
-    return [...this.#states.values()].filter(({ info }) => info.pool === pool);
+    const ids = this.#idsByPool.get(pool) ?? this.#findIds(pool);
+    return ids.flatMap((id) => this.#states.get(id) ?? []);
+  }
+
+  #findIds(pool: PoolName): readonly ExecutorId[] {
+    const states = [...this.#states.values()].filter(({ info }) => info.pool === pool);
+    const ids = states.map(({ info }) => info.id);
+    this.#idsByPool.set(pool, ids);
+    return ids;
   }
 
   add(info: ExecutorInfo, now: Millis): void {
+    this.#idsByPool.clear();
     this.#states.set(info.id, {
       info,
       listed: true,
@@ -91,6 +102,9 @@
       return;
     }
     this.#states.set(id, { ...state, ...change });
+    if (change.info !== undefined) {
+      this.#idsByPool.clear();
+    }
     if (mayAllowStarts(state, change)) {
       const { pool } = change.info ?? state.info;
       this.#agenda.mark(pool);
@@ -117,6 +131,7 @@
 
   remove(id: ExecutorId): void {
     this.#states.delete(id);
+    this.#idsByPool.clear();
   }
 
   /** Records an unanswered call: the executor gets no new tasks until it answers a later poll. */
--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -55,10 +55,9 @@
   waitingProcessors(pool: PoolName, now: Millis): number {
     let waiting = 0;
     for (const job of this.#openByPool.get(pool)?.values() ?? []) {
-      for (const { occurrence, step } of job.ready(now)) {
-        const ready = job.step({ jobId: job.id, occurrence, step, index: 0 });
-        if (ready?.spec.lasting === false) {
-          waiting += ready.pending.size * ready.spec.resources.processors;
+      for (const { step } of job.ready(now)) {
+        if (!step.spec.lasting) {
+          waiting += step.pending.size * step.spec.resources.processors;
         }
       }
     }
--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -7,6 +7,7 @@
   StepSpec,
   TaskRef,
 } from './model.js';
+import { criticalPathMs } from './ordering.js';
 import { StepProgress } from './step-progress.js';
 
 /** One pass through all steps of a job. */
@@ -27,14 +28,27 @@
   readonly firstDueAt: Millis;
 }
 
+/** A step with pending tasks that may start. */
+export interface ReadyStep {
+  readonly occurrence: number;
+  readonly number: number;
+  readonly step: StepProgress;
+}
+
 /** State machine of one job and the progress of its steps. */
 export class Job {
   readonly accepted: AcceptedJob;
   readonly times: JobTimes;
+  /** Whether any step is lasting. */
+  readonly lasting: boolean;
+  /** Declared duration of the longest chain of dependent steps. */
+  readonly criticalPathMs: Millis;
   policy: QueuePolicy;
   #state: JobState = 'queued';
   #endedWallMs: Millis = 0;
   readonly #occurrences: readonly Occurrence[];
+  /** Ready steps as of the last call of `ready`, until a step changes or an occurrence is due. */
+  #ready: { readonly steps: readonly ReadyStep[]; readonly until: Millis } | undefined;
 
   constructor(
     accepted: AcceptedJob,
@@ -45,10 +59,15 @@
     this.accepted = accepted;
     this.times = times;
     this.policy = accepted.policy;
+    this.lasting = accepted.spec.steps.some((step) => step.lasting);
+    this.criticalPathMs = criticalPathMs(accepted.spec.steps);
+    const onChange = (): void => {
+      this.#ready = undefined;
+    };
     this.#occurrences = Array.from({ length: accepted.spec.occurrences }, (_, number) => ({
       number,
       dueAt: times.firstDueAt + number * accepted.spec.intervalMs,
-      steps: accepted.spec.steps.map((step) => new StepProgress(step, firstAttempt)),
+      steps: accepted.spec.steps.map((step) => new StepProgress(step, firstAttempt, onChange)),
     }));
     if (progress !== undefined) {
       this.#restore(progress);
@@ -68,10 +87,6 @@
     return this.#state === 'queued' || this.#state === 'running';
   }
 
-  get lasting(): boolean {
-    return this.accepted.spec.steps.some((step) => step.lasting);
-  }
-
   get occurrences(): readonly Occurrence[] {
     return this.#occurrences;
   }
@@ -82,20 +97,29 @@
   }
 
   /** Steps that have pending tasks, completed predecessors and a due occurrence. */
-  *ready(now: Millis): Iterable<{ readonly occurrence: number; readonly step: number }> {
+  ready(now: Millis): readonly ReadyStep[] {
     if (!this.open) {
-      return;
+      return [];
+    }
+    if (this.#ready === undefined || now >= this.#ready.until) {
+      this.#ready = this.#findReady(now);
     }
-    for (const { number, dueAt, steps } of this.#occurrences) {
+    return this.#ready.steps;
+  }
+
+  #findReady(now: Millis): { readonly steps: readonly ReadyStep[]; readonly until: Millis } {
+    const ready: ReadyStep[] = [];
+    for (const { number: occurrence, dueAt, steps } of this.#occurrences) {
       if (dueAt > now) {
-        return;
+        return { steps: ready, until: dueAt };
       }
-      for (const [index, step] of steps.entries()) {
+      for (const [number, step] of steps.entries()) {
         if (step.pending.size > 0 && step.spec.after.every((other) => steps[other]?.complete)) {
-          yield { occurrence: number, step: index };
+          ready.push({ occurrence, number, step });
         }
       }
     }
+    return { steps: ready, until: Infinity };
   }
 
   markStarted(): void {
--- a/packages/core/src/jobs/ordering.ts
+++ b/packages/core/src/jobs/ordering.ts
@@ -34,7 +34,7 @@
 /** Monotonic time by which the job should be completed to meet its latency objective. */
 export function objectiveAt(job: Job): Millis {
   const { slackFactor, targetLatencyMs } = job.policy;
-  return job.times.firstDueAt + slackFactor * criticalPathMs(job.stepSpecs) + targetLatencyMs;
+  return job.times.firstDueAt + slackFactor * job.criticalPathMs + targetLatencyMs;
 }
 
 /** Jobs older than this many times their latency objective have no value any more. */
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -1,4 +1,4 @@
-import { add, fitsIn, subtract } from '../tasks/resource-arithmetic.js';
+import { add, fitsIn, maxResources, NO_RESOURCES, subtract } from '../tasks/resource-arithmetic.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, ZoneName } from '../types/index.js';
 import { footprint, type StepSpec } from './model.js';
@@ -10,6 +10,8 @@
   readonly #candidates: readonly ExecutorState[];
   readonly #runs: RunTable;
   readonly #freeCapacity = new Map<string, Resources>();
+  /** Maximum of each resource over the candidates, until the next reservation or release. */
+  #maxFree: Resources | undefined;
 
   constructor(table: ExecutorTable, runs: RunTable, candidates: readonly ExecutorState[]) {
     this.#runs = runs;
@@ -21,14 +23,22 @@
     return this.#candidates.length === 0;
   }
 
-  /** Chooses the executor with the lowest cost for one more task, or undefined if none fits. */
+  /** Whether a task may fit. If not, no candidate has room for it. */
+  mayFit(need: Resources): boolean {
+    this.#maxFree ??= [...this.#freeCapacity.values()].reduce(maxResources, NO_RESOURCES);
+    return fitsIn(need, this.#maxFree);
+  }
+
+  /**
+   * Chooses the executor with the lowest cost for one more task, or undefined if none fits.
+   * `counts`: the step's tasks by executor, where `needsCounts` holds for the step.
+   */
   choose(
     step: StepSpec,
-    stepRuns: readonly { readonly executor: string }[],
+    counts: ReadonlyMap<string, number>,
     rack?: string,
   ): ExecutorState | undefined {
     const need = footprint(step);
-    const counts = countByExecutor(stepRuns);
     let best: { readonly state: ExecutorState; readonly cost: number } | undefined;
     for (const state of this.#candidates) {
       const free = this.#freeCapacity.get(state.info.id);
@@ -52,6 +62,7 @@
     const free = this.#freeCapacity.get(state.info.id);
     if (free !== undefined) {
       this.#freeCapacity.set(state.info.id, subtract(free, need));
+      this.#maxFree = undefined;
     }
   }
 
@@ -59,6 +70,7 @@
     const free = this.#freeCapacity.get(state.info.id);
     if (free !== undefined) {
       this.#freeCapacity.set(state.info.id, add(free, need));
+      this.#maxFree = undefined;
     }
   }
 
@@ -85,12 +97,9 @@
   return 1 - free.memoryMb / Math.max(1, state.info.capacity.memoryMb);
 }
 
-function countByExecutor(
-  runs: readonly { readonly executor: string }[],
-): ReadonlyMap<string, number> {
-  const counts = new Map<string, number>();
-  runs.forEach(({ executor }) => counts.set(executor, (counts.get(executor) ?? 0) + 1));
-  return counts;
+/** Whether the choice of an executor depends on where other tasks of the step run. */
+export function needsCounts({ lasting, maxPerExecutor }: StepSpec): boolean {
+  return lasting || maxPerExecutor > 0;
 }
 
 function satisfiesConstraints(
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,13 +1,13 @@
-import { add, fitsIn } from '../tasks/resource-arithmetic.js';
+import { add, fitsIn, minResources } from '../tasks/resource-arithmetic.js';
 import type { CellTables } from './cell-tables.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName, ZoneName } from '../types/index.js';
 import type { ExecutorState } from './executor-table.js';
-import type { Job } from './job.js';
+import type { Job, ReadyStep } from './job.js';
 import type { JobDecision } from './messages.js';
 import { footprint, type TaskRef, type TeamPolicy } from './model.js';
 import type { JobOrdering } from './ordering.js';
-import { candidatesOf, PlacementRound } from './placement.js';
+import { candidatesOf, needsCounts, PlacementRound } from './placement.js';
 import { newRun } from './run-table.js';
 import type { StepProgress } from './step-progress.js';
 
@@ -51,11 +51,21 @@
     if (round.empty) {
       return [];
     }
+    const fitting = open.filter(
+      (job) =>
+        !(limits.holdAdopted && jobs.isAdopted(job.id)) &&
+        job.ready(now).some(({ step }) => round.mayFit(footprint(step.spec))),
+    );
+    if (fitting.length === 0) {
+      return [];
+    }
+    const smallest = smallestNeed(fitting, now);
     const decisions: JobDecision[] = [];
-    for (const job of order.sort(open, now)) {
-      if (!(limits.holdAdopted && jobs.isAdopted(job.id))) {
-        this.#startReadyTasks(job, round, limits, now, decisions);
+    for (const job of order.sort(fitting, now)) {
+      if (!round.mayFit(smallest)) {
+        break;
       }
+      this.#startReadyTasks(job, round, limits, now, decisions);
     }
     return decisions;
   }
@@ -67,12 +77,11 @@
     now: Millis,
     decisions: JobDecision[],
   ): void {
-    for (const { occurrence, step: number } of [...job.ready(now)]) {
-      const ref = { jobId: job.id, occurrence, step: number, index: 0 };
-      const step = job.step(ref);
-      if (step === undefined) {
+    for (const { occurrence, number, step } of job.ready(now)) {
+      if (!round.mayFit(footprint(step.spec))) {
         continue;
       }
+      const ref = { jobId: job.id, occurrence, step: number, index: 0 };
       const placed = step.spec.gang
         ? this.#placeGang(job, ref, step, round, limits)
         : this.#placeTasks(job, ref, step, round, limits);
@@ -94,6 +103,7 @@
     limits: StartLimits,
   ): readonly PlacedTask[] {
     const placed: PlacedTask[] = [];
+    const counts = this.#countStepRuns(ref, step);
     const { runs, agenda } = this.#dependencies;
     let usage = runs.teamUsage(job.accepted.team);
     for (const index of step.pending) {
@@ -101,11 +111,12 @@
         agenda.heldByCap(job.accepted.team, job.policy.pool);
         break;
       }
-      const state = round.choose(step.spec, this.#stepExecutors(job, ref, placed));
+      const state = round.choose(step.spec, counts);
       if (state === undefined) {
         break;
       }
       round.reserve(state, footprint(step.spec));
+      increment(counts, state.info.id);
       usage = add(usage, step.spec.resources);
       placed.push({ index, state });
     }
@@ -134,7 +145,7 @@
     }
     const racks = spec.sameRack ? [...round.racks, undefined] : [undefined];
     for (const rack of racks) {
-      const placed = this.#tryPlaceGang(job, ref, step, round, rack);
+      const placed = this.#tryPlaceGang(ref, step, round, rack);
       if (placed.length === spec.taskCount) {
         return placed;
       }
@@ -143,7 +154,6 @@
   }
 
   #tryPlaceGang(
-    job: Job,
     ref: TaskRef,
     step: StepProgress,
     round: PlacementRound,
@@ -151,8 +161,9 @@
   ): readonly PlacedTask[] {
     const placed: PlacedTask[] = [];
     const need = footprint(step.spec);
+    const counts = this.#countStepRuns(ref, step);
     for (const index of step.pending) {
-      const state = round.choose(step.spec, this.#stepExecutors(job, ref, placed), rack);
+      const state = round.choose(step.spec, counts, rack);
       if (state === undefined) {
         placed.forEach((one) => {
           round.release(one.state, need);
@@ -160,21 +171,24 @@
         return [];
       }
       round.reserve(state, need);
+      increment(counts, state.info.id);
       placed.push({ index, state });
     }
     return placed;
   }
 
-  /** Executors of the step's current tasks, including those placed in this round. */
-  #stepExecutors(
-    job: Job,
-    ref: TaskRef,
-    placed: readonly PlacedTask[],
-  ): readonly { readonly executor: string }[] {
-    const running = this.#dependencies.runs
-      .ofJob(job.id)
-      .filter(({ task }) => task.occurrence === ref.occurrence && task.step === ref.step);
-    return [...running, ...placed.map(({ state }) => ({ executor: state.info.id }))];
+  /** Number of the step's current tasks by executor, where the choice depends on it. */
+  #countStepRuns(ref: TaskRef, { spec }: StepProgress): Map<string, number> {
+    const counts = new Map<string, number>();
+    if (needsCounts(spec)) {
+      this.#dependencies.runs
+        .ofJob(ref.jobId)
+        .filter(({ task }) => task.occurrence === ref.occurrence && task.step === ref.step)
+        .forEach(({ executor }) => {
+          increment(counts, executor);
+        });
+    }
+    return counts;
   }
 
   #start(
@@ -200,6 +214,16 @@
   }
 }
 
+function increment(counts: Map<string, number>, key: string): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
+
+/** Minimum of each resource over the tasks that the jobs could start now. */
+function smallestNeed(jobs: readonly Job[], now: Millis): Resources {
+  const steps = jobs.flatMap((job): readonly ReadyStep[] => job.ready(now));
+  return steps.map(({ step }) => footprint(step.spec)).reduce(minResources);
+}
+
 function scale(resources: Resources, by: number): Resources {
   return {
     processors: resources.processors * by,
--- a/packages/core/src/jobs/step-progress.ts
+++ b/packages/core/src/jobs/step-progress.ts
@@ -11,9 +11,15 @@
   readonly #attempts = new Map<number, number>();
   readonly #firstAttempt: number;
 
-  /** `firstAttempt` is the lowest attempt number that this owner uses. */
-  constructor(spec: StepSpec, firstAttempt: number) {
+  readonly #onChange: () => void;
+
+  /**
+   * `firstAttempt` is the lowest attempt number that this owner uses; `onChange` is called when the
+   * pending or done tasks change.
+   */
+  constructor(spec: StepSpec, firstAttempt: number, onChange: () => void) {
     this.spec = spec;
+    this.#onChange = onChange;
     this.#firstAttempt = firstAttempt;
     for (let index = 0; index < spec.taskCount; index += 1) {
       this.#pending.add(index);
@@ -62,11 +68,13 @@
 
   markAssigned(index: number): void {
     this.#pending.delete(index);
+    this.#onChange();
   }
 
   requeue(index: number): void {
     if (!this.#done.has(index)) {
       this.#pending.add(index);
+      this.#onChange();
     }
   }
 
@@ -83,6 +91,7 @@
     }
     this.#done.add(index);
     this.#pending.delete(index);
+    this.#onChange();
     return true;
   }
 
--- a/packages/core/src/jobs/task-durations.ts
+++ b/packages/core/src/jobs/task-durations.ts
@@ -25,12 +25,15 @@
  */
 export class TaskDurations {
   readonly #queues = new Map<QueueName, QueueStats>();
+  /** Estimates by queue and declared duration, until the next sample of the queue. */
+  readonly #estimates = new Map<QueueName, Map<Millis, Millis>>();
 
   /** Records a task that ended `done` after `actualMs`. */
   record(queue: QueueName, declaredMs: Millis, actualMs: Millis): void {
     const actual = Math.log(Math.max(1, actualMs));
     const error = actual - Math.log(Math.max(1, declaredMs));
     const known = this.#queues.get(queue);
+    this.#estimates.delete(queue);
     this.#queues.set(queue, {
       samples: (known?.samples ?? 0) + 1,
       actual: updateStats(known?.actual, actual, known?.samples ?? 0),
@@ -40,6 +43,17 @@
 
   /** Estimated duration of a task. Returns the declared one while there are too few samples. */
   expectedMs(queue: QueueName, declaredMs: Millis): Millis {
+    const estimates = this.#estimates.get(queue) ?? new Map<Millis, Millis>();
+    const known = estimates.get(declaredMs);
+    if (known !== undefined) {
+      return known;
+    }
+    const estimate = this.#estimate(queue, declaredMs);
+    this.#estimates.set(queue, estimates.set(declaredMs, estimate));
+    return estimate;
+  }
+
+  #estimate(queue: QueueName, declaredMs: Millis): Millis {
     const known = this.#queues.get(queue);
     if (known === undefined || known.samples < MIN_SAMPLES || declaredMs <= 0) {
       return declaredMs;
