perf(core): make ticks of the job decider cheaper

Cause: each tick, ten times a second, copied all runs to find the few that are being stopped, copied the runs and descriptions of all executors, and counted the waiting processors of a pool once for each free instance. Change: RunTable counts the runs in phase `stopping` and looks for them only if there are some; ExecutorTable keeps its list of descriptions until one changes; the lender counts the waiting processors of a pool once a plan.

--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -50,6 +50,8 @@
   readonly #runs: RunTable;
   readonly #agenda: SchedulingAgenda;
   readonly #states = new Map<ExecutorId, ExecutorState>();
+  /** Descriptions as `infos` returned them, until the list or one of them changes. */
+  #infos: readonly ExecutorInfo[] | undefined;
   /** Executors by pool as `ofPool` found them, until the list or a description changes. */
   readonly #idsByPool = new Map<PoolName, readonly ExecutorId[]>();
 
@@ -66,9 +68,24 @@
     return this.#states.values();
   }
 
+  /** Descriptions of all executors. */
+  get infos(): readonly ExecutorInfo[] {
+    return (this.#infos ??= [...this.#states.values()].map(({ info }) => info));
+  }
+
+  /** Whether any executor has not reported yet. */
+  get someUnreported(): boolean {
+    for (const { hasReported } of this.#states.values()) {
+      if (!hasReported) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   ofPool(pool: PoolName): readonly ExecutorState[] {
     const ids = this.#idsByPool.get(pool) ?? this.#findIds(pool);
-    return ids.flatMap((id) => this.#states.get(id) ?? []);
+    return ids.map((id) => this.#states.get(id)).filter((state) => state !== undefined);
   }
 
   #findIds(pool: PoolName): readonly ExecutorId[] {
@@ -79,7 +96,7 @@
   }
 
   add(info: ExecutorInfo, now: Millis): void {
-    this.#idsByPool.clear();
+    this.#forgetLists();
     this.#states.set(info.id, {
       info,
       listed: true,
@@ -103,7 +120,7 @@
     }
     this.#states.set(id, { ...state, ...change });
     if (change.info !== undefined) {
-      this.#idsByPool.clear();
+      this.#forgetLists();
     }
     if (mayAllowStarts(state, change)) {
       const { pool } = change.info ?? state.info;
@@ -131,7 +148,7 @@
 
   remove(id: ExecutorId): void {
     this.#states.delete(id);
-    this.#idsByPool.clear();
+    this.#forgetLists();
   }
 
   /** Records an unanswered call: the executor gets no new tasks until it answers a later poll. */
@@ -163,6 +180,11 @@
     this.#setBackoff(state, failureStreak, Math.max(state.backoffUntil, now + backoffMs));
   }
 
+  #forgetLists(): void {
+    this.#infos = undefined;
+    this.#idsByPool.clear();
+  }
+
   #setBackoff(state: ExecutorState, failureStreak: number, backoffUntil: Millis): void {
     this.#states.set(state.info.id, { ...state, failureStreak, backoffUntil });
     this.#agenda.wakeAt(state.info.pool, backoffUntil);
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -114,7 +114,7 @@
 
   /** Executors that may have runs, to hand over to the next owner. */
   get executorIds(): readonly ExecutorId[] {
-    const known = [...this.#executors.all()].map(({ info }) => info.id);
+    const known = this.#executors.infos.map(({ id }) => id);
     const inherited = this.#recoveryComplete ? [] : (this.#options.inheritedExecutors ?? []);
     return [...new Set([...known, ...inherited])];
   }
@@ -126,7 +126,7 @@
 
   /** Executors that may have runs and must be polled. */
   get executors(): readonly ExecutorInfo[] {
-    return [...this.#executors.all()].map(({ info }) => info);
+    return this.#executors.infos;
   }
 
   handle(event: JobEvent, now: Millis): readonly JobDecision[] {
@@ -370,7 +370,7 @@
     const inherited = this.#options.inheritedExecutors ?? [];
     return (
       inherited.some((id) => this.#executors.get(id)?.hasReported !== true) ||
-      [...this.#executors.all()].some(({ hasReported }) => !hasReported)
+      this.#executors.someUnreported
     );
   }
 
--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -31,6 +31,8 @@
   #instances: readonly PoolInstance[] = [];
   readonly #pendingMoves = new Map<string, PendingMove>();
   readonly #idleSince = new Map<ExecutorId, Millis>();
+  /** Processors that pending tasks need, by pool, as of the present plan. */
+  readonly #waiting = new Map<PoolName, number>();
   /** Number of instances of each pool before any was lent. */
   #initialSizes: ReadonlyMap<PoolName, number> | undefined;
 
@@ -88,6 +90,7 @@
     now: Millis,
   ): readonly JobDecision[] {
     this.#trackIdle(now);
+    this.#waiting.clear();
     if (now < this.#ordersAllowedAt) {
       return [];
     }
@@ -126,10 +129,17 @@
   #shortage(pool: PoolName, now: Millis): number {
     const size = Math.max(1, this.#typicalCapacity(pool).processors);
     const incoming = [...this.#pendingMoves.values()].filter(({ to }) => to === pool).length;
-    const needed = this.#tables.jobs.waitingProcessors(pool, now) / size;
+    const needed = this.#waitingProcessors(pool, now) / size;
     return Math.floor(needed + 1 - MIN_FILL_FRACTION) - incoming;
   }
 
+  /** Counted once a plan: a plan starts no tasks, so that the number does not change meanwhile. */
+  #waitingProcessors(pool: PoolName, now: Millis): number {
+    const known = this.#waiting.get(pool) ?? this.#tables.jobs.waitingProcessors(pool, now);
+    this.#waiting.set(pool, known);
+    return known;
+  }
+
   #typicalCapacity(pool: PoolName): Resources {
     const known = this.#instances.find((one) => one.pool === pool) ?? this.#instances[0];
     return known?.capacity ?? { processors: 1, memoryMb: 1, accelerators: 0 };
@@ -146,7 +156,7 @@
       ({ pool, executor }) =>
         pool !== to &&
         pools.get(pool)?.standby !== true &&
-        this.#tables.jobs.waitingProcessors(pool, now) === 0 &&
+        this.#waitingProcessors(pool, now) === 0 &&
         this.#idleFor(executor, now) >= IDLE_BEFORE_LENDING_MS,
     );
     return [...standbyInstances, ...idle];
--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -141,10 +141,10 @@
 
   /** Sends stops again that have had no effect yet. */
   retryStops(now: Millis): void {
-    for (const run of [...this.#runs.all()]) {
+    for (const run of this.#runs.stopping()) {
       const sentAt = run.stopSentAt ?? -Infinity;
       const due = now - sentAt >= (run.confirmedAt === undefined ? STOP_RETRY_MS : STOP_REPEAT_MS);
-      if (run.phase === 'stopping' && due) {
+      if (due) {
         this.#sendStop(run, 'stop retried', now);
       }
     }
--- a/packages/core/src/jobs/run-table.ts
+++ b/packages/core/src/jobs/run-table.ts
@@ -85,6 +85,8 @@
   readonly #byExecutor = new Map<ExecutorId, Map<TaskKey, Run>>();
   readonly #byJob = new Map<string, Map<TaskKey, Run>>();
   readonly #teamUsage = new Map<TeamName, Resources>();
+  /** Number of runs in phase `stopping`. */
+  #stopping = 0;
   /** Free capacity by executor, until a run begins or ends there. */
   readonly #free = new Map<ExecutorId, FreeCapacity>();
   /** Runs by executor as `at` returned them, until one changes. */
@@ -123,8 +125,11 @@
     return [...(this.#byJob.get(jobId)?.values() ?? [])];
   }
 
-  all(): Iterable<Run> {
-    return this.#byKey.values();
+  /** Runs in phase `stopping`, in the order in which all runs were added. */
+  stopping(): readonly Run[] {
+    return this.#stopping === 0
+      ? []
+      : [...this.#byKey.values()].filter(({ phase }) => phase === 'stopping');
   }
 
   teamUsage(team: TeamName): Resources {
@@ -151,6 +156,7 @@
       return undefined;
     }
     this.#byKey.delete(key);
+    this.#stopping -= stoppingCount(run);
     this.#byExecutor.get(run.executor)?.delete(key);
     this.#listedAt.delete(run.executor);
     this.#free.delete(run.executor);
@@ -164,6 +170,7 @@
   }
 
   #store(run: Run): void {
+    this.#stopping += stoppingCount(run) - stoppingCount(this.#byKey.get(run.key));
     this.#byKey.set(run.key, run);
     this.#listedAt.delete(run.executor);
     getOrCreate(this.#byExecutor, run.executor).set(run.key, run);
@@ -171,6 +178,10 @@
   }
 }
 
+function stoppingCount(run: Run | undefined): number {
+  return run?.phase === 'stopping' ? 1 : 0;
+}
+
 type MutableField =
   'phase' | 'confirmedAt' | 'stopSentAt' | 'percent' | 'gauge' | 'pace' | 'orderedAt';
 
