perf(core): order only as many jobs as a scheduling round takes

Cause: a round sorted all jobs whose tasks may fit, although the room that one ended task leaves is taken by the first of them. Change: JobOrdering yields the jobs one by one; LeastWorkFirst takes them from a heap. Jobs of equal rank stay in the order of their arrival.

--- a/packages/core/src/jobs/ordering.ts
+++ b/packages/core/src/jobs/ordering.ts
@@ -1,3 +1,4 @@
+import { Heap } from '../requests/heap.js';
 import type { Millis } from '../types/index.js';
 import type { Job } from './job.js';
 import type { StepSpec } from './model.js';
@@ -5,8 +6,8 @@
 
 /** Decides which job gets capacity first. */
 export interface JobOrdering {
-  /** Returns the jobs of one pool, the first to be served first. */
-  sort(jobs: readonly Job[], now: Millis): readonly Job[];
+  /** Yields the jobs of one pool, the first to be served first. Usually only a few are taken. */
+  sort(jobs: readonly Job[], now: Millis): Iterable<Job>;
 }
 
 /** Estimated work that a job has left, in processor-milliseconds. */
@@ -58,6 +59,7 @@
   readonly rank: number;
   readonly started: boolean;
   readonly work: number;
+  readonly position: number;
 }
 
 function compareRanked(a: RankedJob, b: RankedJob): number {
@@ -70,7 +72,7 @@
   if (a.started !== b.started) {
     return a.started ? -1 : 1;
   }
-  return a.work - b.work;
+  return a.work - b.work || a.position - b.position;
 }
 
 /**
@@ -85,15 +87,19 @@
     this.#durations = durations;
   }
 
-  sort(jobs: readonly Job[], now: Millis): readonly Job[] {
-    return jobs
-      .map((job) => ({
+  *sort(jobs: readonly Job[], now: Millis): Iterable<Job> {
+    const ranked = new Heap<RankedJob>((a, b) => compareRanked(a, b) < 0);
+    jobs.forEach((job, position) => {
+      ranked.push({
         job,
         rank: rank(job, now),
         started: job.state === 'running',
         work: remainingWork(job, this.#durations),
-      }))
-      .sort(compareRanked)
-      .map(({ job }) => job);
+        position,
+      });
+    });
+    for (let next = ranked.pop(); next !== undefined; next = ranked.pop()) {
+      yield next.job;
+    }
   }
 }
