--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -50,6 +50,10 @@
   readonly #runs: RunTable;
   readonly #agenda: SchedulingAgenda;
   readonly #states = new Map<ExecutorId, ExecutorState>();
+  /** Descriptions as `infos` returned them, until the list or one of them changes. */
+  #infos: readonly ExecutorInfo[] | undefined;
+  /** Executors by pool as `ofPool` found them, until the list or a description changes. */
+  readonly #idsByPool = new Map<PoolName, readonly ExecutorId[]>();
 
   constructor(runs: RunTable, agenda: SchedulingAgenda) {
     this.#runs = runs;
@@ -64,11 +68,35 @@
     return this.#states.values();
   }
 
+  /** Descriptions of all executors. */
+  get infos(): readonly ExecutorInfo[] {
+    return (this.#infos ??= [...this.#states.values()].map(({ info }) => info));
+  }
+
+  /** Whether any executor has not reported yet. */
+  get someUnreported(): boolean {
+    for (const { hasReported } of this.#states.values()) {
+      if (!hasReported) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   ofPool(pool: PoolName): readonly ExecutorState[] {
-    return [...this.#states.values()].filter(({ info }) => info.pool === pool);
+    const ids = this.#idsByPool.get(pool) ?? this.#findIds(pool);
+    return ids.map((id) => this.#states.get(id)).filter((state) => state !== undefined);
+  }
+
+  #findIds(pool: PoolName): readonly ExecutorId[] {
+    const states = [...this.#states.values()].filter(({ info }) => info.pool === pool);
+    const ids = states.map(({ info }) => info.id);
+    this.#idsByPool.set(pool, ids);
+    return ids;
   }
 
   add(info: ExecutorInfo, now: Millis): void {
+    this.#forgetLists();
     this.#states.set(info.id, {
       info,
       listed: true,
@@ -91,6 +119,9 @@
       return;
     }
     this.#states.set(id, { ...state, ...change });
+    if (change.info !== undefined) {
+      this.#forgetLists();
+    }
     if (mayAllowStarts(state, change)) {
       const { pool } = change.info ?? state.info;
       this.#agenda.mark(pool);
@@ -117,6 +148,7 @@
 
   remove(id: ExecutorId): void {
     this.#states.delete(id);
+    this.#forgetLists();
   }
 
   /** Records an unanswered call: the executor gets no new tasks until it answers a later poll. */
@@ -148,6 +180,11 @@
     this.#setBackoff(state, failureStreak, Math.max(state.backoffUntil, now + backoffMs));
   }
 
+  #forgetLists(): void {
+    this.#infos = undefined;
+    this.#idsByPool.clear();
+  }
+
   #setBackoff(state: ExecutorState, failureStreak: number, backoffUntil: Millis): void {
     this.#states.set(state.info.id, { ...state, failureStreak, backoffUntil });
     this.#agenda.wakeAt(state.info.pool, backoffUntil);
