fix(jobs): a job counts as waiting until one of its tasks has begun

Cause: a job left the count of waiting jobs when a start was sent, also if no executor ever began it. Change: a job leaves the count when an executor has confirmed or listed a run of one of its tasks. Evidence: the five cases of jobs-waiting that name an outcome of a start fail on the code before this change, and pass with it.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -97,7 +97,7 @@
     this.#lender = new PoolLender(parts, options.ordersAllowedAt, options.poolSizes);
   }
 
-  /** Number of jobs by queue that have not started any task. */
+  /** Number of jobs by queue of which no executor is known to have begun a task. */
   get waiting(): ReadonlyMap<string, number> {
     return this.#jobs.waitingByQueue();
   }
--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -64,12 +64,12 @@
     return waiting;
   }
 
-  /** Number of jobs by queue that have not started any task. */
+  /** Number of jobs by queue of which no executor is known to have begun a task. */
   waitingByQueue(): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
     for (const jobs of this.#openByPool.values()) {
       for (const job of jobs.values()) {
-        if (job.state === 'queued') {
+        if (job.state === 'queued' || !job.begun) {
           counts.set(job.accepted.queue, (counts.get(job.accepted.queue) ?? 0) + 1);
         }
       }
--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -122,6 +122,11 @@
     return { steps: ready, until: Infinity };
   }
 
+  /** Whether an executor is known to have begun a task. A start that was sent may have failed. */
+  get begun(): boolean {
+    return this.#occurrences.some(({ steps }) => steps.some((step) => step.begun));
+  }
+
   markStarted(): void {
     if (this.#state === 'queued') {
       this.#state = 'running';
--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -86,6 +86,7 @@
   startAnswered(run: Run, outcome: StartOutcome, now: Millis): void {
     switch (outcome) {
       case 'started':
+        this.#jobs.step(run.task)?.markBegun();
         if (run.phase === 'starting') {
           this.#runs.update(run, { phase: 'running', confirmedAt: now });
         }
--- a/packages/core/src/jobs/step-progress.ts
+++ b/packages/core/src/jobs/step-progress.ts
@@ -10,6 +10,7 @@
   readonly #checkpoints = new Map<number, string>();
   readonly #attempts = new Map<number, number>();
   readonly #firstAttempt: number;
+  #begun = false;
 
   readonly #onChange: () => void;
 
@@ -39,6 +40,15 @@
     return this.#done.size === this.spec.taskCount;
   }
 
+  /** Whether an executor is known to have begun a task of the step. */
+  get begun(): boolean {
+    return this.#begun;
+  }
+
+  markBegun(): void {
+    this.#begun = true;
+  }
+
   isDone(index: number): boolean {
     return this.#done.has(index);
   }
@@ -61,8 +71,9 @@
     return last + 1;
   }
 
-  /** Keeps later attempts above an attempt number that an executor has reported. */
+  /** Records a run that an executor has listed. Later attempts get higher numbers. */
   recordAttempt(index: number, attempt: number): void {
+    this.#begun = true;
     this.#attempts.set(index, Math.max(this.#attempts.get(index) ?? 0, attempt));
   }
 
@@ -112,6 +123,7 @@
     const indexes = done === 'all' ? [...Array(this.spec.taskCount).keys()] : done;
     indexes.forEach((index) => this.markDone(index));
     failures.forEach((count, index) => this.#failures.set(index, count));
+    this.#begun ||= indexes.length > 0 || failures.size > 0;
   }
 
   get doneIndexes(): 'all' | readonly number[] {
