fix(jobs): waiting counts are answered only while their age is known

Cause: the leader published counts without their age, before it had loaded the jobs as well, and every entry answered with the last counts it had read, however old they were, and with 0 for a queue that the counts do not name. Change: the leader publishes the age of the last read of the jobs that it has handled, and publishes nothing before it has loaded them.

--- a/packages/coordination/src/io/leader-elector.ts
+++ b/packages/coordination/src/io/leader-elector.ts
@@ -27,7 +27,7 @@
   type LeaderClaim,
   type LeaderTerm,
 } from '../state/leader-lease.js';
-import type { JsonValue, Row, TableStore, TxnOutcome } from '../store/index.js';
+import type { JsonValue, Row, RowVersion, TableStore, TxnOutcome } from '../store/index.js';
 import { callTimeout } from './store/call-timeout.js';
 
 /** Interval between reads of the cell's owner and lease rows. */
@@ -56,8 +56,26 @@
 export type LeaderEvent =
   | { readonly type: 'elected'; readonly term: LeaderTerm }
   | { readonly type: 'deposed' }
-  /** The bulletin that the current leader of the cell published with its last renewal. */
-  | { readonly type: 'published'; readonly bulletin: JsonValue };
+  | LeaderPublication;
+
+/** The bulletin that the leader of the cell published with its last renewal, as of one read. */
+export interface LeaderPublication {
+  readonly type: 'published';
+  readonly bulletin: JsonValue;
+  /** Epoch of the leader that wrote it; undefined if the row does not tell. */
+  readonly epoch: RowVersion | undefined;
+  /** Number of the renewal, which increases within an epoch. */
+  readonly beat: number;
+  /** Monotonic time at which the read was sent. */
+  readonly sentAt: Millis;
+}
+
+/** Value of the lease row. */
+interface LeaseValue {
+  readonly epoch?: RowVersion;
+  readonly beat: number;
+  readonly bulletin: JsonValue;
+}
 
 export interface LeaderElectorOptions {
   readonly member: MemberId;
@@ -155,8 +173,8 @@
     const owner = rows.find(({ key }) => key === CELL_OWNER_KEY);
     const lease = rows.find(({ key }) => key === CELL_LEASE_KEY);
     if (lease !== undefined) {
-      const { bulletin } = lease.value as { readonly bulletin: JsonValue };
-      this.#options.listener.post({ type: 'published', bulletin });
+      const { bulletin, beat, epoch } = lease.value as unknown as LeaseValue;
+      this.#options.listener.post({ type: 'published', bulletin, epoch, beat, sentAt });
     }
     if (this.#stopped || this.#changingOwner || sentAt < this.#ownerChangedAt) {
       return;
@@ -267,7 +285,8 @@
   async #writeLease({ epoch }: LeaderTerm): Promise<Result<TxnOutcome, AppError>> {
     this.#renewalCount += 1;
     const { overloaded } = this.#lateness;
-    const value = { beat: this.#renewalCount, bulletin: this.#options.bulletin(), overloaded };
+    const bulletin = this.#options.bulletin();
+    const value = { epoch, beat: this.#renewalCount, bulletin, overloaded };
     const timeout = callTimeout(this.signal, RENEW_TIMEOUT_MS);
     try {
       return await this.#options.store.commit(
--- a/packages/coordination/src/io/table-watch.ts
+++ b/packages/coordination/src/io/table-watch.ts
@@ -20,6 +20,11 @@
    * `sentAt`: monotonic time at which the read was sent.
    */
   readonly onChanges: (rows: readonly RowChange[], snapshot: boolean, sentAt: Millis) => void;
+  /**
+   * Called after each successful read, also an empty one, once its changes have been passed on.
+   * All changes that took effect before `sentAt` have then been passed on.
+   */
+  readonly onRead?: (sentAt: Millis) => void;
   readonly signal: AbortSignal;
 }
 
@@ -65,6 +70,7 @@
     return 'unavailable';
   }
   options.onChanges(read.value.rows, true, sentAt);
+  options.onRead?.(sentAt);
   return read.value.position;
 }
 
@@ -82,5 +88,6 @@
   if (read.value.rows.length > 0) {
     options.onChanges(read.value.rows, false, sentAt);
   }
+  options.onRead?.(sentAt);
   return read.value.position;
 }
--- a/packages/coordination/test/table-watch.test.ts
+++ b/packages/coordination/test/table-watch.test.ts
@@ -53,3 +53,67 @@
     expect(waits).toEqual([WAIT_MS, 0, 0, WAIT_MS]);
   });
 });
+
+describe('the time of the last successful read', () => {
+  /** Times passed to `onRead` by a feed that changes nothing and answers 100 ms after each call. */
+  async function readTimes(
+    outcomes: readonly ('empty' | 'changes' | 'unavailable')[],
+  ): Promise<readonly string[]> {
+    const stopping = new AbortController();
+    const clock = new ManualClock();
+    const seen: string[] = [];
+    let calls = 0;
+    const feed: ChangeFeed = {
+      snapshot: () => {
+        clock.advance(100);
+        return Promise.resolve(Ok({ rows: [], position: 1 }));
+      },
+      changes: (_table, position) => {
+        clock.advance(100);
+        const outcome = outcomes[calls];
+        calls += 1;
+        if (calls === outcomes.length) {
+          stopping.abort();
+        }
+        if (outcome === 'unavailable') {
+          return Promise.resolve(fail('store-unavailable'));
+        }
+        const row = { key: 'jobs/a', version: 2, value: {} };
+        const rows = outcome === 'changes' ? [row] : [];
+        return Promise.resolve(Ok({ rows, position: position + 1 }));
+      },
+    };
+    await watchTable({
+      feed,
+      table: 'jobs',
+      clock,
+      log: silent,
+      waitMs: WAIT_MS,
+      pauseMs: 0,
+      onChanges: (rows) => seen.push(`${rows.length} rows`),
+      onRead: (sentAt) => seen.push(`read sent at ${sentAt}`),
+      signal: stopping.signal,
+    });
+    return seen;
+  }
+
+  // Figures that rest on a quiet table looked older with each second, as if it were not readable.
+  test('a table without changes is taken for one that is not readable', async () => {
+    expect(await readTimes(['empty', 'empty'])).toEqual([
+      '0 rows',
+      'read sent at 0',
+      'read sent at 100',
+      'read sent at 200',
+    ]);
+  });
+
+  // Figures that rest on a table that can't be read must not look current.
+  test('a failed read counts as a read', async () => {
+    expect(await readTimes(['unavailable', 'changes'])).toEqual([
+      '0 rows',
+      'read sent at 0',
+      '1 rows',
+      'read sent at 200',
+    ]);
+  });
+});
--- a/packages/daemon/src/jobs/bulletin.ts
+++ b/packages/daemon/src/jobs/bulletin.ts
@@ -1,9 +1,19 @@
-import type { ExecutorId } from '@turmerichoist/core';
+import type { ExecutorId, Millis } from '@turmerichoist/core';
+
+/** Numbers of waiting jobs as the leader published them, with how old they were then. */
+export interface PublishedCounts {
+  /** Number of jobs per queue of which no task has begun; a queue without such jobs is left out. */
+  readonly byQueue: Readonly<Record<string, number>>;
+  /** Age at publication of the oldest input: all jobs stored before that are counted. */
+  readonly ageMs: Millis;
+  /** Revision of the configuration that the leader had applied. */
+  readonly revision: number;
+}
 
 /** State that the leader stores in its lease row with each renewal, for the other members. */
 export interface Bulletin {
-  /** Number of jobs per queue of which no task has started. */
-  readonly waiting: Readonly<Record<string, number>>;
+  /** Absent until the leader has loaded the jobs and a configuration. */
+  readonly waiting?: PublishedCounts;
   /** Executors that may have running tasks. */
   readonly executors: readonly ExecutorId[];
   /** Number of instances per pool before any was lent to another pool; empty until known. */
@@ -13,8 +23,12 @@
 }
 
 export const EMPTY_BULLETIN: Bulletin = {
-  waiting: {},
   executors: [],
   poolSizes: {},
   mayOrder: false,
 };
+
+/** Returns a bulletin without its counts, whose age is known only at their first publication. */
+export function withoutCounts({ executors, poolSizes, mayOrder }: Bulletin): Bulletin {
+  return { executors, poolSizes, mayOrder };
+}
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -16,13 +16,14 @@
   type ChangeFeed,
   type JsonValue,
   type LeaderEvent,
+  type LeaderPublication,
   type LeaderResources,
   type LeaderTerm,
   type StoreCallStats,
   type TableStore,
 } from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
-import { EMPTY_BULLETIN, type Bulletin } from './bulletin.js';
+import { EMPTY_BULLETIN, withoutCounts, type Bulletin } from './bulletin.js';
 import { INTAKE_PART_NAMES, JobIntake } from './intake.js';
 import { JobOwner } from './job-owner.js';
 import { JobService } from './job-service.js';
@@ -110,7 +111,7 @@
         random,
         newId,
         listener: this,
-        bulletin: (): JsonValue => ({ ...(this.#owner?.owner.bulletin ?? this.#bulletin) }),
+        bulletin: () => this.#bulletinToPublish(),
       },
       context,
     );
@@ -158,7 +159,7 @@
         this.#setView(message.view);
         return;
       case 'published':
-        this.#onPublished(message.bulletin);
+        this.#onPublished(message);
         return;
       case 'elected':
         this.#startTerm(message.term);
@@ -183,9 +184,15 @@
     this.#owner?.owner.setView(this.#view);
   }
 
-  #onPublished(bulletin: JsonValue): void {
+  #bulletinToPublish(): JsonValue {
+    const bulletin = this.#owner?.owner.bulletin ?? withoutCounts(this.#bulletin);
+    return bulletin as unknown as JsonValue;
+  }
+
+  #onPublished({ bulletin, epoch, beat, sentAt }: LeaderPublication): void {
     this.#bulletin = bulletin as unknown as Bulletin;
-    this.#service.setWaiting(new Map(Object.entries(this.#bulletin.waiting)));
+    const { waiting } = this.#bulletin;
+    this.#service.observeCounts({ epoch, beat, waiting, sentAt });
   }
 
   #startTerm(term: LeaderTerm): void {
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -2,7 +2,6 @@
   JobDecider,
   type AcceptedJob,
   type Clock,
-  type ExecutorInfo,
   type JobDecision,
   type JobEvent,
   type JobProgress,
@@ -17,6 +16,7 @@
   type LeaderTerm,
   type RowChange,
   type TableStore,
+  type TableWatchOptions,
 } from '@turmerichoist/coordination';
 import {
   Actor,
@@ -26,7 +26,10 @@
   type Metrics,
 } from '@turmerichoist/runtime';
 import type { Bulletin } from './bulletin.js';
+import { CountInputs, type CountInput } from './count-inputs.js';
 import { ExecutorLinks } from './executor-links.js';
+import { ExecutorRegistry } from './executor-registry.js';
+import { InstanceControl } from './instance-control.js';
 import { OwnerLoad } from './owner-load.js';
 import type { ExecutorConnector, InstanceFleet, OperatorView, RowCodec } from './ports.js';
 import type { PendingAcknowledgement } from './progress-queue.js';
@@ -43,11 +46,10 @@
 /** Attempt numbers reserved for each owner; the next owner starts with the next block. */
 const ATTEMPTS_PER_TERM = 1_000;
 const FEED_WAIT_MS: Millis = 10_000;
+/** Short, as the published counts of waiting jobs are as old as the latest read of the jobs. */
+const JOBS_WAIT_MS: Millis = 500;
 const JOBS_PAUSE_MS: Millis = 4;
 const EXECUTORS_PAUSE_MS: Millis = 200;
-/** Polling periods of the list of instances, while maintenance is in progress and otherwise. */
-const INSTANCES_POLL_MS: Millis = 500;
-const IDLE_INSTANCES_POLL_MS: Millis = 1_000;
 /** Ended jobs are retained so that late reports find them. */
 const ENDED_JOB_RETENTION_MS: Millis = 60_000;
 
@@ -80,23 +82,23 @@
 }
 
 /** Leads one cell for one term: feeds events to the decider and executes its decisions. */
-export class JobOwner extends Actor<JobEvent> {
+export class JobOwner extends Actor<JobEvent | CountInput> {
   readonly #options: JobOwnerOptions;
   readonly #decider: JobDecider;
   readonly #writer: ProgressWriter;
   readonly #links: ExecutorLinks;
   readonly #waveStatus: WaveStatusWriter;
+  readonly #instances: InstanceControl;
   readonly #load: OwnerLoad;
   /** Monotonic time from which orders to instances may be sent. */
   readonly #ordersAllowedAt: Millis;
-  readonly #executors = new Map<string, ExecutorInfo>();
+  readonly #registry: ExecutorRegistry;
   readonly #storedProgress = new Map<string, JobProgress>();
   readonly #storedWaves = new Map<
     number,
     { readonly begun: readonly string[]; readonly completed: boolean }
   >();
-  #instancesPolledAt: Millis = -Infinity;
-  #pollingInstances = false;
+  readonly #countInputs = new CountInputs();
   #jobsLoaded = false;
   /** Whether progress and waves have been read from the store. */
   #restored = false;
@@ -105,6 +107,7 @@
   constructor(options: JobOwnerOptions, context: ActorContext) {
     super('owner', context);
     this.#options = options;
+    this.#registry = new ExecutorRegistry(options.rowCodec);
     const { clock, term, orderHandoverMs } = options;
     this.#load = new OwnerLoad(clock);
     const now = clock.now();
@@ -128,7 +131,11 @@
       { connector, fencingToken: term.epoch, clock, leaseMs, mayAct, owner: this },
       context,
     );
-    const { shared, rowCodec, newId } = options;
+    const { fleet, shared, rowCodec, newId } = options;
+    this.#instances = new InstanceControl(
+      { fleet, epoch: term.epoch, mayAct, clock, owner: this },
+      { ...context, log: this.log },
+    );
     this.#waveStatus = new WaveStatusWriter(
       { cell: options.waves, shared, rowCodec, newId, epoch: term.epoch },
       context,
@@ -151,11 +158,13 @@
   }
 
   get bulletin(): Bulletin {
+    const now = this.#options.clock.now();
+    const waiting = this.#countInputs.publish(this.#decider.waiting, now);
     return {
-      waiting: Object.fromEntries(this.#decider.waiting),
+      ...(waiting && { waiting }),
       executors: this.#decider.executorIds,
       poolSizes: Object.fromEntries(this.#decider.poolSizes ?? []),
-      mayOrder: this.#options.clock.now() >= this.#ordersAllowedAt,
+      mayOrder: now >= this.#ordersAllowedAt,
     };
   }
 
@@ -179,13 +188,17 @@
     }
     this.#restored = true;
     this.setView(this.#view ?? view);
-    this.#watchTable(intake, 'jobs', JOBS_PAUSE_MS, (rows, snapshot) => {
+    const onJobs = (rows: readonly RowChange[], snapshot: boolean): void => {
       this.#onJobs(rows, snapshot);
+    };
+    this.#watchTable(intake, 'jobs', JOBS_PAUSE_MS, onJobs, {
+      waitMs: JOBS_WAIT_MS,
+      onRead: (sentAt) => this.post({ type: 'jobs-applied', sentAt }),
     });
     every(TICK_MS, this.signal, () => {
       this.#load.onTickQueued();
       this.post({ type: 'tick' });
-      this.#pollInstances();
+      this.#instances.pollIfDue(this.#decider);
     });
     this.log.info('owner started', {
       epoch: term.epoch,
@@ -203,12 +216,17 @@
     const { config, zonesOut, waves } = view;
     if (config !== undefined) {
       this.post({ type: 'config', config: config.scheduling });
+      this.post({ type: 'config-applied', revision: config.revision });
     }
     this.post({ type: 'zones-out', zones: zonesOut });
     this.post({ type: 'waves', waves: waves.map((wave) => this.#withStoredStatus(wave)) });
   }
 
-  protected receive(event: JobEvent): void {
+  protected receive(event: JobEvent | CountInput): void {
+    if (event.type === 'jobs-applied' || event.type === 'config-applied') {
+      this.#countInputs.apply(event);
+      return;
+    }
     this.#load.onEvent(event);
     const decisions = this.#decider.handle(event, this.#options.clock.now());
     if (event.type === 'executors' || event.type === 'tick') {
@@ -254,6 +272,7 @@
     table: string,
     pauseMs: Millis,
     onChanges: (rows: readonly RowChange[], snapshot: boolean) => void,
+    special: Pick<Partial<TableWatchOptions>, 'waitMs' | 'onRead'> = {},
   ): void {
     const { clock } = this.#options;
     void watchTable({
@@ -265,6 +284,7 @@
       pauseMs,
       onChanges,
       signal: this.signal,
+      ...special,
     });
   }
 
@@ -281,7 +301,10 @@
     const first = snapshot && !this.#jobsLoaded;
     this.#jobsLoaded = true;
     const adopted = first && this.#options.term.generation > 0;
-    this.post({ type: 'jobs', jobs, adopted });
+    if (!this.post({ type: 'jobs', jobs, adopted })) {
+      this.#countInputs.markIncomplete();
+      this.log.error('jobs not taken in, too many events are waiting', { jobs: jobs.length });
+    }
     if (first) {
       const { intake, shared, rowCodec } = this.#options;
       this.#watchTable(intake, 'cancels', JOBS_PAUSE_MS, (changes) => {
@@ -293,30 +316,15 @@
         rowCodec.executorTable,
         EXECUTORS_PAUSE_MS,
         (changes, isSnapshot) => {
-          this.#onExecutors(changes, isSnapshot);
+          const executors = this.#registry.apply(changes, isSnapshot);
+          if (executors !== undefined) {
+            this.post({ type: 'executors', executors });
+          }
         },
       );
     }
   }
 
-  #onExecutors(rows: readonly RowChange[], snapshot: boolean): void {
-    const before = JSON.stringify([...this.#executors]);
-    if (snapshot) {
-      this.#executors.clear();
-    }
-    for (const row of rows) {
-      const info = row.value === undefined ? undefined : this.#options.rowCodec.executor(row);
-      if (info !== undefined) {
-        this.#executors.set(row.key, info);
-      } else {
-        this.#executors.delete(row.key);
-      }
-    }
-    if (JSON.stringify([...this.#executors]) !== before) {
-      this.post({ type: 'executors', executors: [...this.#executors.values()] });
-    }
-  }
-
   #execute(decision: JobDecision): void {
     const { metrics } = this.#options;
     metrics.count(`owner.${decision.type}`);
@@ -354,7 +362,7 @@
         return;
       }
       case 'order':
-        void this.#issueOrder(decision);
+        void this.#instances.order(decision.order);
         return;
       case 'wave-status':
         this.#waveStatus.post(decision);
@@ -367,32 +375,4 @@
   #onAcknowledged({ executor, startedWallMs, through }: PendingAcknowledgement): void {
     this.#links.post(executor, { type: 'acknowledged', startedWallMs, through });
   }
-
-  async #issueOrder({ order }: Extract<JobDecision, { type: 'order' }>): Promise<void> {
-    const { fleet, term, mayAct } = this.#options;
-    const outcome = mayAct() ? await fleet.order(order, term.epoch, this.signal) : 'busy';
-    this.log.info('instance ordered', { ...order, outcome, epoch: term.epoch });
-    this.post({ type: 'order-answer', order, outcome });
-    this.#instancesPolledAt = -Infinity;
-  }
-
-  #pollInstances(): void {
-    const now = this.#options.clock.now();
-    const periodMs = this.#decider.maintaining ? INSTANCES_POLL_MS : IDLE_INSTANCES_POLL_MS;
-    if (this.#pollingInstances || now - this.#instancesPolledAt < periodMs) {
-      return;
-    }
-    this.#pollingInstances = true;
-    this.#instancesPolledAt = now;
-    void this.#options.fleet.list(this.signal).then((listed) => {
-      this.#pollingInstances = false;
-      if (listed.isOk()) {
-        this.post({ type: 'instances', instances: listed.value, requestedAt: now });
-      }
-      const waiting = this.#decider.waitingInstances;
-      if (waiting.length > 0) {
-        this.log.info('maintenance is waiting', { waiting });
-      }
-    });
-  }
 }
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -25,6 +25,7 @@
 } from '@turmerichoist/runtime';
 import type { JobIntake } from './intake.js';
 import type { CallerTables, JobCall, JobReply } from './ports.js';
+import { WaitingCounts, type CountsRead } from './waiting-counts.js';
 
 const JOB_ID = /^[0-9a-f]{16}$/;
 /** Part of the caller's timeout that is reserved for sending the response. */
@@ -48,7 +49,7 @@
 export class JobService {
   readonly #options: JobServiceOptions;
   #directory: JobDirectory | undefined;
-  #waiting: ReadonlyMap<QueueName, number> | undefined;
+  readonly #counts: WaitingCounts;
   /** Latest known state of jobs. A final state never changes. */
   readonly #cachedStates = new Map<JobId, JobState>();
   readonly #calls = {
@@ -56,10 +57,10 @@
     read: new WindowStats(),
     cancel: new WindowStats(),
   };
-  #waitingReadAt: Millis | undefined;
 
   constructor(options: JobServiceOptions) {
     this.#options = options;
+    this.#counts = new WaitingCounts(options.clock);
   }
 
   get ready(): boolean {
@@ -72,23 +73,22 @@
     const { revision } = directory.config;
     if (revision > present) {
       this.#directory = directory;
+      this.#counts.setDirectory(directory);
       this.#options.log.info('configuration applied', { revision, present });
     }
   }
 
-  setWaiting(waiting: ReadonlyMap<QueueName, number>): void {
-    this.#waiting = waiting;
-    this.#waitingReadAt = this.#options.clock.now();
+  observeCounts(read: CountsRead): void {
+    this.#counts.observe(read);
   }
 
   /** Takes the figures of the calls since the last call; durations in milliseconds. */
   takeLoad(): LogFields {
     const { submit, read, cancel } = this.#calls;
-    const readAt = this.#waitingReadAt;
+    const { ageMs } = this.#counts;
     return {
       calls: { submit: submit.take(), read: read.take(), cancel: cancel.take() },
-      waitingReadAgeMs:
-        readAt === undefined ? undefined : Math.round(this.#options.clock.now() - readAt),
+      waitingCountAgeMs: ageMs && Math.round(ageMs),
     };
   }
 
@@ -168,6 +168,9 @@
         ? fail('store-unavailable', stored.error.detail, RETRY_AFTER_MS)
         : stored;
     }
+    if (!this.#cachedStates.has(id)) {
+      this.#counts.recordAccepted(queue);
+    }
     this.#cacheState(id, this.#cachedStates.get(id) ?? 'queued');
     return Ok({ type: 'accepted' });
   }
@@ -228,9 +231,16 @@
   }
 
   #countWaiting(queue: QueueName): Result<JobReply, AppError> {
-    return this.#waiting === undefined
-      ? fail('not-ready', 'the leader has not published the queue lengths yet', RETRY_AFTER_MS)
-      : Ok({ type: 'waiting', count: this.#waiting.get(queue) ?? 0 });
+    const { log, metrics } = this.#options;
+    const answer = this.#counts.count(queue);
+    if (answer.type === 'count') {
+      metrics.timing('calls.count-age', answer.ageMs);
+      return Ok({ type: 'waiting', count: answer.count });
+    }
+    const { reason, ageMs } = answer;
+    log.info('waiting count refused', { queue, reason, ageMs: ageMs && Math.round(ageMs) });
+    metrics.count(`calls.count-refused.${reason}`);
+    return fail('not-ready', `waiting count ${reason}`, RETRY_AFTER_MS);
   }
 
   #cacheState(id: JobId, state: JobState): void {
--- a/packages/daemon/test/job-cell-parts.test.ts
+++ b/packages/daemon/test/job-cell-parts.test.ts
@@ -1,9 +1,8 @@
-import { StoreCallStats } from '@turmerichoist/coordination';
 import { afterEach, beforeEach, expect, test } from '@jest/globals';
-import { Ok, SeededRandom, type JobConfig, type JobSpec, type Millis } from '@turmerichoist/core';
-import { NoMetrics, SystemClock, silentLogger } from '@turmerichoist/runtime';
-import { JobCell } from '../src/jobs/job-cell.js';
+import { Ok, type Millis } from '@turmerichoist/core';
+import type { JobCell } from '../src/jobs/job-cell.js';
 import type { JobCall, JobReply } from '../src/jobs/ports.js';
+import { JOB_SPEC, startMember as startCellMember } from './support/job-cell-fixture.js';
 import { PartedTables } from './support/parted-tables.js';
 
 // Each test is named after the failure that it guards against.
@@ -12,52 +11,8 @@
 const WAIT_MS: Millis = 5_000;
 const CHECK_MS: Millis = 10;
 
-const POLICY = {
-  pool: 'p1',
-  priority: 0,
-  maxAttempts: 4,
-  slackFactor: 2,
-  targetLatencyMs: 600,
-  ticketed: false,
-};
-const CONFIG: JobConfig = {
-  revision: 1,
-  callers: {
-    routes: [{ queue: 'q1', host: 'jobs.example', pathPrefix: '/q1/', open: true }],
-    teamsByKey: new Map(),
-  },
-  scheduling: { queues: new Map([['q1', POLICY]]), pools: new Map(), teams: new Map() },
-};
-const SPEC: JobSpec = {
-  payload: 'x',
-  steps: [
-    {
-      taskCount: 1,
-      resources: { processors: 1, memoryMb: 100, accelerators: 0 },
-      estimateMs: 300,
-      after: [],
-      checkpointing: false,
-      gang: false,
-      sameRack: false,
-      requiredLabel: '',
-      preferredRack: '',
-      maxPerExecutor: 0,
-      speculative: false,
-      lasting: false,
-      image: '',
-      targetMs: 0,
-      fills: false,
-      maxUnavailable: 0,
-    },
-  ],
-  occurrences: 1,
-  firstAtWallMs: 0,
-  intervalMs: 0,
-};
-
 let controller: AbortController;
 let tables: PartedTables;
-let ids = 0;
 
 beforeEach(() => {
   controller = new AbortController();
@@ -69,44 +24,7 @@
 });
 
 function startMember(member: string): JobCell {
-  const { signal } = controller;
-  const cell = new JobCell(
-    {
-      member,
-      incarnation: member,
-      resources: { cores: 1, linkMbps: 1_000 },
-      storeCalls: new StoreCallStats(),
-      leadership: tables.open('c0'),
-      cell: tables.open('c0'),
-      shared: tables.open(''),
-      callerTables: { cell: tables.open('c0'), openIntake: (part) => tables.open(part) },
-      openIntakeFeed: (parts) => tables.feed(parts),
-      connector: {
-        connect: () => {
-          throw new Error('there are no executors');
-        },
-      },
-      fleet: { list: () => Promise.resolve(Ok([])), order: () => Promise.resolve('busy') },
-      rowCodec: {
-        executorTable: 'servers',
-        executor: () => undefined,
-        waveStatus: (wave, state) => ({ key: `status/${wave}`, value: { state } }),
-      },
-      clock: new SystemClock(),
-      random: new SeededRandom(1),
-      metrics: new NoMetrics(),
-      newId: () => {
-        ids += 1;
-        return `txn-${ids}`;
-      },
-      maxLeaseMs: 5_000,
-      orderHandoverMs: 1_000,
-    },
-    { log: silentLogger, signal },
-  );
-  cell.post({ type: 'view', view: { config: CONFIG, zonesOut: new Set(), waves: [] } });
-  cell.start();
-  return cell;
+  return startCellMember(member, tables, controller.signal);
 }
 
 function jobId(n: number): string {
@@ -121,7 +39,7 @@
 }
 
 function submit(cell: JobCell, id: string): Promise<JobReply> {
-  return call(cell, id, { type: 'submit', spec: Ok(SPEC) });
+  return call(cell, id, { type: 'submit', spec: Ok(JOB_SPEC) });
 }
 
 async function eventually(check: () => Promise<boolean>): Promise<void> {
--- /dev/null
+++ b/packages/daemon/test/support/job-cell-fixture.ts
@@ -0,0 +1,91 @@
+import { StoreCallStats } from '@turmerichoist/coordination';
+import { Ok, SeededRandom, type JobConfig, type JobSpec } from '@turmerichoist/core';
+import { NoMetrics, SystemClock, silentLogger } from '@turmerichoist/runtime';
+import { JobCell } from '../../src/jobs/job-cell.js';
+import type { PartedTables } from './parted-tables.js';
+
+export const JOB_POLICY = {
+  pool: 'p1',
+  priority: 0,
+  maxAttempts: 4,
+  slackFactor: 2,
+  targetLatencyMs: 600,
+  ticketed: false,
+};
+export const JOB_CONFIG: JobConfig = {
+  revision: 1,
+  callers: {
+    routes: [{ queue: 'q1', host: 'jobs.example', pathPrefix: '/q1/', open: true }],
+    teamsByKey: new Map(),
+  },
+  scheduling: { queues: new Map([['q1', JOB_POLICY]]), pools: new Map(), teams: new Map() },
+};
+export const JOB_SPEC: JobSpec = {
+  payload: 'x',
+  steps: [
+    {
+      taskCount: 1,
+      resources: { processors: 1, memoryMb: 100, accelerators: 0 },
+      estimateMs: 300,
+      after: [],
+      checkpointing: false,
+      gang: false,
+      sameRack: false,
+      requiredLabel: '',
+      preferredRack: '',
+      maxPerExecutor: 0,
+      speculative: false,
+      lasting: false,
+      image: '',
+      targetMs: 0,
+      fills: false,
+      maxUnavailable: 0,
+    },
+  ],
+  occurrences: 1,
+  firstAtWallMs: 0,
+  intervalMs: 0,
+};
+
+let ids = 0;
+
+/** Starts a member of a cell without executors and instances, until `signal` aborts. */
+export function startMember(member: string, tables: PartedTables, signal: AbortSignal): JobCell {
+  const cell = new JobCell(
+    {
+      member,
+      incarnation: member,
+      resources: { cores: 1, linkMbps: 1_000 },
+      storeCalls: new StoreCallStats(),
+      leadership: tables.open('c0'),
+      cell: tables.open('c0'),
+      shared: tables.open(''),
+      callerTables: { cell: tables.open('c0'), openIntake: (part) => tables.open(part) },
+      openIntakeFeed: (parts) => tables.feed(parts),
+      connector: {
+        connect: () => {
+          throw new Error('there are no executors');
+        },
+      },
+      fleet: { list: () => Promise.resolve(Ok([])), order: () => Promise.resolve('busy') },
+      rowCodec: {
+        executorTable: 'servers',
+        executor: () => undefined,
+        waveStatus: (wave, state) => ({ key: `status/${wave}`, value: { state } }),
+      },
+      clock: new SystemClock(),
+      random: new SeededRandom(1),
+      metrics: new NoMetrics(),
+      newId: () => {
+        ids += 1;
+        return `txn-${ids}`;
+      },
+      maxLeaseMs: 5_000,
+      orderHandoverMs: 1_000,
+    },
+    { log: silentLogger, signal },
+  );
+  cell.post({ type: 'view', view: { config: JOB_CONFIG, zonesOut: new Set(), waves: [] } });
+  cell.start();
+  return cell;
+}
--- a/packages/daemon/test/support/parted-tables.ts
+++ b/packages/daemon/test/support/parted-tables.ts
@@ -6,7 +6,7 @@
   type TableStore,
   type Transaction,
 } from '@turmerichoist/coordination';
-import { Ok, type Millis } from '@turmerichoist/core';
+import { fail, Ok, type Millis } from '@turmerichoist/core';
 import { sleep } from '@turmerichoist/runtime';
 
 const FEED_CHECK_MS: Millis = 5;
@@ -21,6 +21,8 @@
 export class PartedTables {
   /** Attempted transactions, in order. */
   readonly commits: { readonly part: string; readonly txn: Transaction }[] = [];
+  /** Table of which no changes and no snapshots can be read. */
+  unreadable: string | undefined;
   readonly #stores = new Map<string, MemoryTableStore>();
   readonly #changes: LoggedChange[] = [];
 
@@ -43,21 +45,29 @@
 
   feed(parts: readonly string[]): ChangeFeed {
     return {
-      snapshot: (table) => {
+      snapshot: async (table, signal) => {
+        if (table === this.unreadable) {
+          await sleep(FEED_CHECK_MS, signal);
+          return fail('store-unavailable');
+        }
         const position = this.#changes.length;
         const snapshots = parts.map((part) => ({
           rows: this.#store(part).state.range(`${table}/`, '', Infinity),
           position,
         }));
-        return Promise.resolve(Ok(mergeSnapshots(snapshots)));
+        return Ok(mergeSnapshots(snapshots));
       },
       changes: async (table, position, waitMs, signal) => {
         for (let waited = 0; waited < waitMs && !signal.aborted; waited += FEED_CHECK_MS) {
-          if (this.#since(parts, table, position).length > 0) {
+          const readable = table !== this.unreadable;
+          if (!readable || this.#since(parts, table, position).length > 0) {
             break;
           }
           await sleep(FEED_CHECK_MS, signal);
         }
+        if (table === this.unreadable) {
+          return fail('store-unavailable');
+        }
         const rows = this.#since(parts, table, position);
         return Ok({ rows, position: this.#changes.length });
       },
