fix(jobs): repeat the status of a wave until it is stored

Operators saw: with the store away for one write, a wave that had been done was never shown as completed. The next leader would also have maintained instances again, and have ended lasting tasks for it, since `begun` was lost. Cause: WaveStatusWriter dropped a status whose write had failed, and wrote only when the next one came. Change: a status that could not be stored is tried again after 250 ms, unless a newer one of its wave has come. Evidence: "the progress of a wave is lost if the store is away when it is written" fails before, and passes with it.

--- a/packages/daemon/src/jobs/wave-status-writer.ts
+++ b/packages/daemon/src/jobs/wave-status-writer.ts
@@ -1,11 +1,18 @@
-import type { JobDecision } from '@turmerichoist/core';
+import type { JobDecision, Millis } from '@turmerichoist/core';
 import { CELL_OWNER_KEY, type TableStore } from '@turmerichoist/coordination';
-import { Actor, type ActorContext } from '@turmerichoist/runtime';
+import { Actor, sleep, type ActorContext } from '@turmerichoist/runtime';
 import type { RowCodec } from './ports.js';
 
 export type WaveStatus = Extract<JobDecision, { type: 'wave-status' }>;
 
-export type WaveStatusMessage = WaveStatus | { readonly type: 'written' };
+/** Delay before a status that could not be written is tried again. */
+const RETRY_DELAY_MS: Millis = 250;
+
+export type WaveStatusMessage =
+  | WaveStatus
+  | { readonly type: 'written' }
+  /** A status could not be written; sent after the delay. */
+  | { readonly type: 'retry'; readonly status: WaveStatus };
 
 export interface WaveStatusWriterOptions {
   /**
@@ -22,7 +29,8 @@
 
 /**
  * Stores the progress of maintenance waves and shows their status to the operators. While a status
- * is being written, later ones of the same wave replace each other.
+ * is being written, later ones of the same wave replace each other. A status that could not be
+ * written is repeated: the next owner would maintain instances again that have been maintained.
  */
 export class WaveStatusWriter extends Actor<WaveStatusMessage> {
   readonly #options: WaveStatusWriterOptions;
@@ -41,11 +49,14 @@
     } else {
       this.#writing = false;
     }
+    if (message.type === 'retry' && !this.#waiting.has(message.status.wave)) {
+      this.#waiting.set(message.status.wave, message.status);
+    }
     const [next] = this.#waiting.values();
     if (!this.#writing && next !== undefined) {
       this.#waiting.delete(next.wave);
       this.#writing = true;
-      void this.#write(next).then(() => this.post({ type: 'written' }));
+      void this.#write(next);
     }
   }
 
@@ -54,6 +65,12 @@
     const kept = await this.#keep(status);
     const shown = await this.#show(status);
     this.log.info('wave status', { wave, state, begun: begun.length, kept, shown });
+    if (kept && shown) {
+      this.post({ type: 'written' });
+      return;
+    }
+    await sleep(RETRY_DELAY_MS, this.signal);
+    this.post({ type: 'retry', status });
   }
 
   /** Stores which instances have begun, for the next owner. */
--- a/packages/daemon/test/wave-status-writer.test.ts
+++ b/packages/daemon/test/wave-status-writer.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test } from '@jest/globals';
+import { fail } from '@turmerichoist/core';
 import { MemoryTableStore, type TableStore, type Transaction } from '@turmerichoist/coordination';
 import { silentLogger } from '@turmerichoist/runtime';
 import { WaveStatusWriter, type WaveStatus } from '../src/jobs/wave-status-writer.js';
@@ -11,11 +12,14 @@
 let store: MemoryTableStore;
 let commits: Transaction[];
 let epoch: number;
+/** Number of further commits that the store refuses. */
+let refusals: number;
 
 beforeEach(async () => {
   controller = new AbortController();
   store = new MemoryTableStore();
   commits = [];
+  refusals = 0;
   const claim = { txnId: 'claim', conditions: [], writes: [{ key: 'cell/owner', value: {} }] };
   const claimed = (await store.commit(claim, controller.signal)).unwrap();
   epoch = claimed.committed ? (claimed.versions['cell/owner'] ?? 0) : 0;
@@ -29,6 +33,10 @@
   return {
     commit: (txn, signal) => {
       commits.push(txn);
+      if (refusals > 0) {
+        refusals -= 1;
+        return Promise.resolve(fail('store-unavailable'));
+      }
       return store.commit(txn, signal);
     },
     read: (keys, signal) => store.read(keys, signal),
@@ -90,3 +98,28 @@
   );
   expect(await valueOf('waves/1')).toEqual({ begun: INSTANCES, completed: true });
 });
+
+test('the progress of a wave is lost if the store is away when it is written', async () => {
+  refusals = 3;
+  const writer = createWriter();
+  writer.post(status(30, 'completed'));
+  await eventually(
+    async () =>
+      ((await valueOf('status/wave/1')) as { state: string } | undefined)?.state === 'completed',
+  );
+  await eventually(async () => (await valueOf('waves/1')) !== undefined);
+  expect(await valueOf('waves/1')).toEqual({ begun: INSTANCES, completed: true });
+});
+
+test('an older status replaces a newer one that came while the store was away', async () => {
+  refusals = 2;
+  const writer = createWriter();
+  writer.post(status(1));
+  await eventually(() => Promise.resolve(commits.length === 2));
+  writer.post(status(30));
+  await eventually(async () => (await valueOf('waves/1')) !== undefined);
+  expect(await valueOf('waves/1')).toEqual({ begun: INSTANCES, completed: false });
+  expect(commits.filter(({ writes }) => writes.some(({ key }) => key === 'waves/1')).length).toBe(
+    2,
+  );
+});
