--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -18,6 +18,11 @@
   readonly #jobs = new Map<JobId, Job>();
   readonly #openByPool = new Map<PoolName, Map<JobId, Job>>();
   readonly #adopted = new Set<JobId>();
+  /**
+   * Ended jobs that are no longer retained. A snapshot of the store lists them again, without the
+   * progress that this owner has stored since, and their tasks would run a second time.
+   */
+  readonly #removed = new Set<JobId>();
   #config: SchedulingConfig | undefined;
 
   constructor(options: JobTableOptions, agenda: SchedulingAgenda) {
@@ -77,9 +82,9 @@
     return counts;
   }
 
-  /** Adds a job from the store. Returns undefined if the table already has it. */
+  /** Adds a job from the store. Returns undefined if the table has it already, or has had it. */
   add({ accepted, progress }: StoredJob, adopted: boolean, now: Millis): Job | undefined {
-    if (this.#jobs.has(accepted.id)) {
+    if (this.#jobs.has(accepted.id) || this.#removed.has(accepted.id)) {
       return undefined;
     }
     const wallNow = this.#options.clock.wall();
@@ -112,6 +117,7 @@
     for (const [id, job] of this.#jobs) {
       if (!job.open && job.endedWallMs < wallMs) {
         this.#jobs.delete(id);
+        this.#removed.add(id);
       }
     }
   }
