fix(jobs): a full list of ended runs proves no run gone by omission

An executor lists at most 500 ended runs, and the others only after these are acknowledged. A report that lists a run neither as running nor as ended counted as proof that the run had gone, so its task was queued again. With more than 500 ends waiting, as behind a store that is slow for long, the run may have ended as done: its task starts a second time, and the first end is acknowledged later.

The platform's client marks a report with a full list, and the reconciler drops no run on its account; the report after the acknowledgements tells.

Found by reading the code; no play has shown it. The test in jobs-executor-failures fails without the change in run-reconciler.

--- a/packages/core/src/jobs/model.ts
+++ b/packages/core/src/jobs/model.ts
@@ -157,6 +157,8 @@
   readonly sentAt: Millis;
   readonly running: readonly ReportedRun[];
   readonly ended: readonly EndedRun[];
+  /** Whether more runs may have ended than `ended` lists; they are listed after acknowledgements. */
+  readonly moreEnded?: boolean;
 }
 
 /** Outcome of a start. */
--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -76,7 +76,9 @@
         listed.add(key);
       }
     }
-    for (const run of this.#runs.at(report.executor)) {
+    // A run that is in neither list of such a report may have ended, even as done.
+    const missing = report.moreEnded === true ? [] : this.#runs.at(report.executor);
+    for (const run of missing) {
       if (!listed.has(run.key)) {
         this.#handleMissing(run, report, now);
       }
--- a/packages/core/test/jobs-executor-failures.test.ts
+++ b/packages/core/test/jobs-executor-failures.test.ts
@@ -82,6 +82,19 @@
   expect([stops(1_010), stops(1_020), stops(1_300), stops(1_700)]).toEqual([1, 0, 0, 1]);
 });
 
+test('a done task starts again because a full list of ended runs leaves its end out', () => {
+  const cell = new OneTaskCell();
+  cell.started(1_010);
+  const full = { executor: 'e1', startedWallMs: 1, running: [], ended: [], moreEnded: true };
+  const report = { ...full, sentAt: 1_100 };
+  const decisions = cell.handle({ type: 'report', leaseEndsAt: 9_000, report }, 1_100);
+  expect(decisions).not.toContainEqual(expect.objectContaining(START));
+  const end = { seq: 501, task: TASK, attempt: 1, reason: 'done', checkpoint: '' } as const;
+  expect(cell.report(1_200, [end])).toContainEqual(
+    expect.objectContaining({ progress: expect.objectContaining({ state: 'completed' }) }),
+  );
+});
+
 describe('an owner whose process was paused', () => {
   test('starts tasks again before it has processed the polls that extended their leases', () => {
     const cell = new OneTaskCell();
--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -195,6 +195,7 @@
         sentAt,
         running: answer.running,
         ended: answer.ended,
+        moreEnded: answer.moreEnded === true,
       },
     });
   }
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -41,6 +41,8 @@
       readonly startedWallMs: Millis;
       readonly running: readonly ReportedRun[];
       readonly ended: readonly EndedRun[];
+      /** Whether more runs may have ended than `ended` lists. */
+      readonly moreEnded?: boolean;
     }
   /** The executor has seen the fencing token of a later owner. */
   | { readonly type: 'fenced' }
