--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -18,6 +18,8 @@
   readonly #jobs = new Map<JobId, Job>();
   readonly #openByPool = new Map<PoolName, Map<JobId, Job>>();
   readonly #adopted = new Set<JobId>();
+  /** Ended jobs that are no longer retained. Their rows remain, so they may be read again. */
+  readonly #removed = new Set<JobId>();
   #config: SchedulingConfig | undefined;
 
   constructor(options: JobTableOptions, agenda: SchedulingAgenda) {
@@ -77,9 +79,9 @@
     return counts;
   }
 
-  /** Adds a job from the store. Returns undefined if the table already has it. */
+  /** Adds a job from the store. Returns undefined if the table already has it or had it before. */
   add({ accepted, progress }: StoredJob, adopted: boolean, now: Millis): Job | undefined {
-    if (this.#jobs.has(accepted.id)) {
+    if (this.#jobs.has(accepted.id) || this.#removed.has(accepted.id)) {
       return undefined;
     }
     const wallNow = this.#options.clock.wall();
@@ -112,6 +114,7 @@
     for (const [id, job] of this.#jobs) {
       if (!job.open && job.endedWallMs < wallMs) {
         this.#jobs.delete(id);
+        this.#removed.add(id);
       }
     }
   }
--- a/packages/core/test/jobs-decider.test.ts
+++ b/packages/core/test/jobs-decider.test.ts
@@ -152,6 +152,33 @@
   );
 });
 
+test('a job that ended long ago runs again because the table of jobs is read anew', () => {
+  const clock = new ManualClock(1_000);
+  const decider = newDecider(clock);
+  const jobs: JobEvent = {
+    type: 'jobs',
+    jobs: [{ accepted: job('a', [step()]) }],
+    adopted: false,
+  };
+  const report = (ended: readonly EndedRun[]): JobEvent => ({
+    type: 'report',
+    leaseEndsAt: 900_000,
+    report: { executor: 'e1', startedWallMs: 1, sentAt: clock.now(), running: [], ended },
+  });
+  decider.handle({ type: 'executors', executors: [executor('e1')] }, 1_000);
+  decider.handle(report([]), 1_000);
+  decider.handle(jobs, 1_000);
+  const task = { jobId: 'a', occurrence: 0, step: 0, index: 0 };
+  decider.handle(report([{ seq: 1, task, attempt: 1, reason: 'done', checkpoint: '' }]), 1_100);
+  for (let second = 0; second < 70; second += 1) {
+    clock.advance(1_000);
+    decider.handle({ type: 'tick' }, clock.now());
+    decider.handle(report([]), clock.now());
+  }
+  const decisions = decider.handle(jobs, clock.now());
+  expect(decisions.filter(({ type }) => type === 'start')).toEqual([]);
+});
+
 describe('after a takeover', () => {
   test('a failure that the previous owner has counted is counted again', () => {
     const clock = new ManualClock(1_000);
