fix(jobs): a report that was overtaken is not taken for a restart

A report whose start time differs from the last one counted as a restart before its age was checked. When the answer of a former process of an executor arrived after the first report of the new one, the runs of the new process were dropped and their tasks started again.

The age is checked first: a report that was requested before the last handled one changes nothing, whatever its start time.

The test in jobs-executor-failures fails on the former code with a start of attempt 3.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -252,14 +252,15 @@
 
   #report(report: ExecutorReport, leaseEndsAt: Millis, now: Millis): readonly JobDecision[] {
     const known = this.#executors.get(report.executor);
-    if (known === undefined) {
+    // A report that was overtaken may even be of the process that ran before a restart.
+    if (known === undefined || (known.lastReportAt ?? -Infinity) > report.sentAt) {
       return [];
     }
     if (known.info.startedWallMs !== report.startedWallMs) {
       this.#handleRestart(known, { ...known.info, startedWallMs: report.startedWallMs }, now);
     }
     const state = this.#executors.get(report.executor);
-    if (state === undefined || (state.lastReportAt ?? -Infinity) > report.sentAt) {
+    if (state === undefined) {
       return [];
     }
     this.#reconciler.report(state, report, now);
--- a/packages/core/test/jobs-executor-failures.test.ts
+++ b/packages/core/test/jobs-executor-failures.test.ts
@@ -145,6 +145,25 @@
     expect(decisions.filter(({ type }) => type === 'start' || type === 'stop')).toEqual([]);
   });
 
+  test('its task starts elsewhere because a late report of the old process arrives', () => {
+    const cell = new OneTaskCell();
+    const executors = [executor('e1'), executor('e2')];
+    cell.handle({ type: 'executors', executors }, 1_005);
+    cell.report(1_200, [], 2);
+    const stop = { task: TASK, attempt: 1, executor: 'e1', answered: true } as const;
+    cell.handle({ type: 'stop-answer', ...stop }, 1_210);
+    cell.report(1_220, [], 2);
+    const answer = { task: TASK, attempt: 2, executor: 'e1', outcome: 'started' } as const;
+    cell.handle({ type: 'start-answer', ...answer }, 1_230);
+    const ready = { executor: 'e2', startedWallMs: 1, sentAt: 1_240, running: [], ended: [] };
+    const late = { executor: 'e1', startedWallMs: 1, sentAt: 1_100, running: [], ended: [] };
+    const decisions = [
+      ...cell.handle({ type: 'report', leaseEndsAt: 9_000, report: ready }, 1_240),
+      ...cell.handle({ type: 'report', leaseEndsAt: 9_000, report: late }, 1_250),
+    ];
+    expect(decisions.filter(({ type }) => type === 'start' || type === 'stop')).toEqual([]);
+  });
+
   test('a task starts again before a start that may reach the new process is ruled out', () => {
     const cell = new OneTaskCell();
     const restarted = cell.report(1_200, [], 2);
