fix(jobs): no acknowledgement to an executor that may have restarted

An executor can start again under its id, and numbers its ended runs anew. The first poll that reached the new process carried the sequence number that was acknowledged to the former one. If a start had reached the new process before, and its run had ended, the executor forgot the end without having listed it: the run was then missing, and its task started again although it was done.

After a call without an answer, polls acknowledge nothing until the next report tells which process answers. That costs no more than ends listed once more. A restart between two answered polls is still not covered.

The test in executor-link fails on the former code with an acknowledgement of 7.

--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -52,6 +52,11 @@
   /** Highest sequence number of the ended runs in the reports so far. */
   #reportedThrough = 0;
   #startedWallMs: Millis;
+  /**
+   * Whether a call went unanswered since the last report. A restarted executor numbers its ends anew,
+   * so an acknowledgement meant for its former process would make it forget ends not listed yet.
+   */
+  #mayHaveRestarted = false;
   #leaseEndsAt: Millis;
   readonly #pause: WakeablePause;
   #unacknowledgedPauseMs = MIN_UNACKNOWLEDGED_PAUSE_MS;
@@ -149,7 +154,7 @@
     const { client, clock, info, leaseMs, mayAct, owner } = this.#options;
     const sentAt = clock.now();
     const extending = extend && mayAct();
-    const acknowledgedThrough = this.#acknowledgedThrough;
+    const acknowledgedThrough = this.#mayHaveRestarted ? 0 : this.#acknowledgedThrough;
     if (extending) {
       const endsAt = sentAt + leaseMs * MAX_CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
       const expiresDuringPoll = this.#leaseEndsAt - sentAt < MAX_POLL_MS;
@@ -163,6 +168,7 @@
       { acknowledgedThrough, leaseMs: extending ? leaseMs : undefined, waitMs },
       this.signal,
     );
+    this.#mayHaveRestarted = answer.type !== 'report';
     if (answer.type === 'report') {
       this.#onReport(answer, sentAt);
       return true;
@@ -209,6 +215,7 @@
     }
     owner.post({ type: 'start-answer', task, attempt, executor: info.id, outcome });
     if (outcome === 'unknown') {
+      this.#mayHaveRestarted = true;
       await this.#pollSoon();
     }
   }
--- a/packages/daemon/test/executor-link.test.ts
+++ b/packages/daemon/test/executor-link.test.ts
@@ -107,6 +107,21 @@
   expect(last?.type === 'lease' && last.leaseEndsAt >= clock.now() + LEASE_MS).toBe(true);
 });
 
+test('a restarted executor forgets an end that an acknowledgement to its former process covers', async () => {
+  const executor = new ScriptedExecutor();
+  const link = openLink(executor);
+  (await executor.waitForPoll(1))(REPORT_OF_AN_END);
+  link.post({ type: 'acknowledged', startedWallMs: 1, through: 7 });
+  (await executor.waitForPoll(2))(REPORT);
+  (await executor.waitForPoll(3))({ type: 'unanswered' });
+  // The new process may have ended its first run already.
+  const ended = [{ ...ENDED, seq: 1 }];
+  (await executor.waitForPoll(4))({ ...REPORT, startedWallMs: 2, ended });
+  await executor.waitForPoll(5);
+  const acknowledged = executor.polls.map(({ req }) => req.acknowledgedThrough);
+  expect(acknowledged.slice(2)).toEqual([7, 0, 0]);
+});
+
 test('an executor lists the same ended runs five times a second while the store is slow', async () => {
   const executor = new ScriptedExecutor();
   openLink(executor);
