--- /dev/null
+++ b/packages/core/src/jobs/recovery.ts
@@ -0,0 +1,52 @@
+import type { Millis } from '../types/index.js';
+import type { ExecutorTable } from './executor-table.js';
+import type { ExecutorId } from './model.js';
+
+export interface RecoveryOptions {
+  /**
+   * Monotonic time until which an executor that has not reported may still run tasks of an earlier
+   * owner.
+   */
+  readonly recoveryEndsAt: Millis;
+  /** Executors on which an earlier owner may have started tasks. */
+  readonly inheritedExecutors?: readonly ExecutorId[];
+}
+
+/** Tracks whether all runs of earlier owners are known or have ended. */
+export class Recovery {
+  readonly #options: RecoveryOptions;
+  readonly #executors: ExecutorTable;
+  #complete = false;
+
+  constructor(options: RecoveryOptions, executors: ExecutorTable) {
+    this.#options = options;
+    this.#executors = executors;
+  }
+
+  /** Executors that are not known to have been free of an earlier owner's runs. */
+  get inheritedExecutors(): readonly ExecutorId[] {
+    return this.#complete ? [] : (this.#options.inheritedExecutors ?? []);
+  }
+
+  /** Whether executors that have not reported yet may still run tasks of an earlier owner. */
+  isPending(now: Millis): boolean {
+    if (this.#complete || now >= this.#options.recoveryEndsAt) {
+      return false;
+    }
+    // An executor that the platform no longer lists may still have runs.
+    const inherited = this.#options.inheritedExecutors ?? [];
+    return (
+      inherited.some((id) => this.#executors.get(id)?.hasReported !== true) ||
+      this.#executors.someUnreported
+    );
+  }
+
+  /** Completes the recovery if it is over. Returns true once. */
+  completeIfOver(now: Millis): boolean {
+    if (this.#complete || this.isPending(now)) {
+      return false;
+    }
+    this.#complete = true;
+    return true;
+  }
+}
