fix(jobs): a start that was not sent backs its executor off

Callers saw: jobs that start late. While a leader's lease had lapsed, or an executor's clock was not known yet, its start was answered at once as not sent, and the task was started again at once, at the same executor: a busy loop. Cause: RunReconciler.startAnswered dropped the run after not-sent and old-attempt without a backoff, unlike after every other refusal; requeueing marks the pool, and the next round chose the same executor. Change: every start that an executor did not carry out begins its backoff of 500 ms. The cases not-sent and old-attempt of jobs-executor-failures fail on the code before (100 starts at once, where the test ends them) and pass with it; the other four passed before.

--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -100,11 +100,8 @@
       case 'fenced':
         this.#decisions.push({ type: 'superseded' });
         return;
-      case 'old-attempt':
-      case 'not-sent':
-        this.#drop(run);
-        return;
       default:
+        // The backoff keeps the task from being started there again at once, and again.
         this.#executors.refused(run.executor, now);
         this.#drop(run);
     }
--- a/packages/core/test/jobs-executor-failures.test.ts
+++ b/packages/core/test/jobs-executor-failures.test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, test } from '@jest/globals';
-import { ManualClock, type JobDecision, type JobEvent, type EndedRun } from '../src/index.js';
+import {
+  ManualClock,
+  type EndedRun,
+  type JobDecision,
+  type JobEvent,
+  type StartOutcome,
+} from '../src/index.js';
 import { executor, job, step, newDecider } from './support/job-fixtures.js';
 
 // Each test is named after the failure that it guards against.
@@ -71,6 +77,34 @@
   });
 });
 
+describe('a start that an executor did not carry out', () => {
+  /** Answers each start in this way until no more are decided, and returns their times. */
+  function startTimes(outcome: StartOutcome): readonly number[] {
+    const cell = new OneTaskCell();
+    const times = [1_000];
+    const answer = { type: 'start-answer', task: TASK, executor: 'e1', outcome } as const;
+    const settle = (event: JobEvent, now: number): void => {
+      const starts = cell.handle(event, now).filter((decision) => decision.type === 'start');
+      for (const { attempt } of starts.slice(0, Math.max(0, 100 - times.length))) {
+        times.push(now);
+        settle({ ...answer, attempt }, now);
+      }
+    };
+    settle({ ...answer, attempt: 1 }, 1_000);
+    for (let now = 1_100; now <= 1_900; now += 100) {
+      settle({ type: 'tick' }, now);
+    }
+    return times;
+  }
+
+  test.each(['not-sent', 'old-attempt', 'no-room', 'too-late', 'unhealthy', 'rejected'] as const)(
+    'is repeated there in a busy loop after the outcome %s',
+    (outcome) => {
+      expect(startTimes(outcome)).toEqual([1_000, 1_500]);
+    },
+  );
+});
+
 test('a stop for an untracked run is sent again after every poll', () => {
   const cell = new OneTaskCell();
   const running = [{ task: TASK, attempt: 9, checkpoint: '', percent: 0, gauge: 0 }];
