fix(jobs): recovery does not end before the executors are listed

A task may run twice (TWICE) after a takeover. Cause: recovery ended as soon as no listed and no inherited executor was without a report. A new owner reads the jobs before the platform's list of executors; when the former leader had published no executors yet, both sets were empty, recovery ended at once, and tasks that still ran on executors that had not reported were started again. Change: recovery also waits for the first list, up to the same bound as before. The new case of jobs-decider (started twice because the executors are not listed yet) fails on the code before and passes with it.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -148,6 +148,7 @@
         return [];
       case 'executors':
         this.#setExecutors(event.executors, now);
+        this.#recovery.executorsListed();
         return [];
       case 'jobs':
         event.jobs.forEach((job) => this.#jobs.add(job, event.adopted, now));
--- a/packages/core/src/jobs/recovery.ts
+++ b/packages/core/src/jobs/recovery.ts
@@ -16,6 +16,7 @@
 export class Recovery {
   readonly #options: RecoveryOptions;
   readonly #executors: ExecutorTable;
+  #listed = false;
   #complete = false;
 
   constructor(options: RecoveryOptions, executors: ExecutorTable) {
@@ -28,6 +29,11 @@
     return this.#complete ? [] : (this.#options.inheritedExecutors ?? []);
   }
 
+  /** The platform's list of executors is known. */
+  executorsListed(): void {
+    this.#listed = true;
+  }
+
   /** Whether executors that have not reported yet may still run tasks of an earlier owner. */
   isPending(now: Millis): boolean {
     if (this.#complete || now >= this.#options.recoveryEndsAt) {
@@ -36,6 +42,7 @@
     // An executor that the platform no longer lists may still have runs.
     const inherited = this.#options.inheritedExecutors ?? [];
     return (
+      !this.#listed ||
       inherited.some((id) => this.#executors.get(id)?.hasReported !== true) ||
       this.#executors.someUnreported
     );
--- a/packages/core/test/jobs-decider.test.ts
+++ b/packages/core/test/jobs-decider.test.ts
@@ -168,6 +168,23 @@
     expect(decisions.map(({ type }) => type)).toEqual(['start', 'acknowledge']);
   });
 
+  test('tasks are started twice because the executors that run them are not listed yet', () => {
+    const decider = newDecider(new ManualClock(1_000), {
+      firstAttempt: 1_001,
+      recoveryEndsAt: 6_000,
+    });
+    const report = { executor: 'e1', startedWallMs: 1, sentAt: 1_100, running: [], ended: [] };
+    const jobs = [{ accepted: job('a', [step()]) }];
+    decider.handle({ type: 'jobs', jobs, adopted: true }, 1_000);
+    decider.handle({ type: 'executors', executors: [executor('e1'), executor('e2')] }, 1_010);
+    const starts = (id: string): number =>
+      decider
+        .handle({ type: 'report', leaseEndsAt: 9_000, report: { ...report, executor: id } }, 1_100)
+        .filter(({ type }) => type === 'start').length;
+    // The second report tells that no executor runs the task.
+    expect([starts('e1'), starts('e2')]).toEqual([0, 1]);
+  });
+
   test('tasks of an executor that the platform no longer lists are started twice', () => {
     const clock = new ManualClock(1_000);
     const decider = newDecider(clock, {
