fix(jobs): a leader whose lease has lapsed decides nothing and calls no executors

Callers saw: jobs that are late for seconds after the leader loses the store, also those that its own process accepts. Cause: executor links, not the decider, checked the lease. The decider of a lapsed leader went on scheduling, each start came back as not sent, and the task was started again. Its polls went on, and its stops and paces were even sent. Change: the owner checks its lease before each event and tells the decider when it lapses or is valid again. A LeadershipGate withholds starts, stops, paces and orders; pools that are due stay due; stops are retried afterwards. Links do not poll while the lease is not valid, and all poll at once when it is; the instances are not listed either.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -1,6 +1,7 @@
 import type { Clock, Decider, Millis, PoolName, ZoneName } from '../types/index.js';
 import { ExecutorTable, type ExecutorState } from './executor-table.js';
 import { JobTable } from './job-table.js';
+import { LeadershipGate } from './leadership-gate.js';
 import { PoolLender } from './lending.js';
 import { MaintenancePlanner, type WaitingInstance } from './maintenance.js';
 import type {
@@ -61,6 +62,7 @@
   readonly #retired = new Map<ExecutorId, Millis>();
   readonly #pauseDetector = new ProcessPauseDetector();
   readonly #recovery: Recovery;
+  readonly #leadership = new LeadershipGate();
   /** Cancelled jobs. Kept because a cancellation may arrive before its job. */
   readonly #cancelled = new Set<JobId>();
   /** Sequence number through which ended runs are to be acknowledged, by executor. */
@@ -126,13 +128,13 @@
     const extra = this.#apply(event, now);
     const changes = this.#reconciler.drainChanges();
     const starts = this.#schedule(now);
-    return [
+    return this.#leadership.permitted([
       ...changes.decisions,
       ...extra,
       ...starts,
       ...this.#progressWrites(changes.changedJobs),
       ...this.#acknowledgements(),
-    ];
+    ]);
   }
 
   #apply(event: JobEvent, now: Millis): readonly JobDecision[] {
@@ -183,6 +185,9 @@
       }
       case 'fenced':
         return [{ type: 'superseded' }];
+      case 'leadership':
+        this.#leadership.set(event.held);
+        return [];
       case 'instances':
         this.#resolveOrders(event.instances, event.requestedAt);
         this.#maintenance.setInstances(event.instances, event.requestedAt);
@@ -266,7 +271,7 @@
       { hasReported: true, lastReportAt: report.sentAt, leaseEndsAt, lastEndSeq },
       now,
     );
-    return this.#paceController.onReport(report.executor, now);
+    return this.#leadership.held ? this.#paceController.onReport(report.executor, now) : [];
   }
 
   #orderAnswered(
@@ -321,8 +326,11 @@
         this.#expireLease(state, now);
       });
     }
-    this.#reconciler.retryStops(now);
     this.#jobs.removeEndedBefore(this.#options.clock.wall() - this.#options.endedJobRetentionMs);
+    if (!this.#leadership.held) {
+      return [];
+    }
+    this.#reconciler.retryStops(now);
     if (this.#recovery.isPending(now)) {
       return [];
     }
@@ -342,7 +350,11 @@
     }
   }
 
+  /** Pools that are due stay so while the leader lease is not valid. */
   #schedule(now: Millis): readonly JobDecision[] {
+    if (!this.#leadership.held) {
+      return [];
+    }
     if (this.#recovery.completeIfOver(now)) {
       this.#jobs.clearAdopted();
       this.#agenda.markAll();
--- a/packages/core/src/jobs/messages.ts
+++ b/packages/core/src/jobs/messages.ts
@@ -76,6 +76,8 @@
     }
   /** An executor has seen the fencing token of a later owner. */
   | { readonly type: 'fenced'; readonly executor: ExecutorId }
+  /** The owner's leader lease has lapsed, or is valid again. It counts as held at first. */
+  | { readonly type: 'leadership'; readonly held: boolean }
   /** The platform's list of instances, with the monotonic time at which it was requested. */
   | {
       readonly type: 'instances';
--- a/packages/core/test/jobs-decider.test.ts
+++ b/packages/core/test/jobs-decider.test.ts
@@ -209,12 +209,12 @@
 
 const action = fc.record({
   afterMs: fc.integer({ min: 0, max: 1_500 }),
-  what: fc.constantFrom('submit', 'submit', 'submit', 'cancel', 'kill', 'restart'),
+  what: fc.constantFrom('submit', 'submit', 'submit', 'cancel', 'kill', 'restart', 'lapse'),
   which: fc.nat(20),
 });
 
 describe('jobs under faults', () => {
-  test('a task runs twice or a job is lost when calls are late or lost, or owners and executors die', () => {
+  test('a task runs twice or a job is lost when calls are late or lost, leases lapse, or owners and executors die', () => {
     fc.assert(
       fc.property(fc.array(action, { maxLength: 14 }), fc.nat(1e6), (actions, seed) => {
         const world = new JobWorld(THREE, seed);
@@ -236,6 +236,9 @@
             case 'kill':
               world.killOwner();
               return;
+            case 'lapse':
+              world.lapseLease();
+              return;
             case 'restart':
               world.restart(`e${1 + (which % 3)}`);
           }
--- a/packages/core/test/support/job-world.ts
+++ b/packages/core/test/support/job-world.ts
@@ -36,6 +36,7 @@
 const LEASE_MS: Millis = 4_500;
 const LEASE_BOUND_MS: Millis = 4_840;
 const TAKEOVER_DELAY_MS: Millis = 2_800;
+const LAPSE_MS: Millis = 3_200;
 const ATTEMPTS_PER_TERM = 1_000;
 
 interface ScheduledAction {
@@ -49,6 +50,8 @@
   readonly decider: JobDecider;
   readonly generation: number;
   live: boolean;
+  /** Whether the owner's leader lease is valid. */
+  leading: boolean;
 }
 
 /** Simulates a cell on a virtual clock: owner, executors, stored rows and the network. */
@@ -99,7 +102,7 @@
       ordersAllowedAt: this.now,
       endedJobRetentionMs: 600_000,
     });
-    const term = { decider, generation, live: true };
+    const term = { decider, generation, live: true, leading: true };
     this.term = term;
     this.#acknowledged.clear();
     const jobs = [...this.jobs.values()].map((accepted) => {
@@ -130,6 +133,17 @@
     }
   }
 
+  /** Lets the owner's leader lease lapse; a later renewal succeeds in time. */
+  lapseLease(): void {
+    const { term } = this;
+    if (term?.leading === true) {
+      this.#setLeading(term, false);
+      this.#after(LAPSE_MS, () => {
+        this.#setLeading(term, true);
+      });
+    }
+  }
+
   submit(accepted: AcceptedJob): void {
     this.jobs.set(accepted.id, accepted);
     this.#deliverToCurrent({ type: 'jobs', jobs: [{ accepted }], adopted: false });
@@ -178,6 +192,11 @@
     }
   }
 
+  #setLeading(term: Term, leading: boolean): void {
+    term.leading = leading;
+    this.deliver(term, { type: 'leadership', held: leading });
+  }
+
   #deliverToCurrent(event: JobEvent): void {
     if (this.term !== undefined) {
       this.deliver(this.term, event);
@@ -185,6 +204,9 @@
   }
 
   #carryOut(term: Term, decision: JobDecision): void {
+    if (!term.leading && (decision.type === 'start' || decision.type === 'stop')) {
+      this.violations.push(`${decision.type} decided by an owner whose lease has lapsed`);
+    }
     switch (decision.type) {
       case 'start':
         this.#start(term, decision);
@@ -261,6 +283,9 @@
   }
 
   #poll(term: Term, id: string): void {
+    if (!term.leading) {
+      return;
+    }
     const sentAt = this.now;
     const extend = this.#random.next() < 0.95;
     if (extend) {
--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -13,6 +13,11 @@
 const MAX_UNACKNOWLEDGED_PAUSE_MS: Millis = 1_000;
 /** Pause after a poll without an answer. */
 const UNANSWERED_PAUSE_MS: Millis = 200;
+/**
+ * Interval of checks whether the owner holds its leader lease again. Until then the executor is not
+ * polled: the lease of its runs may not be extended, nor may anything be decided from its reports.
+ */
+const NOT_LEADING_PAUSE_MS: Millis = 1_000;
 /** Longest time from the sending of a poll to its answer or time-out, with a margin. */
 const MAX_POLL_MS: Millis = 2_500;
 /** The clock of an executor may run slower than the local clock by this factor. */
@@ -32,7 +37,9 @@
   /** The progress from ended runs up to `through` is stored. */
   | { readonly type: 'acknowledged'; readonly startedWallMs: Millis; readonly through: number }
   /** Polls the executor at once, without waiting for a run to end. */
-  | { readonly type: 'poll' };
+  | { readonly type: 'poll' }
+  /** The owner holds its leader lease again. */
+  | { readonly type: 'resume' };
 
 export interface ExecutorLinkOptions {
   readonly info: ExecutorInfo;
@@ -40,7 +47,7 @@
   readonly clock: Clock;
   /** Term of the lease that each poll extends. */
   readonly leaseMs: Millis;
-  /** Whether the owner holds its lease now; checked directly before each extension or start. */
+  /** Whether the owner holds its lease now; checked directly before each extension or order. */
   readonly mayAct: () => boolean;
   readonly owner: Recipient<JobEvent>;
 }
@@ -88,6 +95,9 @@
         return;
       case 'poll':
         void this.#pollSoon();
+        return;
+      case 'resume':
+        this.#pause.wake();
     }
   }
 
@@ -110,7 +120,8 @@
     // The first poll returns at once: it reads the executor's clock, which a lease needs.
     let answered = await this.#poll(0);
     while (!this.signal.aborted) {
-      const waitMs = answered && this.#allAcknowledged ? POLL_WAIT_MS : 0;
+      const resumed = await this.#awaitLeadership();
+      const waitMs = answered && !resumed && this.#allAcknowledged ? POLL_WAIT_MS : 0;
       answered = await this.#poll(waitMs, answered);
       if (!answered) {
         await sleep(UNANSWERED_PAUSE_MS, this.signal);
@@ -120,6 +131,16 @@
     }
   }
 
+  /** Pauses while the owner may not act. Returns whether it did. */
+  async #awaitLeadership(): Promise<boolean> {
+    let paused = false;
+    while (!this.#options.mayAct() && !this.signal.aborted) {
+      paused = true;
+      await this.#pause.pause(NOT_LEADING_PAUSE_MS);
+    }
+    return paused;
+  }
+
   /** Pauses until all reported ends are acknowledged, each time longer if they are not. */
   async #awaitAcknowledgement(): Promise<void> {
     const ms = this.#unacknowledgedPauseMs;
@@ -213,8 +234,8 @@
   }
 
   async #stop(task: TaskRef, attempt: number): Promise<void> {
-    const { client, info, owner } = this.#options;
-    const answered = await client.stop(task, attempt, this.signal);
+    const { client, info, mayAct, owner } = this.#options;
+    const answered = mayAct() && (await client.stop(task, attempt, this.signal));
     owner.post({ type: 'stop-answer', task, attempt, executor: info.id, answered });
     if (answered) {
       await this.#pollSoon();
@@ -222,7 +243,8 @@
   }
 
   async #pace(task: TaskRef, attempt: number, percent: number): Promise<void> {
-    const answered = await this.#options.client.pace(task, attempt, percent, this.signal);
+    const { client, mayAct } = this.#options;
+    const answered = mayAct() && (await client.pace(task, attempt, percent, this.signal));
     if (!answered) {
       this.log.info('pace not confirmed', { task, attempt, executor: this.#options.info.id });
     }
--- a/packages/daemon/src/jobs/executor-links.ts
+++ b/packages/daemon/src/jobs/executor-links.ts
@@ -36,6 +36,11 @@
     this.#links.get(executor)?.link.post(order);
   }
 
+  /** Forwards a message to all links. */
+  broadcast(message: ExecutorLinkMessage): void {
+    this.#links.forEach(({ link }) => link.post(message));
+  }
+
   /**
    * Opens links to new executors. Closes links to executors that can have no more running tasks, or
    * whose address has changed.
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -99,6 +99,8 @@
     { readonly begun: readonly string[]; readonly completed: boolean }
   >();
   readonly #countInputs = new CountInputs();
+  /** Whether this member held the leader lease when the latest event was handled. */
+  #leading = true;
   #jobsLoaded = false;
   /** Whether progress and waves have been read from the store. */
   #restored = false;
@@ -198,7 +200,9 @@
     every(TICK_MS, this.signal, () => {
       this.#load.onTickQueued();
       this.post({ type: 'tick' });
-      this.#instances.pollIfDue(this.#decider);
+      if (this.#leading) {
+        this.#instances.pollIfDue(this.#decider);
+      }
     });
     this.log.info('owner started', {
       epoch: term.epoch,
@@ -228,6 +232,11 @@
       return;
     }
     this.#load.onEvent(event);
+    this.#checkLeadership();
+    this.#decide(event);
+  }
+
+  #decide(event: JobEvent): void {
     const decisions = this.#decider.handle(event, this.#options.clock.now());
     if (event.type === 'executors' || event.type === 'tick') {
       this.#links.sync(this.#decider.executors);
@@ -237,6 +246,20 @@
     });
   }
 
+  /** Tells the decider when the leader lease has lapsed, and when it is valid again. */
+  #checkLeadership(): void {
+    const held = this.#options.mayAct();
+    if (held === this.#leading) {
+      return;
+    }
+    this.#leading = held;
+    this.log.warn(held ? 'lease valid again' : 'lease lapsed', { epoch: this.#options.term.epoch });
+    this.#decide({ type: 'leadership', held });
+    if (held) {
+      this.#links.broadcast({ type: 'resume' });
+    }
+  }
+
   #withStoredStatus(wave: OperatorView['waves'][number]): MaintenanceWave {
     const stored = this.#storedWaves.get(wave.number);
     return {
@@ -326,8 +349,7 @@
   }
 
   #execute(decision: JobDecision): void {
-    const { metrics } = this.#options;
-    metrics.count(`owner.${decision.type}`);
+    this.#options.metrics.count(`owner.${decision.type}`);
     switch (decision.type) {
       case 'start': {
         const { executor, task, attempt, payload, checkpoint } = decision;
