--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -1,6 +1,7 @@
 import type { Clock, Decider, Millis, PoolName, ZoneName } from '../types/index.js';
 import { ExecutorTable, type ExecutorState } from './executor-table.js';
 import { JobTable } from './job-table.js';
+import { LeadershipGate } from './leadership-gate.js';
 import { PoolLender } from './lending.js';
 import { MaintenancePlanner, type WaitingInstance } from './maintenance.js';
 import type {
@@ -13,6 +14,7 @@
 import type { ExecutorId, ExecutorInfo, ExecutorReport, JobId, SchedulingConfig } from './model.js';
 import { LeastWorkFirst, type JobOrdering } from './ordering.js';
 import { PaceController } from './pace-controller.js';
+import { Recovery, type RecoveryOptions } from './recovery.js';
 import { RunReconciler } from './run-reconciler.js';
 import { RunTable } from './run-table.js';
 import { SchedulingAgenda } from './scheduling-agenda.js';
@@ -20,17 +22,10 @@
 import { ProcessPauseDetector } from './process-pause-detector.js';
 import { TaskDurations } from './task-durations.js';
 
-export interface JobDeciderOptions {
+export interface JobDeciderOptions extends RecoveryOptions {
   readonly clock: Clock;
   /** Lowest attempt number that this owner uses. */
   readonly firstAttempt: number;
-  /**
-   * Monotonic time until which an executor that has not reported may still run tasks of an earlier
-   * owner.
-   */
-  readonly recoveryEndsAt: Millis;
-  /** Executors on which an earlier owner may have started tasks. */
-  readonly inheritedExecutors?: readonly ExecutorId[];
   /** Number of instances of each pool as the first owner saw it, before any was lent. */
   readonly poolSizes?: ReadonlyMap<PoolName, number>;
   /** Monotonic time from which orders to instances may be sent. */
@@ -66,8 +61,8 @@
   /** Start times of executors that were shut down with their instance. */
   readonly #retired = new Map<ExecutorId, Millis>();
   readonly #pauseDetector = new ProcessPauseDetector();
-  /** Whether all runs of earlier owners are known or have ended. */
-  #recoveryComplete = false;
+  readonly #recovery: Recovery;
+  readonly #leadership = new LeadershipGate();
   /** Cancelled jobs. Kept because a cancellation may arrive before its job. */
   readonly #cancelled = new Set<JobId>();
   /** Sequence number through which ended runs are to be acknowledged, by executor. */
@@ -77,6 +72,7 @@
     this.#options = options;
     this.#jobs = new JobTable(options, this.#agenda);
     this.#executors = new ExecutorTable(this.#runs, this.#agenda);
+    this.#recovery = new Recovery(options, this.#executors);
     const parts = {
       jobs: this.#jobs,
       runs: this.#runs,
@@ -115,8 +111,7 @@
   /** Executors that may have runs, to hand over to the next owner. */
   get executorIds(): readonly ExecutorId[] {
     const known = this.#executors.infos.map(({ id }) => id);
-    const inherited = this.#recoveryComplete ? [] : (this.#options.inheritedExecutors ?? []);
-    return [...new Set([...known, ...inherited])];
+    return [...new Set([...known, ...this.#recovery.inheritedExecutors])];
   }
 
   /** Instances that can't be maintained yet, with the reason. */
@@ -133,13 +128,13 @@
     const extra = this.#apply(event, now);
     const changes = this.#reconciler.drainChanges();
     const starts = this.#schedule(now);
-    return [
+    return this.#leadership.permitted([
       ...changes.decisions,
       ...extra,
       ...starts,
       ...this.#progressWrites(changes.changedJobs),
       ...this.#acknowledgements(),
-    ];
+    ]);
   }
 
   #apply(event: JobEvent, now: Millis): readonly JobDecision[] {
@@ -155,6 +150,7 @@
         return [];
       case 'executors':
         this.#setExecutors(event.executors, now);
+        this.#recovery.executorsListed();
         return [];
       case 'jobs':
         event.jobs.forEach((job) => this.#jobs.add(job, event.adopted, now));
@@ -189,6 +185,9 @@
       }
       case 'fenced':
         return [{ type: 'superseded' }];
+      case 'leadership':
+        this.#leadership.set(event.held);
+        return [];
       case 'instances':
         this.#resolveOrders(event.instances, event.requestedAt);
         this.#maintenance.setInstances(event.instances, event.requestedAt);
@@ -273,7 +272,7 @@
       { hasReported: true, lastReportAt: report.sentAt, leaseEndsAt, lastEndSeq },
       now,
     );
-    return this.#paceController.onReport(report.executor, now);
+    return this.#leadership.held ? this.#paceController.onReport(report.executor, now) : [];
   }
 
   #orderAnswered(
@@ -328,9 +327,12 @@
         this.#expireLease(state, now);
       });
     }
-    this.#reconciler.retryStops(now);
     this.#jobs.removeEndedBefore(this.#options.clock.wall() - this.#options.endedJobRetentionMs);
-    if (this.#isRecovering(now)) {
+    if (!this.#leadership.held) {
+      return [];
+    }
+    this.#reconciler.retryStops(now);
+    if (this.#recovery.isPending(now)) {
       return [];
     }
     const maintained = this.#maintenance.plan(now);
@@ -349,32 +351,22 @@
     }
   }
 
+  /** Pools that are due stay so while the leader lease is not valid. */
   #schedule(now: Millis): readonly JobDecision[] {
-    const holdAdopted = this.#isRecovering(now);
-    if (!holdAdopted && !this.#recoveryComplete) {
-      this.#recoveryComplete = true;
+    if (!this.#leadership.held) {
+      return [];
+    }
+    if (this.#recovery.completeIfOver(now)) {
       this.#jobs.clearAdopted();
       this.#agenda.markAll();
     }
+    const holdAdopted = this.#recovery.isPending(now);
     const limits = { zonesOut: this.#zonesOut, teams: this.#config.teams, holdAdopted };
     return this.#agenda
       .takeDue(this.#jobs.pools, now)
       .flatMap((pool) => this.#scheduler.schedule(pool, limits, now));
   }
 
-  /** Whether executors that have not reported yet may still run tasks of an earlier owner. */
-  #isRecovering(now: Millis): boolean {
-    if (this.#recoveryComplete || now >= this.#options.recoveryEndsAt) {
-      return false;
-    }
-    // An executor that the platform no longer lists may still have runs.
-    const inherited = this.#options.inheritedExecutors ?? [];
-    return (
-      inherited.some((id) => this.#executors.get(id)?.hasReported !== true) ||
-      this.#executors.someUnreported
-    );
-  }
-
   #progressWrites(changed: ReadonlySet<JobId>): readonly JobDecision[] {
     return [...changed].flatMap((id) => {
       const job = this.#jobs.get(id);
