feat(jobs): the load line describes capacity and waiting work by pool

The log could not tell a pool without free capacity from executors that are believed busy, avoided or on their way.

Change: the leader's load line has, for the eight pools with the most waiting work, the processors that tasks wait for, usable and free ones, executors by the reason why they get no tasks, instances by state and on their way, and waiting jobs by lateness. Decisions don't change; the lateness of a job has a name now in place of a number.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -11,5 +11,7 @@
   criticalPathMs,
   objectiveAt,
   type JobOrdering,
+  type Lateness,
 } from './ordering.js';
+export type { ExecutorCounts, CellPoolLoad, CellPoolLoadView } from './pool-load.js';
 export { TaskDurations } from './task-durations.js';
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -13,6 +13,7 @@
 import type { ExecutorId, ExecutorInfo, ExecutorReport, JobId, SchedulingConfig } from './model.js';
 import { LeastWorkFirst, type JobOrdering } from './ordering.js';
 import { PaceController } from './pace-controller.js';
+import { CellPoolLoadView } from './pool-load.js';
 import { RunReconciler } from './run-reconciler.js';
 import { RunTable } from './run-table.js';
 import { SchedulingAgenda } from './scheduling-agenda.js';
@@ -45,6 +46,8 @@
  * moved.
  */
 export class JobDecider implements Decider<JobEvent, JobDecision> {
+  /** Capacity and waiting work of the pools, for the log. */
+  readonly poolLoad: CellPoolLoadView;
   readonly #options: JobDeciderOptions;
   readonly #runs = new RunTable();
   readonly #agenda = new SchedulingAgenda();
@@ -95,6 +98,7 @@
     );
     this.#paceController = new PaceController(this.#runs);
     this.#lender = new PoolLender(parts, options.ordersAllowedAt, options.poolSizes);
+    this.poolLoad = new CellPoolLoadView(parts, this.#lender);
   }
 
   /** Number of jobs by queue of which no executor is known to have begun a task. */
--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -67,6 +67,16 @@
     }
   }
 
+  /** Instances as last listed. */
+  get instances(): readonly PoolInstance[] {
+    return this.#instances;
+  }
+
+  /** Number of instances on their way to a pool. */
+  incomingCount(pool: PoolName): number {
+    return [...this.#pendingMoves.values()].filter(({ to }) => to === pool).length;
+  }
+
   /** The executor that ran on an instance when the order to move it was sent. */
   orderedExecutor(instance: string): ExecutorId | undefined {
     return this.#pendingMoves.get(instance)?.executor;
@@ -128,9 +138,8 @@
 
   #shortage(pool: PoolName, now: Millis): number {
     const size = Math.max(1, this.#typicalCapacity(pool).processors);
-    const incoming = [...this.#pendingMoves.values()].filter(({ to }) => to === pool).length;
     const needed = this.#waitingProcessors(pool, now) / size;
-    return Math.floor(needed + 1 - MIN_FILL_FRACTION) - incoming;
+    return Math.floor(needed + 1 - MIN_FILL_FRACTION) - this.incomingCount(pool);
   }
 
   /** Counted once a plan: a plan starts no tasks, so that the number does not change meanwhile. */
--- a/packages/core/src/jobs/ordering.ts
+++ b/packages/core/src/jobs/ordering.ts
@@ -41,17 +41,24 @@
 /** Jobs older than this many times their latency objective have no value any more. */
 const MAX_LATENESS_FACTOR = 3;
 
-/** 0: lasting, 1: in time, 2: late, 3: too late to have any value. */
-function rank(job: Job, now: Millis): number {
-  if (job.lasting) {
-    return 0;
-  }
+/** `worthless`: too late to have any value. */
+export type Lateness = 'in-time' | 'late' | 'worthless';
+
+/** How late a finite job is for its latency objective. */
+export function latenessOf(job: Job, now: Millis): Lateness {
   const objective = objectiveAt(job) - job.times.firstDueAt;
   const age = now - job.times.firstDueAt;
   if (age <= objective) {
-    return 1;
+    return 'in-time';
   }
-  return age <= MAX_LATENESS_FACTOR * objective ? 2 : 3;
+  return age <= MAX_LATENESS_FACTOR * objective ? 'late' : 'worthless';
+}
+
+const LASTING_RANK = 0;
+const LATENESS_RANK: Readonly<Record<Lateness, number>> = { 'in-time': 1, late: 2, worthless: 3 };
+
+function rank(job: Job, now: Millis): number {
+  return job.lasting ? LASTING_RANK : LATENESS_RANK[latenessOf(job, now)];
 }
 
 interface RankedJob {
--- /dev/null
+++ b/packages/core/src/jobs/pool-load.ts
@@ -0,0 +1,141 @@
+import type { Millis, PoolName } from '../types/index.js';
+import type { CellTables } from './cell-tables.js';
+import type { ExecutorState } from './executor-table.js';
+import type { Job } from './job.js';
+import type { PoolLender } from './lending.js';
+import type { PoolInstance } from './messages.js';
+import { latenessOf, type Lateness } from './ordering.js';
+
+/** Pools that are described at once, so that the description stays small on any deployment. */
+const MAX_POOLS_DESCRIBED = 8;
+
+/** Capacity of a pool and the work that waits for it, at one moment. */
+export interface CellPoolLoad {
+  readonly pool: PoolName;
+  /** Processors that the pending tasks of ready steps need. */
+  readonly waiting: number;
+  /** Processors of the executors that may get tasks, and those of them that no run takes. */
+  readonly usable: number;
+  readonly free: number;
+  readonly executors: ExecutorCounts;
+  /** Instances as last listed, by state. */
+  readonly instances: Readonly<Record<PoolInstance['state'], number>>;
+  /** Instances with an order to move to the pool that have not arrived. */
+  readonly incoming: number;
+  /** Open finite jobs with tasks that could start, by lateness. */
+  readonly jobs: Readonly<Record<Lateness, number>>;
+}
+
+/** Executors of a pool, each counted once: in the first of these groups that it belongs to. */
+export interface ExecutorCounts {
+  /** Not listed, or not reported yet since it was. */
+  readonly unknown: number;
+  /** About to be maintained, moved or shut down. */
+  readonly leaving: number;
+  /** Without a recent report or a lease. */
+  readonly silent: number;
+  /** Not used for a while after refusals or failed runs. */
+  readonly backingOff: number;
+  /** Usable, without runs. */
+  readonly idle: number;
+  /** Usable, with runs. */
+  readonly working: number;
+}
+
+/** Describes how the capacity of each pool relates to the work that waits for it. */
+export class CellPoolLoadView {
+  readonly #tables: CellTables;
+  readonly #lender: PoolLender;
+
+  constructor(tables: CellTables, lender: PoolLender) {
+    this.#tables = tables;
+    this.#lender = lender;
+  }
+
+  /** Describes the pools with the most waiting work, most first. */
+  describe(now: Millis): readonly CellPoolLoad[] {
+    const listed = this.#lender.instances.map(({ pool }) => pool);
+    const reached = this.#tables.executors.infos.map(({ pool }) => pool);
+    return [...new Set([...this.#tables.jobs.pools, ...listed, ...reached])]
+      .map((pool) => this.#describePool(pool, now))
+      .sort((a, b) => b.waiting - a.waiting)
+      .slice(0, MAX_POOLS_DESCRIBED);
+  }
+
+  #describePool(pool: PoolName, now: Millis): CellPoolLoad {
+    const { jobs, executors } = this.#tables;
+    const states = executors.ofPool(pool);
+    const groups = states.map((state) => groupOf(this.#tables, state, now));
+    const usable = states.filter((_, index) => isUsable(groups[index]));
+    const instances = this.#lender.instances.filter((one) => one.pool === pool);
+    return {
+      pool,
+      waiting: jobs.waitingProcessors(pool, now),
+      usable: sum(usable.map(({ info }) => info.capacity.processors)),
+      free: sum(usable.map((state) => executors.freeCapacity(state).processors)),
+      executors: countEach(groups, EXECUTOR_GROUPS),
+      instances: countEach(
+        instances.map(({ state }) => state),
+        INSTANCE_STATES,
+      ),
+      incoming: this.#lender.incomingCount(pool),
+      jobs: countEach(waitingLateness(jobs.openJobsIn(pool), now), LATENESS_GROUPS),
+    };
+  }
+}
+
+type ExecutorGroup = keyof ExecutorCounts;
+
+const EXECUTOR_GROUPS: readonly ExecutorGroup[] = [
+  'unknown',
+  'leaving',
+  'silent',
+  'backingOff',
+  'idle',
+  'working',
+];
+const INSTANCE_STATES: readonly PoolInstance['state'][] = ['up', 'moving', 'maintenance', 'down'];
+const LATENESS_GROUPS: readonly Lateness[] = ['in-time', 'late', 'worthless'];
+
+function groupOf(
+  { executors, runs }: CellTables,
+  state: ExecutorState,
+  now: Millis,
+): ExecutorGroup {
+  const { info, listed, hasReported, cordoned, shutdownPending, leaseEndsAt } = state;
+  if (!listed || !hasReported) {
+    return 'unknown';
+  }
+  if (info.draining || cordoned || shutdownPending) {
+    return 'leaving';
+  }
+  if (leaseEndsAt <= now || !executors.isResponsive(state, now)) {
+    return 'silent';
+  }
+  if (state.backoffUntil > now) {
+    return 'backingOff';
+  }
+  return runs.countAt(info.id) === 0 ? 'idle' : 'working';
+}
+
+function isUsable(group: ExecutorGroup | undefined): boolean {
+  return group === 'idle' || group === 'working';
+}
+
+function waitingLateness(jobs: readonly Job[], now: Millis): readonly Lateness[] {
+  return jobs
+    .filter((job) => !job.lasting && job.ready(now).some(({ step }) => step.pending.size > 0))
+    .map((job) => latenessOf(job, now));
+}
+
+function countEach<T extends string>(
+  found: readonly T[],
+  groups: readonly T[],
+): Readonly<Record<T, number>> {
+  const counts = groups.map((group) => [group, found.filter((one) => one === group).length]);
+  return Object.fromEntries(counts) as Record<T, number>;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
