fix(jobs): the recovery of a new leader ends once all live executors have reported

Cause: a new owner holds the tasks of adopted jobs until every executor that it inherits or finds listed has reported. Executors whose instance was moved or maintained just before stay listed for seconds and never report, and executors that arrive after the takeover count as well, so recovery always ran into its limit while instances were on the move. Lending waited for it too, without need: it takes only instances whose executors have reported that they run nothing.

Change: once an owner has listed the instances, only executors of that list can have runs of earlier owners. Any other one had ended before the list or began after it. Without a list, all is as before. Lending goes on during recovery; maintenance still waits, as its budgets need all runs.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -14,6 +14,7 @@
 import { LeastWorkFirst, type JobOrdering } from './ordering.js';
 import { PaceController } from './pace-controller.js';
 import { CellPoolLoadView } from './pool-load.js';
+import { RunRecovery } from './run-recovery.js';
 import { RunReconciler } from './run-reconciler.js';
 import { RunTable } from './run-table.js';
 import { SchedulingAgenda } from './scheduling-agenda.js';
@@ -69,8 +70,7 @@
   /** Start times of executors that were shut down with their instance. */
   readonly #retired = new Map<ExecutorId, Millis>();
   readonly #pauseDetector = new ProcessPauseDetector();
-  /** Whether all runs of earlier owners are known or have ended. */
-  #recoveryComplete = false;
+  readonly #recovery: RunRecovery;
   /** Cancelled jobs. Kept because a cancellation may arrive before its job. */
   readonly #cancelled = new Set<JobId>();
   /** Sequence number through which ended runs are to be acknowledged, by executor. */
@@ -80,6 +80,8 @@
     this.#options = options;
     this.#jobs = new JobTable(options, this.#agenda);
     this.#executors = new ExecutorTable(this.#runs, this.#agenda);
+    const inherited = options.inheritedExecutors ?? [];
+    this.#recovery = new RunRecovery(this.#executors, inherited, options.recoveryEndsAt);
     const parts = {
       jobs: this.#jobs,
       runs: this.#runs,
@@ -119,8 +121,7 @@
   /** Executors that may have runs, to hand over to the next owner. */
   get executorIds(): readonly ExecutorId[] {
     const known = this.#executors.infos.map(({ id }) => id);
-    const inherited = this.#recoveryComplete ? [] : (this.#options.inheritedExecutors ?? []);
-    return [...new Set([...known, ...inherited])];
+    return [...new Set([...known, ...this.#recovery.inherited])];
   }
 
   /** Instances that can't be maintained yet, with the reason. */
@@ -194,6 +195,7 @@
       case 'fenced':
         return [{ type: 'superseded' }];
       case 'instances':
+        this.#recovery.setInstances(event.instances);
         this.#resolveOrders(event.instances, event.requestedAt);
         this.#maintenance.setInstances(event.instances, event.requestedAt);
         this.#lender.setInstances(event.instances, event.requestedAt);
@@ -333,10 +335,9 @@
     }
     this.#reconciler.retryStops(now);
     this.#jobs.removeEndedBefore(this.#options.clock.wall() - this.#options.endedJobRetentionMs);
-    if (this.#isRecovering(now)) {
-      return [];
-    }
-    const maintained = this.#maintenance.plan(now);
+    // The disruption budgets of maintenance depend on runs that may not be known yet. Lending does
+    // not: it takes only instances whose executors have reported that they run nothing.
+    const maintained = this.#recovery.isRecovering(now) ? [] : this.#maintenance.plan(now);
     const reserved = (instance: string): boolean => this.#maintenance.isReserved(instance);
     return [...maintained, ...this.#lender.plan(this.#config.pools, reserved, now)];
   }
@@ -353,31 +354,17 @@
   }
 
   #schedule(now: Millis): readonly JobDecision[] {
-    const holdAdopted = this.#isRecovering(now);
-    if (!holdAdopted && !this.#recoveryComplete) {
-      this.#recoveryComplete = true;
+    if (this.#recovery.completes(now)) {
       this.#jobs.clearAdopted();
       this.#agenda.markAll();
     }
+    const holdAdopted = this.#recovery.isRecovering(now);
     const limits = { zonesOut: this.#zonesOut, teams: this.#config.teams, holdAdopted };
     return this.#agenda
       .takeDue(this.#jobs.pools, now)
       .flatMap((pool) => this.#scheduler.schedule(pool, limits, now));
   }
 
-  /** Whether executors that have not reported yet may still run tasks of an earlier owner. */
-  #isRecovering(now: Millis): boolean {
-    if (this.#recoveryComplete || now >= this.#options.recoveryEndsAt) {
-      return false;
-    }
-    // An executor that the platform no longer lists may still have runs.
-    const inherited = this.#options.inheritedExecutors ?? [];
-    return (
-      inherited.some((id) => this.#executors.get(id)?.hasReported !== true) ||
-      this.#executors.someUnreported
-    );
-  }
-
   #progressWrites(changed: ReadonlySet<JobId>): readonly JobDecision[] {
     return [...changed].flatMap((id) => {
       const job = this.#jobs.get(id);
