--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -14,6 +14,7 @@
 import type { ExecutorId, ExecutorInfo, ExecutorReport, JobId, SchedulingConfig } from './model.js';
 import { LeastWorkFirst, type JobOrdering } from './ordering.js';
 import { PaceController } from './pace-controller.js';
+import { CellPoolLoadView } from './pool-load.js';
 import { Recovery, type RecoveryOptions } from './recovery.js';
 import { RunReconciler } from './run-reconciler.js';
 import { RunTable } from './run-table.js';
@@ -40,6 +41,8 @@
  * moved.
  */
 export class JobDecider implements Decider<JobEvent, JobDecision> {
+  /** Capacity and waiting work of the pools, for the log. */
+  readonly poolLoad: CellPoolLoadView;
   readonly #options: JobDeciderOptions;
   readonly #runs = new RunTable();
   readonly #agenda = new SchedulingAgenda();
@@ -91,6 +94,7 @@
     );
     this.#paceController = new PaceController(this.#runs);
     this.#lender = new PoolLender(parts, options.ordersAllowedAt, options.poolSizes);
+    this.poolLoad = new CellPoolLoadView(parts, this.#lender);
   }
 
   /** Number of jobs by queue of which no executor is known to have begun a task. */
@@ -189,6 +193,7 @@
         this.#leadership.set(event.held);
         return [];
       case 'instances':
+        this.#recovery.instancesListed(event.instances);
         this.#resolveOrders(event.instances, event.requestedAt);
         this.#maintenance.setInstances(event.instances, event.requestedAt);
         this.#lender.setInstances(event.instances, event.requestedAt);
@@ -332,10 +337,9 @@
       return [];
     }
     this.#reconciler.retryStops(now);
-    if (this.#recovery.isPending(now)) {
-      return [];
-    }
-    const maintained = this.#maintenance.plan(now);
+    // The disruption budgets of maintenance depend on runs that may not be known yet. Lending does
+    // not: it takes only instances whose executors have reported that they run nothing.
+    const maintained = this.#recovery.isPending(now) ? [] : this.#maintenance.plan(now);
     const reserved = (instance: string): boolean => this.#maintenance.isReserved(instance);
     return [...maintained, ...this.#lender.plan(this.#config.pools, reserved, now)];
   }
--- a/packages/core/src/jobs/recovery.ts
+++ b/packages/core/src/jobs/recovery.ts
@@ -1,5 +1,6 @@
 import type { Millis } from '../types/index.js';
 import type { ExecutorTable } from './executor-table.js';
+import type { PoolInstance } from './messages.js';
 import type { ExecutorId } from './model.js';
 
 export interface RecoveryOptions {
@@ -17,6 +18,11 @@
   readonly #options: RecoveryOptions;
   readonly #executors: ExecutorTable;
   #listed = false;
+  /**
+   * Executors of the instances as this owner first listed them. Any other executor had ended before
+   * that list or began after it, so it has no runs of earlier owners.
+   */
+  #eligible: ReadonlySet<ExecutorId> | undefined;
   #complete = false;
 
   constructor(options: RecoveryOptions, executors: ExecutorTable) {
@@ -34,18 +40,27 @@
     this.#listed = true;
   }
 
+  /** The platform's list of instances is known, as requested by this owner. */
+  instancesListed(instances: readonly PoolInstance[]): void {
+    if (this.#eligible === undefined && instances.length > 0) {
+      const ids = instances.map(({ executor }) => executor);
+      this.#eligible = new Set(ids.filter((id) => id !== undefined));
+    }
+  }
+
   /** Whether executors that have not reported yet may still run tasks of an earlier owner. */
   isPending(now: Millis): boolean {
     if (this.#complete || now >= this.#options.recoveryEndsAt) {
       return false;
     }
-    // An executor that the platform no longer lists may still have runs.
+    // An executor that the platform no longer lists in the store may still have runs.
     const inherited = this.#options.inheritedExecutors ?? [];
-    return (
-      !this.#listed ||
-      inherited.some((id) => this.#executors.get(id)?.hasReported !== true) ||
-      this.#executors.someUnreported
-    );
+    const known = this.#executors.infos.map(({ id }) => id);
+    return !this.#listed || [...inherited, ...known].some((id) => this.#mayHaveUnknownRuns(id));
+  }
+
+  #mayHaveUnknownRuns(id: ExecutorId): boolean {
+    return this.#executors.get(id)?.hasReported !== true && this.#eligible?.has(id) !== false;
   }
 
   /** Completes the recovery if it is over. Returns true once. */
