fix(jobs): refuse at once what a silent store can't take

What callers saw: while the store answered nothing to some entries, submissions at these entries hung until their deadline and ended with 504, after which most of the caller's time was used up, and reads of states failed after more than a second.

Cause: an entry did not know whether the store answers it. Each submission found out for itself by a time-out of 1.2 s, and was repeated until its deadline.

Known states are answered at once.

--- a/packages/coordination/src/io/store/transport.ts
+++ b/packages/coordination/src/io/store/transport.ts
@@ -12,6 +12,7 @@
 import { sleep } from '@turmerichoist/runtime';
 import type { CallLimiterSettings } from '../../state/call-limiter.js';
 import { PartedLimiter } from '../../state/parted-limiter.js';
+import type { StoreContactObserver } from '../../state/store-contact.js';
 import type { StoreCallObserver, StoreCallOutcome } from './call-stats.js';
 import { callTimeout } from './call-timeout.js';
 
@@ -63,6 +64,8 @@
   readonly readConcurrency?: number;
   /** Told of each finished call, except for long polls. */
   readonly observer?: StoreCallObserver;
+  /** Told when calls are sent and answered. */
+  readonly contact?: StoreContactObserver;
 }
 
 export interface HttpCall {
@@ -172,7 +175,7 @@
     const generation = this.#generation;
     const timeout = callTimeout(signal, this.#timeoutMs + (call.waitMs ?? 0));
     try {
-      const response = await this.#exchange(call, timeout.signal);
+      const response = await this.#exchangeObserved(call, timeout.signal);
       this.#observe(call, outcomeOf(response), calledAt);
       return this.#recordResponse(call, response, limiter, startedAt);
     } catch (err) {
@@ -192,6 +195,25 @@
     }
   }
 
+  /** Tells the observer of contact. A long poll says nothing about the store until it is answered. */
+  async #exchangeObserved(call: HttpCall, signal: AbortSignal): Promise<HttpResponse> {
+    const { contact, clock } = this.#options;
+    const longPoll = call.waitMs !== undefined;
+    if (!longPoll) {
+      contact?.onSent(clock.now());
+    }
+    try {
+      const response = await this.#exchange(call, signal);
+      contact?.onAnswered(clock.now(), longPoll);
+      return response;
+    } catch (err) {
+      if (!longPoll) {
+        contact?.onUnanswered(clock.now());
+      }
+      throw err;
+    }
+  }
+
   async #exchange(call: HttpCall, signal: AbortSignal): Promise<HttpResponse> {
     const { statusCode, body } = await this.#pool.request({
       method: call.method,
--- a/packages/coordination/src/state/index.ts
+++ b/packages/coordination/src/state/index.ts
@@ -8,6 +8,7 @@
 export * from './config-replica.js';
 export * from './ownership.js';
 export * from './session.js';
+export * from './store-contact.js';
 export * from './txn-lane.js';
 export * from './leader-candidacy.js';
 export * from './leader-capacity.js';
--- a/packages/daemon/src/jobs/acceptor.ts
+++ b/packages/daemon/src/jobs/acceptor.ts
@@ -19,10 +19,15 @@
 /** Upper bound of the delay before any retry, well below the time for which callers wait. */
 const RETRY_CAP_MS: Millis = 200;
 
+/** Another member can serve the caller at once. */
+export const RETRY_ELSEWHERE_MS: Millis = 100;
+
 export type AcceptMessage =
   | { readonly type: 'accept'; readonly submission: Submission }
   /** The deadline of a submission has passed without a result. */
   | { readonly type: 'expired'; readonly submission: Submission }
+  /** The store has begun or ceased to answer this process. */
+  | { readonly type: 'reachable'; readonly reachable: boolean }
   | { readonly type: 'next' };
 
 interface Submission {
@@ -53,13 +58,15 @@
  * same reason an insert that failed or whose outcome is unknown is repeated until the deadline.
  * Errors: `store-unavailable` or `deadline-passed` if none of the attempts for this call wrote the
  * row and none ever will, `outcome-unknown` if one may have written it or the process stops,
- * `not-ready` on shutdown.
+ * `not-ready` on shutdown. While the store doesn't answer, submissions of which no attempt may have
+ * been stored fail at once, and no attempts are sent.
  */
 export class Acceptor extends Actor<AcceptMessage> {
   readonly #options: AcceptorOptions;
   readonly #attempts = new Map<Submission, Attempts>();
   #waiting: readonly Submission[] = [];
   #writing = false;
+  #reachable = true;
   /** Consecutive failed writes. */
   #failures = 0;
 
@@ -98,8 +105,12 @@
       this.#waiting = [...this.#waiting, message.submission];
     } else if (message.type === 'expired') {
       this.#onExpired(message.submission);
+    } else if (message.type === 'reachable') {
+      this.#reachable = message.reachable;
     }
-    if (!this.#writing && this.#waiting.length > 0) {
+    if (!this.#reachable) {
+      this.#refuseUnsent();
+    } else if (!this.#writing && this.#waiting.length > 0) {
       this.#writing = true;
       void this.#writeBatch().then(() => {
         this.#writing = false;
@@ -118,6 +129,20 @@
     }
   }
 
+  /** Fails the waiting submissions of which no attempt may have been stored. */
+  #refuseUnsent(): void {
+    const maybeWritten = (submission: Submission): boolean =>
+      this.#attempts.get(submission)?.maybeWritten ?? false;
+    const unsent = this.#waiting.filter((submission) => !maybeWritten(submission));
+    this.#waiting = this.#waiting.filter(maybeWritten);
+    unsent.forEach((submission) => {
+      this.#answer(
+        submission,
+        fail('store-unavailable', 'the store does not answer', RETRY_ELSEWHERE_MS),
+      );
+    });
+  }
+
   /** Fails a submission of which no attempt is in flight. */
   #giveUp(submission: Submission): void {
     const attempts = this.#attempts.get(submission);
@@ -138,6 +163,9 @@
 
   async #writeBatch(): Promise<void> {
     await sleep(BATCH_DELAY_MS, this.signal);
+    if (!this.#reachable) {
+      return;
+    }
     const live = this.#takeBatch().filter((submission) => this.#checkDeadline(submission));
     if (live.length === 0) {
       return;
--- a/packages/daemon/src/jobs/intake.ts
+++ b/packages/daemon/src/jobs/intake.ts
@@ -62,6 +62,13 @@
     return this.#partOf(id).acceptor.accept(`${table}/${id}`, value, deadline);
   }
 
+  /** Tells the acceptors whether the store answers this process. */
+  setReachable(reachable: boolean): void {
+    this.#parts.forEach(({ acceptor }) => {
+      acceptor.post({ type: 'reachable', reachable });
+    });
+  }
+
   read(
     table: IntakeTable,
     id: JobId,
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -20,6 +20,7 @@
   type LeaderResources,
   type LeaderTerm,
   type StoreCallStats,
+  type StoreContactEvent,
   type TableStore,
 } from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
@@ -71,6 +72,7 @@
 
 export type CellMessage =
   | LeaderEvent
+  | StoreContactEvent
   | { readonly type: 'view'; readonly view: OperatorView }
   | { readonly type: 'superseded'; readonly term: LeaderTerm };
 
@@ -155,6 +157,9 @@
 
   protected receive(message: CellMessage): void {
     switch (message.type) {
+      case 'contact':
+        this.#service.setReachable(message.state === 'in-touch');
+        return;
       case 'view':
         this.#setView(message.view);
         return;
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -23,6 +23,7 @@
   type Logger,
   type Metrics,
 } from '@turmerichoist/runtime';
+import { RETRY_ELSEWHERE_MS } from './acceptor.js';
 import type { JobIntake } from './intake.js';
 import type { CallerTables, JobCall, JobReply } from './ports.js';
 import { WaitingCounts, type CountsRead } from './waiting-counts.js';
@@ -49,6 +50,8 @@
 export class JobService {
   readonly #options: JobServiceOptions;
   #directory: JobDirectory | undefined;
+  /** Aborted while the store doesn't answer this process. */
+  #contact = new AbortController();
   readonly #counts: WaitingCounts;
   /** Latest known state of jobs. A final state never changes. */
   readonly #cachedStates = new Map<JobId, JobState>();
@@ -78,6 +81,16 @@
     }
   }
 
+  /** Ends the reads under way when the store ceases to answer; until it answers, none are sent. */
+  setReachable(reachable: boolean): void {
+    this.#options.intake.setReachable(reachable);
+    if (!reachable) {
+      this.#contact.abort();
+    } else if (this.#contact.signal.aborted) {
+      this.#contact = new AbortController();
+    }
+  }
+
   observeCounts(read: CountsRead): void {
     this.#counts.observe(read);
   }
@@ -165,7 +178,11 @@
     });
     if (stored.isErr()) {
       return stored.error.kind === 'store-unavailable'
-        ? fail('store-unavailable', stored.error.detail, RETRY_AFTER_MS)
+        ? fail(
+            'store-unavailable',
+            stored.error.detail,
+            stored.error.retryAfterMs ?? RETRY_AFTER_MS,
+          )
         : stored;
     }
     if (!this.#cachedStates.has(id)) {
@@ -187,7 +204,10 @@
       return Ok(known);
     }
     const { cell, intake, signal, log } = this.#options;
-    const limit = timeoutSignal(signal, timeoutMs);
+    if (!this.#isReachable()) {
+      return this.#stateWithoutStore(known);
+    }
+    const limit = AbortSignal.any([timeoutSignal(signal, timeoutMs), this.#contact.signal]);
     const [stored, accepted] = await Promise.all([
       cell.read([`progress/${id}`], limit),
       known === undefined ? intake.read('jobs', id, limit) : Ok([]),
@@ -195,6 +215,9 @@
     const rows = stored.andThen((progress) => accepted.map((jobs) => ({ progress, jobs })));
     if (rows.isErr()) {
       log.info('failed to read job state', { job: id, known, error: rows.error.kind });
+      if (!this.#isReachable()) {
+        return this.#stateWithoutStore(known);
+      }
       return known === undefined ? rows : Ok(known);
     }
     const [progress] = rows.value.progress;
@@ -210,6 +233,17 @@
     return Ok(known ?? 'queued');
   }
 
+  #isReachable(): boolean {
+    return !this.#contact.signal.aborted;
+  }
+
+  /** The latest known state, since the store doesn't answer; its reads change nothing. */
+  #stateWithoutStore(known: JobState | undefined): Result<JobState, AppError> {
+    return known === undefined
+      ? fail('store-unavailable', 'the store does not answer', RETRY_ELSEWHERE_MS)
+      : Ok(known);
+  }
+
   async #cancel(id: JobId, timeoutMs: Millis): Promise<Result<JobReply, AppError>> {
     const { intake, clock, log } = this.#options;
     const deadline = clock.now() + timeoutMs;
