--- a/packages/measure/src/quota/peer-bytes.ts
+++ b/packages/measure/src/quota/peer-bytes.ts
@@ -91,12 +91,10 @@
       ? { type: 'relay', origin: self.member, seq: 100_000, content }
       : content;
     const size = frameBytes(message, version);
-    const visited = new Set<string>();
     for (const neighbour of neighbours(self, members)) {
       frames += 1;
       const zone = zoneOf.get(neighbour) ?? '';
-      const relays = sparse && zone !== self.zone && !visited.has(neighbour);
-      visited.add(neighbour);
+      const relays = sparse && zone !== self.zone;
       const targets = relayTargets({ member: neighbour, zone }, self.zone, members);
       frames += relays ? targets.length : 0;
     }
