--- a/packages/coordination/src/io/config-replica.ts
+++ b/packages/coordination/src/io/config-replica.ts
@@ -9,7 +9,7 @@
 } from '@turmerichoist/core';
 import { Actor, every, type ActorContext, type Recipient } from '@turmerichoist/runtime';
 import type { LogHead, LogEntry } from '../state/config-log.js';
-import { ReplicaState, decodeSnapshot } from '../state/config-replica.js';
+import { ReplicaState } from '../state/config-replica.js';
 import type { ObjectStore, TableStore } from '../store/index.js';
 import { ask } from './ask.js';
 import { ConfigLoader } from './config-loader.js';
@@ -29,8 +29,6 @@
   | { readonly type: 'poll' }
   /** A peer has reported a higher revision. */
   | { readonly type: 'head-seen'; readonly revision: Revision }
-  /** A snapshot from a peer, for a member that starts while the store is down. */
-  | { readonly type: 'offer'; readonly bytes: Uint8Array }
   /** Reads the head, catches up with it and replies. */
   | {
       readonly type: 'refresh';
@@ -114,11 +112,6 @@
           await this.#refresh();
         }
         return;
-      case 'offer':
-        decodeSnapshot(message.bytes).map((cfg) => {
-          this.#applySnapshot(cfg);
-        });
-        return;
       case 'refresh':
         message.reply(await this.#refresh());
     }
