--- a/packages/core/src/tasks/allowance.ts
+++ b/packages/core/src/tasks/allowance.ts
@@ -19,8 +19,6 @@
 
 type Field = (typeof FIELDS)[number];
 
-export const NO_RESOURCES: Resources = { processors: 0, memoryMb: 0, accelerators: 0 };
-
 export function sameResources(a: Resources, b: Resources): boolean {
   return FIELDS.every((field) => a[field] === b[field]);
 }
--- a/packages/core/src/tasks/index.ts
+++ b/packages/core/src/tasks/index.ts
@@ -7,3 +7,4 @@
 export { TaskStore } from './task-store.js';
 export { UsageEstimator } from './usage-estimator.js';
 export * from './allowance.js';
+export { NO_RESOURCES } from './resource-arithmetic.js';
