--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -167,7 +167,7 @@
   handleRestart(executor: ExecutorId, now: Millis): void {
     for (const run of this.#runs.at(executor)) {
       if (run.phase === 'starting' || run.phase === 'unknown') {
-        this.stop(run, 'new life', now);
+        this.stop(run, 'executor restarted', now);
       } else {
         this.#drop(run);
       }
@@ -256,7 +256,7 @@
       return;
     }
     if (other !== undefined || step.isDone(task.index) || !job.open) {
-      this.#stopUntracked(executor, running, 'not wanted', now);
+      this.#stopUntracked(executor, running, 'superseded run', now);
       return;
     }
     step.markAssigned(task.index);
