refactor(store): call a member's rows of transaction ids transaction logs

`Lane` named both the row and the class that commits with it. The row is a log of transaction ids now, and the class `SerialCommitter`. Keys and values of the rows and the behaviour are unchanged.

--- a/packages/coordination/src/io/store/outcome-resolving-store.ts
+++ b/packages/coordination/src/io/store/outcome-resolving-store.ts
@@ -13,18 +13,18 @@
 } from '@turmerichoist/core';
 import { sleep } from '@turmerichoist/runtime';
 import {
-  laneAfterCommit,
-  laneKey,
-  decodeLane,
+  txnLogAfterCommit,
+  txnLogKey,
+  decodeTxnLog,
   resolveTxn,
-  appendToLane,
-  type LaneState,
-} from '../../state/txn-lane.js';
+  appendToTxnLog,
+  type TxnLogState,
+} from '../../state/txn-log.js';
 import type { Row, TableStore, Transaction, TxnOutcome } from '../../store/index.js';
 import { callTimeout } from './call-timeout.js';
 
-/** Number of transactions that one member may have in flight at a time. */
-export const TXN_LANES = 4;
+/** Transaction logs of one member, each with at most one transaction in flight. */
+export const TXN_LOGS = 4;
 /**
  * Maximum time spent on resolving an unknown outcome. Long enough for two backoffs of the store
  * client at their cap (5,000 ms).
@@ -39,7 +39,7 @@
   readonly memberId: MemberId;
   readonly random: Random;
   readonly resolveTimeoutMs?: Millis;
-  readonly lanes?: number;
+  readonly logs?: number;
 }
 
 type Attempt =
@@ -51,12 +51,12 @@
   return { type: 'done', result };
 }
 
-/** Owns one lane row (see `LaneState`) and commits transactions through it one at a time. */
-class Lane {
+/** Owns one transaction log (see `TxnLogState`) and commits transactions with it one at a time. */
+class SerialCommitter {
   readonly queue = new PQueue({ concurrency: 1 });
   readonly key: string;
   readonly #options: OutcomeResolvingStoreOptions;
-  #state: LaneState | undefined;
+  #state: TxnLogState | undefined;
 
   constructor(key: string, options: OutcomeResolvingStoreOptions) {
     this.key = key;
@@ -74,22 +74,22 @@
   }
 
   async #attempt(txn: Transaction, signal: AbortSignal): Promise<Attempt> {
-    const read = this.#state === undefined ? await this.#readLane([], signal) : Ok(undefined);
+    const read = this.#state === undefined ? await this.#readLog([], signal) : Ok(undefined);
     if (read.isErr()) {
       return finished(read);
     }
-    const before = this.#state ?? decodeLane(undefined);
-    const sent = await this.#options.store.commit(appendToLane(txn, this.key, before), signal);
+    const before = this.#state ?? decodeTxnLog(undefined);
+    const sent = await this.#options.store.commit(appendToTxnLog(txn, this.key, before), signal);
     if (sent.isErr()) {
       return sent.error.kind === 'outcome-unknown'
         ? this.#resolveOutcome(txn, before, signal)
         : finished(sent);
     }
     if (sent.value.committed) {
-      this.#state = laneAfterCommit(before, txn.txnId, sent.value.versions[this.key] ?? 0);
+      this.#state = txnLogAfterCommit(before, txn.txnId, sent.value.versions[this.key] ?? 0);
       return finished(sent);
     }
-    // The lane row has changed: another process of this member wrote it, or the service handled the
+    // The log has changed: another process of this member wrote it, or the service handled the
     // call twice.
     return sent.value.failed.includes(this.key)
       ? this.#resolveOutcome(txn, before, signal)
@@ -98,7 +98,7 @@
 
   async #resolveOutcome(
     txn: Transaction,
-    before: LaneState,
+    before: TxnLogState,
     signal: AbortSignal,
   ): Promise<Attempt> {
     const timeout = callTimeout(signal, this.#options.resolveTimeoutMs ?? RESOLVE_TIMEOUT_MS);
@@ -119,10 +119,10 @@
 
   async #tryResolve(
     txn: Transaction,
-    before: LaneState,
+    before: TxnLogState,
     signal: AbortSignal,
   ): Promise<Attempt | undefined> {
-    const read = await this.#readLane(
+    const read = await this.#readLog(
       txn.writes.map(({ key }) => key),
       signal,
     );
@@ -143,18 +143,18 @@
   }
 
   /** Commits an empty transaction, so that one that is still in flight can no longer commit. */
-  async #fence(txnId: string, state: LaneState, signal: AbortSignal): Promise<void> {
+  async #fence(txnId: string, state: TxnLogState, signal: AbortSignal): Promise<void> {
     const fence = { txnId: `${txnId}/fence`, conditions: [], writes: [] };
-    await this.#options.store.commit(appendToLane(fence, this.key, state), signal);
+    await this.#options.store.commit(appendToTxnLog(fence, this.key, state), signal);
   }
 
-  async #readLane(
+  async #readLog(
     keys: readonly string[],
     signal: AbortSignal,
   ): Promise<Result<readonly Row[] | undefined, AppError>> {
     const read = await this.#options.store.read([this.key, ...keys], signal);
     if (read.isOk()) {
-      this.#state = decodeLane(read.value.find((row) => row.key === this.key));
+      this.#state = decodeTxnLog(read.value.find((row) => row.key === this.key));
     }
     return read;
   }
@@ -180,34 +180,34 @@
 
 /**
  * Decorates a `TableStore` to resolve unknown outcomes. Each transaction also writes its id into a
- * lane row of this member (`txn/<memberId>`), which is read after an unknown outcome. When the row
+ * transaction log of this member (`txn/<memberId>`), which is read after an unknown outcome. When the row
  * does not have the id, a fencing write changes the row first, so that a delayed transaction can't
  * commit after it was reported as not committed. `outcome-unknown` remains only when the store
  * can't be read until the signal is aborted or the time-out expires, or when more transactions have
- * committed since than the lane row keeps ids of.
+ * committed since than the log keeps ids of.
  */
 export class OutcomeResolvingStore implements TableStore {
   readonly #options: OutcomeResolvingStoreOptions;
-  readonly #lanes: readonly Lane[];
+  readonly #committers: readonly SerialCommitter[];
 
   constructor(options: OutcomeResolvingStoreOptions) {
     this.#options = options;
-    const count = options.lanes ?? TXN_LANES;
-    this.#lanes = Array.from(
+    const count = options.logs ?? TXN_LOGS;
+    this.#committers = Array.from(
       { length: count },
-      (_, lane) => new Lane(laneKey(options.memberId, lane), options),
+      (_, log) => new SerialCommitter(txnLogKey(options.memberId, log), options),
     );
   }
 
   async commit(txn: Transaction, signal: AbortSignal): Promise<Result<TxnOutcome, AppError>> {
-    const lane = this.#leastBusy();
+    const committer = this.#leastBusy();
     if (signal.aborted) {
       return fail('store-unavailable', 'given up before sending');
     }
-    return lane.queue.add(async () =>
+    return committer.queue.add(async () =>
       signal.aborted
         ? fail('store-unavailable', 'given up before sending')
-        : lane.commit(txn, signal),
+        : committer.commit(txn, signal),
     );
   }
 
@@ -224,8 +224,8 @@
     return this.#options.store.range(prefix, after, limit, signal);
   }
 
-  #leastBusy(): Lane {
-    const load = (lane: Lane): number => lane.queue.size + lane.queue.pending;
-    return this.#lanes.reduce((best, lane) => (load(lane) < load(best) ? lane : best));
+  #leastBusy(): SerialCommitter {
+    const load = ({ queue }: SerialCommitter): number => queue.size + queue.pending;
+    return this.#committers.reduce((best, one) => (load(one) < load(best) ? one : best));
   }
 }
--- a/packages/coordination/src/state/index.ts
+++ b/packages/coordination/src/state/index.ts
@@ -8,7 +8,7 @@
 export * from './config-replica.js';
 export * from './ownership.js';
 export * from './session.js';
-export * from './txn-lane.js';
+export * from './txn-log.js';
 export * from './leader-candidacy.js';
 export * from './leader-capacity.js';
 export * from './leader-lease.js';
--- a/packages/coordination/test/outcome-resolving-store.test.ts
+++ b/packages/coordination/test/outcome-resolving-store.test.ts
@@ -29,7 +29,7 @@
       const store = new DelayingStore(state);
       // Two processes of the same member: the second is a restart of the first.
       const processes = [0, 1].map(
-        () => new OutcomeResolvingStore({ store, memberId: 'm', random, lanes: 1 }),
+        () => new OutcomeResolvingStore({ store, memberId: 'm', random, logs: 1 }),
       );
       const reports: string[] = [];
       for (const [index, { process, faults, deliverAfter }] of steps.entries()) {
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -237,9 +237,9 @@
     this.#owner = undefined;
   }
 
-  #createResolvingStore(memberId: string, lanes: number): OutcomeResolvingStore {
+  #createResolvingStore(memberId: string, logs: number): OutcomeResolvingStore {
     const { cell, random } = this.#options;
     const seeded = new SeededRandom(random.nextInt(2 ** 31));
-    return new OutcomeResolvingStore({ store: cell, memberId, random: seeded, lanes });
+    return new OutcomeResolvingStore({ store: cell, memberId, random: seeded, logs });
   }
 }
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -62,7 +62,7 @@
   readonly intake: ChangeFeed;
   /** Store for progress, which resolves unknown outcomes and commits one transaction at a time. */
   readonly progress: TableStore;
-  /** Store for the progress of waves, in a lane of its own. */
+  /** Store for the progress of waves, with a transaction log of its own. */
   readonly waves: TableStore;
   /** Tables that the platform and its operators share. */
   readonly shared: TableStore & ChangeFeed;
--- a/packages/daemon/src/jobs/progress-writer.ts
+++ b/packages/daemon/src/jobs/progress-writer.ts
@@ -8,7 +8,7 @@
   type QueuedProgress,
 } from './progress-queue.js';
 
-/** Progress rows per transaction, which leaves room for the owner's and the lane's rows. */
+/** Progress rows per transaction, which leaves room for the owner's and the transaction log's rows. */
 const MAX_ROWS = 80;
 /** Delay before a write, so that changes that arrive close together share a transaction. */
 const BATCH_DELAY_MS: Millis = 6;
--- a/packages/daemon/src/jobs/wave-status-writer.ts
+++ b/packages/daemon/src/jobs/wave-status-writer.ts
@@ -9,8 +9,8 @@
 
 export interface WaveStatusWriterOptions {
   /**
-   * The cell's own rows. Writes are conditional on the owner's epoch. Must not share a lane with
-   * the progress of jobs: a wave writes a status for each of its instances.
+   * The cell's own rows. Writes are conditional on the owner's epoch. Must not share a transaction
+   * log with the progress of jobs: a wave writes a status for each of its instances.
    */
   readonly cell: TableStore;
   /** Tables that the platform and its operators share. */
