--- a/packages/coordination/src/state/index.ts
+++ b/packages/coordination/src/state/index.ts
@@ -9,7 +9,7 @@
 export * from './ownership.js';
 export * from './session.js';
 export * from './store-contact.js';
-export * from './txn-lane.js';
+export * from './txn-log.js';
 export * from './leader-candidacy.js';
 export * from './leader-capacity.js';
 export * from './leader-lease.js';
