fix(jobs): entries that have lost the store leave the rotation

What callers saw: new connections kept going to entries that could serve none of them, so half of the callers' first tries there were refused for as long as the store was silent.

Cause: readiness said only whether a configuration had been loaded and whether the process was stopping.

The test on the load balancer in job-cell-contact fails without the condition on contact.

Shorter silences, slow stores and stores that refuse calls leave readiness alone.

--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -14,6 +14,7 @@
   OutcomeResolvingStore,
   leaderCapacity,
   type ChangeFeed,
+  type ContactState,
   type JsonValue,
   type LeaderEvent,
   type LeaderPublication,
@@ -86,6 +87,8 @@
   #owner: { readonly owner: JobOwner; readonly abort: () => void } | undefined;
   /** Latest bulletin of the current leader, which may be this member. */
   #bulletin: Bulletin = EMPTY_BULLETIN;
+  /** Whether the store answers this member. */
+  #contact: ContactState = 'in-touch';
   #stopping = false;
 
   constructor(options: JobCellOptions, context: ActorContext) {
@@ -129,12 +132,14 @@
     );
   }
 
+  /** Whether the load balancer is to send callers here. */
   get ready(): boolean {
-    return !this.#stopping && this.#service.ready;
+    return this.keepsCallers && this.#service.ready;
   }
 
-  get stopping(): boolean {
-    return this.#stopping;
+  /** Whether callers that are connected are served best here; otherwise they are to reconnect. */
+  get keepsCallers(): boolean {
+    return !this.#stopping && this.#contact !== 'lost';
   }
 
   start(): void {
@@ -158,6 +163,7 @@
   protected receive(message: CellMessage): void {
     switch (message.type) {
       case 'contact':
+        this.#contact = message.state;
         this.#service.setReachable(message.state === 'in-touch');
         return;
       case 'view':
--- /dev/null
+++ b/packages/daemon/test/job-cell-contact.test.ts
@@ -0,0 +1,46 @@
+import { afterEach, beforeEach, expect, test } from '@jest/globals';
+import type { ContactState } from '@turmerichoist/coordination';
+import type { JobCell } from '../src/jobs/job-cell.js';
+import { startMember } from './support/job-cell-fixture.js';
+import { PartedTables } from './support/parted-tables.js';
+
+// Each test is named after the failure that it guards against.
+
+let controller: AbortController;
+let cell: JobCell;
+
+beforeEach(async () => {
+  controller = new AbortController();
+  cell = startMember('a', new PartedTables(), controller.signal);
+  await cell.idle();
+});
+
+afterEach(() => {
+  controller.abort();
+});
+
+async function observe(...states: readonly ContactState[]): Promise<void> {
+  for (const state of states) {
+    cell.post({ type: 'contact', state });
+  }
+  await cell.idle();
+}
+
+test('the load balancer keeps sending callers to an entry that has lost the store', async () => {
+  expect(cell.ready).toBe(true);
+  await observe('silent', 'lost');
+  expect(cell.ready).toBe(false);
+  expect(cell.keepsCallers).toBe(false);
+});
+
+test('an entry leaves the rotation because of a short hiccup of the store', async () => {
+  await observe('silent');
+  expect(cell.ready).toBe(true);
+  expect(cell.keepsCallers).toBe(true);
+});
+
+test('an entry stays out of the rotation although the store answers again', async () => {
+  await observe('silent', 'lost', 'in-touch');
+  expect(cell.ready).toBe(true);
+  expect(cell.keepsCallers).toBe(true);
+});
