fix(jobs): held tasks borrow only what does not fit into free capacity

What callers saw: nothing yet; lending that goes on during a recovery would borrow for adopted jobs that are held beside free capacity, and would not lend the idle instances of their pool.

Change: during a recovery, the tasks of adopted jobs count as waiting only as far as the free capacity of their pool does not suffice. The load line shows held processors apart.

Tests: jobs-run-recovery (the new test fails before the change).

--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -11,6 +11,12 @@
   readonly firstAttempt: number;
 }
 
+/** Processors that pending tasks need. `held`: by tasks that wait for the end of a recovery. */
+export interface WaitingProcessors {
+  readonly startable: number;
+  readonly held: number;
+}
+
 /** The jobs of a cell. Ended jobs are retained for a while, so that late reports find them. */
 export class JobTable {
   readonly #options: JobTableOptions;
@@ -52,12 +58,13 @@
   }
 
   /** Processors that the pending tasks of finite, ready steps need. */
-  waitingProcessors(pool: PoolName, now: Millis): number {
-    let waiting = 0;
+  waitingProcessors(pool: PoolName, now: Millis): WaitingProcessors {
+    const waiting = { startable: 0, held: 0 };
     for (const job of this.#openByPool.get(pool)?.values() ?? []) {
+      const kind = this.#adopted.has(job.id) ? 'held' : 'startable';
       for (const { step } of job.ready(now)) {
         if (!step.spec.lasting) {
-          waiting += step.pending.size * step.spec.resources.processors;
+          waiting[kind] += step.pending.size * step.spec.resources.processors;
         }
       }
     }
--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -31,7 +31,7 @@
   #instances: readonly PoolInstance[] = [];
   readonly #pendingMoves = new Map<string, PendingMove>();
   readonly #idleSince = new Map<ExecutorId, Millis>();
-  /** Processors that pending tasks need, by pool, as of the present plan. */
+  /** Processors that pending tasks lack, by pool, as of the present plan. */
   readonly #waiting = new Map<PoolName, number>();
   /** Number of instances of each pool before any was lent. */
   #initialSizes: ReadonlyMap<PoolName, number> | undefined;
@@ -144,11 +144,25 @@
 
   /** Counted once a plan: a plan starts no tasks, so that the number does not change meanwhile. */
   #waitingProcessors(pool: PoolName, now: Millis): number {
-    const known = this.#waiting.get(pool) ?? this.#tables.jobs.waitingProcessors(pool, now);
+    const known = this.#waiting.get(pool) ?? this.#missingProcessors(pool, now);
     this.#waiting.set(pool, known);
     return known;
   }
 
+  /** Tasks that are held may wait beside free capacity, which they will take. */
+  #missingProcessors(pool: PoolName, now: Millis): number {
+    const { startable, held } = this.#tables.jobs.waitingProcessors(pool, now);
+    return startable + (held === 0 ? 0 : Math.max(0, held - this.#freeProcessors(pool, now)));
+  }
+
+  #freeProcessors(pool: PoolName, now: Millis): number {
+    const { executors } = this.#tables;
+    return executors
+      .ofPool(pool)
+      .filter((state) => executors.isSchedulable(state, now))
+      .reduce((free, state) => free + executors.freeCapacity(state).processors, 0);
+  }
+
   #typicalCapacity(pool: PoolName): Resources {
     const known = this.#instances.find((one) => one.pool === pool) ?? this.#instances[0];
     return known?.capacity ?? { processors: 1, memoryMb: 1, accelerators: 0 };
--- a/packages/core/src/jobs/pool-load.ts
+++ b/packages/core/src/jobs/pool-load.ts
@@ -14,6 +14,8 @@
   readonly pool: PoolName;
   /** Processors that the pending tasks of ready steps need. */
   readonly waiting: number;
+  /** Those of them that tasks need which wait for the end of a recovery. */
+  readonly held: number;
   /** Processors of the executors that may get tasks, and those of them that no run takes. */
   readonly usable: number;
   readonly free: number;
@@ -68,9 +70,11 @@
     const groups = states.map((state) => groupOf(this.#tables, state, now));
     const usable = states.filter((_, index) => isUsable(groups[index]));
     const instances = this.#lender.instances.filter((one) => one.pool === pool);
+    const { startable, held } = jobs.waitingProcessors(pool, now);
     return {
       pool,
-      waiting: jobs.waitingProcessors(pool, now),
+      waiting: startable + held,
+      held,
       usable: sum(usable.map(({ info }) => info.capacity.processors)),
       free: sum(usable.map((state) => executors.freeCapacity(state).processors)),
       executors: countEach(groups, EXECUTOR_GROUPS),
--- a/packages/core/test/jobs-pool-load.test.ts
+++ b/packages/core/test/jobs-pool-load.test.ts
@@ -61,6 +61,7 @@
       {
         pool: 'p1',
         waiting: 4,
+        held: 0,
         usable: 16,
         free: 0,
         executors: { unknown: 0, leaving: 0, silent: 0, backingOff: 0, idle: 0, working: 2 },
--- a/packages/core/test/jobs-run-recovery.test.ts
+++ b/packages/core/test/jobs-run-recovery.test.ts
@@ -39,7 +39,7 @@
   instance('m-3', 'spare'),
 ];
 
-/** A decider that has just taken over executors `e1`, `e2` and a job of 40 tasks. */
+/** A decider that has just taken over executors `e1`, `e2` and one job. */
 class TakenOverCell {
   readonly clock = new ManualClock(10_000);
   readonly decider: JobDecider = newDecider(this.clock, {
@@ -49,9 +49,9 @@
     inheritedExecutors: ['e1', 'e2'],
   });
 
-  constructor() {
+  constructor(taskCount = 40) {
     this.handle({ type: 'config', config: CONFIG });
-    const accepted = { ...job('a', [step({ taskCount: 40 })]), acceptedWallMs: this.clock.wall() };
+    const accepted = { ...job('a', [step({ taskCount })]), acceptedWallMs: this.clock.wall() };
     this.handle({ type: 'jobs', jobs: [{ accepted }], adopted: true });
     this.handle({ type: 'executors', executors: [executor('e1'), executor('e2')] });
   }
@@ -119,4 +119,13 @@
       order: { type: 'move', instance: 'm-3', pool: 'p1' },
     });
   });
+
+  test('borrows instances for held tasks that fit into its own free capacity', () => {
+    const cell = new TakenOverCell(8);
+    cell.list(INSTANCES);
+    cell.report('e1');
+    expect(typesOf(cell.tick(HANDOVER_MS - 100))).toEqual([]);
+    cell.report('e1');
+    expect(cell.tick(100)).toEqual([]);
+  });
 });
