--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -1,6 +1,7 @@
 import type { Clock, Decider, Millis, PoolName, ZoneName } from '../types/index.js';
 import { ExecutorTable, type ExecutorState } from './executor-table.js';
 import { JobTable } from './job-table.js';
+import { LeadershipGate } from './leadership-gate.js';
 import { PoolLender } from './lending.js';
 import { MaintenancePlanner, type WaitingInstance } from './maintenance.js';
 import type {
@@ -14,7 +15,7 @@
 import { LeastWorkFirst, type JobOrdering } from './ordering.js';
 import { PaceController } from './pace-controller.js';
 import { CellPoolLoadView } from './pool-load.js';
-import { RunRecovery } from './run-recovery.js';
+import { Recovery, type RecoveryOptions } from './recovery.js';
 import { RunReconciler } from './run-reconciler.js';
 import { RunTable } from './run-table.js';
 import { SchedulingAgenda } from './scheduling-agenda.js';
@@ -22,17 +23,10 @@
 import { ProcessPauseDetector } from './process-pause-detector.js';
 import { TaskDurations } from './task-durations.js';
 
-export interface JobDeciderOptions {
+export interface JobDeciderOptions extends RecoveryOptions {
   readonly clock: Clock;
   /** Lowest attempt number that this owner uses. */
   readonly firstAttempt: number;
-  /**
-   * Monotonic time until which an executor that has not reported may still run tasks of an earlier
-   * owner.
-   */
-  readonly recoveryEndsAt: Millis;
-  /** Executors on which an earlier owner may have started tasks. */
-  readonly inheritedExecutors?: readonly ExecutorId[];
   /** Number of instances of each pool as the first owner saw it, before any was lent. */
   readonly poolSizes?: ReadonlyMap<PoolName, number>;
   /** Monotonic time from which orders to instances may be sent. */
@@ -70,7 +64,8 @@
   /** Start times of executors that were shut down with their instance. */
   readonly #retired = new Map<ExecutorId, Millis>();
   readonly #pauseDetector = new ProcessPauseDetector();
-  readonly #recovery: RunRecovery;
+  readonly #recovery: Recovery;
+  readonly #leadership = new LeadershipGate();
   /** Cancelled jobs. Kept because a cancellation may arrive before its job. */
   readonly #cancelled = new Set<JobId>();
   /** Sequence number through which ended runs are to be acknowledged, by executor. */
@@ -80,8 +75,7 @@
     this.#options = options;
     this.#jobs = new JobTable(options, this.#agenda);
     this.#executors = new ExecutorTable(this.#runs, this.#agenda);
-    const inherited = options.inheritedExecutors ?? [];
-    this.#recovery = new RunRecovery(this.#executors, inherited, options.recoveryEndsAt);
+    this.#recovery = new Recovery(options, this.#executors);
     const parts = {
       jobs: this.#jobs,
       runs: this.#runs,
@@ -121,7 +115,7 @@
   /** Executors that may have runs, to hand over to the next owner. */
   get executorIds(): readonly ExecutorId[] {
     const known = this.#executors.infos.map(({ id }) => id);
-    return [...new Set([...known, ...this.#recovery.inherited])];
+    return [...new Set([...known, ...this.#recovery.inheritedExecutors])];
   }
 
   /** Instances that can't be maintained yet, with the reason. */
@@ -138,13 +132,13 @@
     const extra = this.#apply(event, now);
     const changes = this.#reconciler.drainChanges();
     const starts = this.#schedule(now);
-    return [
+    return this.#leadership.permitted([
       ...changes.decisions,
       ...extra,
       ...starts,
       ...this.#progressWrites(changes.changedJobs),
       ...this.#acknowledgements(),
-    ];
+    ]);
   }
 
   #apply(event: JobEvent, now: Millis): readonly JobDecision[] {
@@ -160,6 +154,7 @@
         return [];
       case 'executors':
         this.#setExecutors(event.executors, now);
+        this.#recovery.executorsListed();
         return [];
       case 'jobs':
         event.jobs.forEach((job) => this.#jobs.add(job, event.adopted, now));
@@ -194,8 +189,11 @@
       }
       case 'fenced':
         return [{ type: 'superseded' }];
+      case 'leadership':
+        this.#leadership.set(event.held);
+        return [];
       case 'instances':
-        this.#recovery.setInstances(event.instances);
+        this.#recovery.instancesListed(event.instances);
         this.#resolveOrders(event.instances, event.requestedAt);
         this.#maintenance.setInstances(event.instances, event.requestedAt);
         this.#lender.setInstances(event.instances, event.requestedAt);
@@ -258,14 +256,15 @@
 
   #report(report: ExecutorReport, leaseEndsAt: Millis, now: Millis): readonly JobDecision[] {
     const known = this.#executors.get(report.executor);
-    if (known === undefined) {
+    // A report that was overtaken may even be of the process that ran before a restart.
+    if (known === undefined || (known.lastReportAt ?? -Infinity) > report.sentAt) {
       return [];
     }
     if (known.info.startedWallMs !== report.startedWallMs) {
       this.#handleRestart(known, { ...known.info, startedWallMs: report.startedWallMs }, now);
     }
     const state = this.#executors.get(report.executor);
-    if (state === undefined || (state.lastReportAt ?? -Infinity) > report.sentAt) {
+    if (state === undefined) {
       return [];
     }
     this.#reconciler.report(state, report, now);
@@ -278,7 +277,7 @@
       { hasReported: true, lastReportAt: report.sentAt, leaseEndsAt, lastEndSeq },
       now,
     );
-    return this.#paceController.onReport(report.executor, now);
+    return this.#leadership.held ? this.#paceController.onReport(report.executor, now) : [];
   }
 
   #orderAnswered(
@@ -333,11 +332,14 @@
         this.#expireLease(state, now);
       });
     }
-    this.#reconciler.retryStops(now);
     this.#jobs.removeEndedBefore(this.#options.clock.wall() - this.#options.endedJobRetentionMs);
+    if (!this.#leadership.held) {
+      return [];
+    }
+    this.#reconciler.retryStops(now);
     // The disruption budgets of maintenance depend on runs that may not be known yet. Lending does
     // not: it takes only instances whose executors have reported that they run nothing.
-    const maintained = this.#recovery.isRecovering(now) ? [] : this.#maintenance.plan(now);
+    const maintained = this.#recovery.isPending(now) ? [] : this.#maintenance.plan(now);
     const reserved = (instance: string): boolean => this.#maintenance.isReserved(instance);
     return [...maintained, ...this.#lender.plan(this.#config.pools, reserved, now)];
   }
@@ -353,12 +355,16 @@
     }
   }
 
+  /** Pools that are due stay so while the leader lease is not valid. */
   #schedule(now: Millis): readonly JobDecision[] {
-    if (this.#recovery.completes(now)) {
+    if (!this.#leadership.held) {
+      return [];
+    }
+    if (this.#recovery.completeIfOver(now)) {
       this.#jobs.clearAdopted();
       this.#agenda.markAll();
     }
-    const holdAdopted = this.#recovery.isRecovering(now);
+    const holdAdopted = this.#recovery.isPending(now);
     const limits = { zonesOut: this.#zonesOut, teams: this.#config.teams, holdAdopted };
     return this.#agenda
       .takeDue(this.#jobs.pools, now)
--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -76,7 +76,9 @@
         listed.add(key);
       }
     }
-    for (const run of this.#runs.at(report.executor)) {
+    // A run that is in neither list of such a report may have ended, even as done.
+    const missing = report.moreEnded === true ? [] : this.#runs.at(report.executor);
+    for (const run of missing) {
       if (!listed.has(run.key)) {
         this.#handleMissing(run, report, now);
       }
@@ -100,11 +102,8 @@
       case 'fenced':
         this.#decisions.push({ type: 'superseded' });
         return;
-      case 'old-attempt':
-      case 'not-sent':
-        this.#drop(run);
-        return;
       default:
+        // The backoff keeps the task from being started there again at once, and again.
         this.#executors.refused(run.executor, now);
         this.#drop(run);
     }
