feat(jobs): a leader logs how many executors its adopted tasks wait for

The log of a takeover did not tell which of three waits held up the jobs of the former leader: the claim, the list of executors or their reports. The load line of the leader has the number of awaited executors.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -119,6 +119,11 @@
     return this.#maintenance.waiting;
   }
 
+  /** Number of executors whose runs under earlier owners are not known, so that tasks wait. */
+  get awaitedExecutors(): number {
+    return this.#recovery.awaitedExecutors(this.#options.clock.now());
+  }
+
   /** Executors that may have runs and must be polled. */
   get executors(): readonly ExecutorInfo[] {
     return this.#executors.infos;
--- a/packages/core/src/jobs/recovery.ts
+++ b/packages/core/src/jobs/recovery.ts
@@ -53,6 +53,16 @@
     return !this.#listed || this.#someInheritedMayRun() || this.#someListedMayRun();
   }
 
+  /** Number of executors that adopted tasks wait for. */
+  awaitedExecutors(now: Millis): number {
+    if (!this.isPending(now)) {
+      return 0;
+    }
+    const listed = [...this.#executors.all()].map(({ info }) => info.id);
+    const ids = new Set([...(this.#options.inheritedExecutors ?? []), ...listed]);
+    return [...ids].filter((id) => this.#mayRun(id, this.#executors.get(id))).length;
+  }
+
   /** Completes the recovery if it is over. Returns true once. */
   completeIfOver(now: Millis): boolean {
     if (this.#complete || this.isPending(now)) {
--- a/packages/core/test/jobs-recovery.test.ts
+++ b/packages/core/test/jobs-recovery.test.ts
@@ -44,6 +44,10 @@
     return this.starts({ type: 'instances', instances, requestedAt: this.#now });
   }
 
+  get awaited(): number {
+    return this.#decider.awaitedExecutors;
+  }
+
   starts(event: JobEvent): boolean {
     return this.handle(event).some(({ type }) => type === 'start');
   }
@@ -76,7 +80,9 @@
   test('at an executor that may still answer its first poll', () => {
     const owner = new Successor(['e1', 'e2']);
     expect(owner.startsAfter(instance('i2'))).toBe(false);
+    expect(owner.awaited).toBe(1);
     expect(owner.starts(SILENT)).toBe(true);
+    expect(owner.awaited).toBe(0);
   });
 
   test('at an executor of a platform that lists no instances', () => {
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -53,6 +53,8 @@
 /** Ended jobs are retained so that late reports find them. */
 const ENDED_JOB_RETENTION_MS: Millis = 60_000;
 
+type StoredWave = Pick<MaintenanceWave, 'begun' | 'completed'>;
+
 export interface JobOwnerOptions {
   readonly term: LeaderTerm;
   /** Whether this member holds the leader lease now; checked directly before each action. */
@@ -94,10 +96,7 @@
   readonly #ordersAllowedAt: Millis;
   readonly #registry: ExecutorRegistry;
   readonly #storedProgress = new Map<string, JobProgress>();
-  readonly #storedWaves = new Map<
-    number,
-    { readonly begun: readonly string[]; readonly completed: boolean }
-  >();
+  readonly #storedWaves = new Map<number, StoredWave>();
   readonly #countInputs = new CountInputs();
   /** Whether this member held the leader lease when the latest event was handled. */
   #leading = true;
@@ -172,7 +171,8 @@
 
   /** Takes the figures of this owner's load since the last call. */
   takeLoad(): LogFields {
-    return { ...this.#load.take(), progress: this.#writer.backlog };
+    const { awaitedExecutors } = this.#decider;
+    return { ...this.#load.take(), progress: this.#writer.backlog, awaitedExecutors };
   }
 
   /** Loads progress and waves from the store, then starts to watch jobs and to make decisions. */
@@ -285,8 +285,7 @@
     if (table === 'progress') {
       this.#storedProgress.set(name, value as unknown as JobProgress);
     } else {
-      const wave = value as { begun: readonly string[]; completed: boolean };
-      this.#storedWaves.set(Number(name), wave);
+      this.#storedWaves.set(Number(name), value as unknown as StoredWave);
     }
   }
 
