Merge recovery by instances that have ended, with the number of awaited executors

Two changes let recovery end without executors that ended with their instance. They are one rule now: the first list of switched-on instances tells which executors may have runs of earlier owners; an inherited, registered executor that is missing from a list in which some instance names no executor must also have left a call unanswered.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -123,6 +123,11 @@
     return this.#maintenance.waiting;
   }
 
+  /** Number of executors whose runs under earlier owners are not known, so that tasks wait. */
+  get awaitedExecutors(): number {
+    return this.#recovery.awaitedExecutors(this.#options.clock.now());
+  }
+
   /** Executors that may have runs and must be polled. */
   get executors(): readonly ExecutorInfo[] {
     return this.#executors.infos;
@@ -193,7 +198,7 @@
         this.#leadership.set(event.held);
         return [];
       case 'instances':
-        this.#recovery.instancesListed(event.instances);
+        this.#recovery.instancesListed(event.instances.filter((one) => !this.#isStandby(one.pool)));
         this.#resolveOrders(event.instances, event.requestedAt);
         this.#maintenance.setInstances(event.instances, event.requestedAt);
         this.#lender.setInstances(event.instances, event.requestedAt);
@@ -229,6 +234,10 @@
     }
   }
 
+  #isStandby(pool: PoolName): boolean {
+    return this.#config.pools.get(pool)?.standby === true;
+  }
+
   /** Whether a listed executor was shut down with its instance; the list lags behind. */
   #isRetired({ id, startedWallMs }: ExecutorInfo): boolean {
     return this.#retired.get(id) === startedWallMs;
--- a/packages/core/src/jobs/recovery.ts
+++ b/packages/core/src/jobs/recovery.ts
@@ -13,26 +13,32 @@
   readonly inheritedExecutors?: readonly ExecutorId[];
 }
 
+/** What the first list of instances tells about executors. */
+interface FirstList {
+  /** Executors of the instances that were up or down. */
+  readonly executors: ReadonlySet<ExecutorId>;
+  /** Whether each of those instances named its executor. */
+  readonly complete: boolean;
+}
+
 /** Tracks whether all runs of earlier owners are known or have ended. */
 export class Recovery {
   readonly #options: RecoveryOptions;
   readonly #executors: ExecutorTable;
+  readonly #inherited: ReadonlySet<ExecutorId>;
   #listed = false;
-  /**
-   * Executors of the instances as this owner first listed them. Any other executor had ended before
-   * that list or began after it, so it has no runs of earlier owners.
-   */
-  #eligible: ReadonlySet<ExecutorId> | undefined;
+  #firstList: FirstList | undefined;
   #complete = false;
 
   constructor(options: RecoveryOptions, executors: ExecutorTable) {
     this.#options = options;
     this.#executors = executors;
+    this.#inherited = new Set(options.inheritedExecutors);
   }
 
   /** Executors that are not known to have been free of an earlier owner's runs. */
   get inheritedExecutors(): readonly ExecutorId[] {
-    return this.#complete ? [] : (this.#options.inheritedExecutors ?? []);
+    return this.#complete ? [] : [...this.#inherited];
   }
 
   /** The platform's list of executors is known. */
@@ -40,11 +46,17 @@
     this.#listed = true;
   }
 
-  /** The platform's list of instances is known, as requested by this owner. */
+  /**
+   * Takes a list of the instances that are switched on, which this owner has requested. Only the
+   * first one counts, and an empty one tells nothing.
+   */
   instancesListed(instances: readonly PoolInstance[]): void {
-    if (this.#eligible === undefined && instances.length > 0) {
-      const ids = instances.map(({ executor }) => executor);
-      this.#eligible = new Set(ids.filter((id) => id !== undefined));
+    if (this.#firstList === undefined && instances.length > 0) {
+      const alive = instances.filter(({ state }) => state === 'up' || state === 'down');
+      this.#firstList = {
+        executors: new Set(alive.flatMap(({ executor }) => executor ?? [])),
+        complete: alive.every(({ executor }) => executor !== undefined),
+      };
     }
   }
 
@@ -53,14 +65,42 @@
     if (this.#complete || now >= this.#options.recoveryEndsAt) {
       return false;
     }
-    // An executor that the platform no longer lists in the store may still have runs.
-    const inherited = this.#options.inheritedExecutors ?? [];
+    return !this.#listed || this.#awaited().length > 0;
+  }
+
+  /** Number of executors that adopted tasks wait for. */
+  awaitedExecutors(now: Millis): number {
+    return this.isPending(now) ? this.#awaited().length : 0;
+  }
+
+  /** An executor that the platform no longer lists in the store may still have runs. */
+  #awaited(): readonly ExecutorId[] {
     const known = this.#executors.infos.map(({ id }) => id);
-    return !this.#listed || [...inherited, ...known].some((id) => this.#mayHaveUnknownRuns(id));
+    return [...new Set([...this.#inherited, ...known])].filter((id) =>
+      this.#mayHaveUnknownRuns(id),
+    );
   }
 
   #mayHaveUnknownRuns(id: ExecutorId): boolean {
-    return this.#executors.get(id)?.hasReported !== true && this.#eligible?.has(id) !== false;
+    return this.#executors.get(id)?.hasReported !== true && !this.#hasEnded(id);
+  }
+
+  /**
+   * Whether an executor had ended before the first list of instances, or began after it: in either
+   * case it has no runs of earlier owners. An instance of the list without an executor may still
+   * have one that is registered and has not failed to answer.
+   */
+  #hasEnded(id: ExecutorId): boolean {
+    if (this.#firstList === undefined || this.#firstList.executors.has(id)) {
+      return false;
+    }
+    const state = this.#executors.get(id);
+    return (
+      this.#firstList.complete ||
+      !this.#inherited.has(id) ||
+      state?.listed !== true ||
+      state.lastUnansweredAt > -Infinity
+    );
   }
 
   /** Completes the recovery if it is over. Returns true once. */
