fix(jobs): a start right after the first report of an executor finds its lease

Callers saw: jobs that start half a second late on executors that have just joined, after moves, maintenance and takeovers. Cause: the first poll tells the executor's clock, and only the second one can request a lease. A start that followed the first report was in time only by the order of microtasks; the pause of lapsed leaders added one await between the two polls, so the start was not sent, and its executor backed off. Change: no await while the owner may act, and a start waits for the next turn of the event loop, once, while no lease has been requested. The new case of executor-link fails on the code before and passes with it.

--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -62,6 +62,10 @@
   #leaseEndsAt: Millis;
   readonly #pause: WakeablePause;
   #unacknowledgedPauseMs = MIN_UNACKNOWLEDGED_PAUSE_MS;
+  /** Whether a poll has been answered, which tells the executor's clock. */
+  #clockKnown = false;
+  /** Whether a poll has requested a lease, which is a time on the executor's clock. */
+  #leaseRequested = false;
   /** Whether a poll that was asked for by `#pollSoon` is under way. */
   #extraPolling = false;
   /** Whether another such poll was asked for after that one was sent. */
@@ -120,7 +124,7 @@
     // The first poll returns at once: it reads the executor's clock, which a lease needs.
     let answered = await this.#poll(0);
     while (!this.signal.aborted) {
-      const resumed = await this.#awaitLeadership();
+      const resumed = !this.#options.mayAct() && (await this.#awaitLeadership());
       const waitMs = answered && !resumed && this.#allAcknowledged ? POLL_WAIT_MS : 0;
       answered = await this.#poll(waitMs, answered);
       if (!answered) {
@@ -172,6 +176,7 @@
     const extending = extend && mayAct();
     const acknowledgedThrough = this.#acknowledgedThrough;
     if (extending) {
+      this.#leaseRequested ||= this.#clockKnown;
       const endsAt = sentAt + leaseMs * MAX_CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
       const expiresDuringPoll = this.#leaseEndsAt - sentAt < MAX_POLL_MS;
       this.#leaseEndsAt = Math.max(this.#leaseEndsAt, endsAt);
@@ -199,6 +204,7 @@
 
   #onReport(answer: Extract<PollResponse, { type: 'report' }>, sentAt: Millis): void {
     const { info, owner } = this.#options;
+    this.#clockKnown = true;
     if (answer.startedWallMs !== this.#startedWallMs) {
       this.log.info('executor has restarted', { executor: info.id, born: answer.startedWallMs });
       this.#startedWallMs = answer.startedWallMs;
@@ -222,6 +228,10 @@
 
   async #start(order: StartOrder): Promise<void> {
     const { client, info, mayAct, owner } = this.#options;
+    if (!this.#leaseRequested) {
+      // A start may follow the first report before the next poll, which requests a lease, is sent.
+      await sleep(0, this.signal);
+    }
     const outcome = mayAct() ? await client.start(order, this.signal) : 'not-sent';
     const { task, attempt } = order;
     if (outcome !== 'started') {
--- a/packages/daemon/test/executor-link.test.ts
+++ b/packages/daemon/test/executor-link.test.ts
@@ -48,7 +48,12 @@
   controller.abort();
 });
 
-function openLink(executor: ScriptedExecutor, clock: Clock = new SystemClock()): ExecutorLink {
+function openLink(
+  executor: ScriptedExecutor,
+  clock: Clock = new SystemClock(),
+  client: ExecutorClient = executor.client,
+  onEvent: (event: JobEvent) => void = () => undefined,
+): ExecutorLink {
   const link = new ExecutorLink(
     {
       info: {
@@ -62,13 +67,14 @@
         capacity: { processors: 1, memoryMb: 1, accelerators: 0 },
         draining: false,
       },
-      client: executor.client,
+      client,
       clock,
       leaseMs: LEASE_MS,
       mayAct: () => true,
       owner: {
         post: (event) => {
           events.push(event);
+          onEvent(event);
           return true;
         },
       },
@@ -107,6 +113,26 @@
   expect(last?.type === 'lease' && last.leaseEndsAt >= clock.now() + LEASE_MS).toBe(true);
 });
 
+test('a start that follows the first report at once finds no lease and is not sent', async () => {
+  const executor = new ScriptedExecutor();
+  const pollsAtStart: number[] = [];
+  const start = (): Promise<'started'> => {
+    pollsAtStart.push(executor.polls.length);
+    return Promise.resolve('started');
+  };
+  const order = { task: TASK, attempt: 1, payload: '', checkpoint: '' };
+  const link = openLink(executor, new SystemClock(), { ...executor.client, start }, (event) => {
+    if (event.type === 'report' && pollsAtStart.length === 0) {
+      link.post({ type: 'start', order });
+    }
+  });
+  // The first poll reads the executor's clock; only the second one can extend the lease.
+  (await executor.waitForPoll(1))(REPORT);
+  await executor.waitForPoll(2);
+  await elapse(20);
+  expect(pollsAtStart).toEqual([2]);
+});
+
 test('an executor lists the same ended runs five times a second while the store is slow', async () => {
   const executor = new ScriptedExecutor();
   openLink(executor);
