fix(jobs): a new leader extends leases before it has read the jobs

Cause: an owner read progress and then all jobs before it listed the executors, and only their polls extend leases.

Change: the owner watches the executors from its election. ReportGate holds the latest report of each executor back until the jobs are loaded and passes only its lease on, so no run is judged and no end acknowledged before. As the new owner now extends leases of runs that it does not know, the end of recovery by time must not count for executors whose lease it has extended: "a task is started twice whose lease the new owner extends before it knows the job" fails without that (TakeoverRecovery, taken out of the decider). Recovery is not over, either, before the executors were listed. A lease end never decreases, as a held report carries an older one. Ticks begin with the jobs, so that nothing is maintained or moved before.

The line "first decision" has the times from the election to the first extended lease, to the loaded jobs and to the first decision. Reading of progress and waves is now in StoredProgress.

--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -73,16 +73,6 @@
     return (this.#infos ??= [...this.#states.values()].map(({ info }) => info));
   }
 
-  /** Whether any executor has not reported yet. */
-  get someUnreported(): boolean {
-    for (const { hasReported } of this.#states.values()) {
-      if (!hasReported) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   ofPool(pool: PoolName): readonly ExecutorState[] {
     const ids = this.#idsByPool.get(pool) ?? this.#findIds(pool);
     return ids.map((id) => this.#states.get(id)).filter((state) => state !== undefined);
@@ -129,7 +119,7 @@
     }
   }
 
-  /** Updates what a poll of the executor shows or changes. */
+  /** Updates what a poll of the executor shows or changes. A lease is never shortened. */
   updateContact(
     id: ExecutorId,
     change: Partial<Pick<ExecutorState, ContactField>>,
@@ -139,7 +129,8 @@
     if (state === undefined) {
       return;
     }
-    const updated = { ...state, ...change };
+    const leaseEndsAt = Math.max(state.leaseEndsAt, change.leaseEndsAt ?? -Infinity);
+    const updated = { ...state, ...change, leaseEndsAt };
     this.#states.set(id, updated);
     if (!this.isSchedulable(state, now) && this.isSchedulable(updated, now)) {
       this.#agenda.mark(state.info.pool);
--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -13,3 +13,4 @@
   type JobOrdering,
 } from './ordering.js';
 export { TaskDurations } from './task-durations.js';
+export type { TakeoverRecoveryOptions } from './takeover-recovery.js';
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -19,18 +19,12 @@
 import { Scheduler } from './scheduler.js';
 import { ProcessPauseDetector } from './process-pause-detector.js';
 import { TaskDurations } from './task-durations.js';
+import { TakeoverRecovery, type TakeoverRecoveryOptions } from './takeover-recovery.js';
 
-export interface JobDeciderOptions {
+export interface JobDeciderOptions extends TakeoverRecoveryOptions {
   readonly clock: Clock;
   /** Lowest attempt number that this owner uses. */
   readonly firstAttempt: number;
-  /**
-   * Monotonic time until which an executor that has not reported may still run tasks of an earlier
-   * owner.
-   */
-  readonly recoveryEndsAt: Millis;
-  /** Executors on which an earlier owner may have started tasks. */
-  readonly inheritedExecutors?: readonly ExecutorId[];
   /** Number of instances of each pool as the first owner saw it, before any was lent. */
   readonly poolSizes?: ReadonlyMap<PoolName, number>;
   /** Monotonic time from which orders to instances may be sent. */
@@ -66,8 +60,8 @@
   /** Start times of executors that were shut down with their instance. */
   readonly #retired = new Map<ExecutorId, Millis>();
   readonly #pauseDetector = new ProcessPauseDetector();
-  /** Whether all runs of earlier owners are known or have ended. */
-  #recoveryComplete = false;
+  readonly #recovery: TakeoverRecovery;
+  #holdsAdopted = true;
   /** Cancelled jobs. Kept because a cancellation may arrive before its job. */
   readonly #cancelled = new Set<JobId>();
   /** Sequence number through which ended runs are to be acknowledged, by executor. */
@@ -77,6 +71,7 @@
     this.#options = options;
     this.#jobs = new JobTable(options, this.#agenda);
     this.#executors = new ExecutorTable(this.#runs, this.#agenda);
+    this.#recovery = new TakeoverRecovery(options, this.#executors);
     const parts = {
       jobs: this.#jobs,
       runs: this.#runs,
@@ -115,8 +110,7 @@
   /** Executors that may have runs, to hand over to the next owner. */
   get executorIds(): readonly ExecutorId[] {
     const known = this.#executors.infos.map(({ id }) => id);
-    const inherited = this.#recoveryComplete ? [] : (this.#options.inheritedExecutors ?? []);
-    return [...new Set([...known, ...inherited])];
+    return [...new Set([...known, ...this.#recovery.inherited])];
   }
 
   /** Instances that can't be maintained yet, with the reason. */
@@ -205,6 +199,7 @@
   }
 
   #setExecutors(listed: readonly ExecutorInfo[], now: Millis): void {
+    this.#recovery.onListed();
     const ids = new Set(listed.map(({ id }) => id));
     for (const info of listed.filter((one) => !this.#isRetired(one))) {
       const state = this.#executors.get(info.id);
@@ -329,7 +324,7 @@
     }
     this.#reconciler.retryStops(now);
     this.#jobs.removeEndedBefore(this.#options.clock.wall() - this.#options.endedJobRetentionMs);
-    if (this.#isRecovering(now)) {
+    if (this.#recovery.isRecovering(now)) {
       return [];
     }
     const maintained = this.#maintenance.plan(now);
@@ -349,9 +344,9 @@
   }
 
   #schedule(now: Millis): readonly JobDecision[] {
-    const holdAdopted = this.#isRecovering(now);
-    if (!holdAdopted && !this.#recoveryComplete) {
-      this.#recoveryComplete = true;
+    const holdAdopted = this.#recovery.isRecovering(now);
+    if (!holdAdopted && this.#holdsAdopted) {
+      this.#holdsAdopted = false;
       this.#jobs.clearAdopted();
       this.#agenda.markAll();
     }
@@ -361,19 +356,6 @@
       .flatMap((pool) => this.#scheduler.schedule(pool, limits, now));
   }
 
-  /** Whether executors that have not reported yet may still run tasks of an earlier owner. */
-  #isRecovering(now: Millis): boolean {
-    if (this.#recoveryComplete || now >= this.#options.recoveryEndsAt) {
-      return false;
-    }
-    // An executor that the platform no longer lists may still have runs.
-    const inherited = this.#options.inheritedExecutors ?? [];
-    return (
-      inherited.some((id) => this.#executors.get(id)?.hasReported !== true) ||
-      this.#executors.someUnreported
-    );
-  }
-
   #progressWrites(changed: ReadonlySet<JobId>): readonly JobDecision[] {
     return [...changed].flatMap((id) => {
       const job = this.#jobs.get(id);
--- a/packages/core/test/jobs-decider.test.ts
+++ b/packages/core/test/jobs-decider.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals';
 import fc from 'fast-check';
 import type { JobDecider } from '../src/index.js';
-import { ManualClock, type JobEvent, type EndedRun } from '../src/index.js';
+import { ManualClock, type JobEvent, type EndedRun, type ReportedRun } from '../src/index.js';
 import { executor, job, POLICY, step, newDecider } from './support/job-fixtures.js';
 import { JobWorld } from './support/job-world.js';
 
@@ -188,6 +188,34 @@
         .filter(({ type }) => type === 'start').length;
     expect([starts(1_100), starts(5_900), starts(6_000)]).toEqual([0, 0, 1]);
   });
+
+  test('a task is started twice whose lease the new owner extends before it knows the job', () => {
+    const clock = new ManualClock(1_000);
+    const decider = newDecider(clock, {
+      firstAttempt: 1_001,
+      recoveryEndsAt: 6_000,
+      inheritedExecutors: ['e1', 'e2'],
+    });
+    const task = { jobId: 'a', occurrence: 0, step: 0, index: 0 };
+    const run = { task, attempt: 3, checkpoint: '', percent: 100, gauge: 0 };
+    const look = (id: string, running: readonly ReportedRun[]): JobEvent => ({
+      type: 'report',
+      leaseEndsAt: 11_000,
+      report: { executor: id, startedWallMs: 1, sentAt: 6_050, running, ended: [] },
+    });
+    const infos = [executor('e1'), executor('e2')];
+    decider.handle({ type: 'executors', executors: infos }, 1_000);
+    for (const id of ['e1', 'e2']) {
+      decider.handle({ type: 'lease', executor: id, leaseEndsAt: 11_000 }, 5_900);
+    }
+    const jobs = [{ accepted: job('a', [step({ lasting: true })]) }];
+    const decisions = [
+      ...decider.handle({ type: 'jobs', jobs, adopted: true }, 6_100),
+      ...decider.handle(look('e2', []), 6_100),
+      ...decider.handle(look('e1', [run]), 6_100),
+    ];
+    expect(decisions).toEqual([]);
+  });
 });
 
 const action = fc.record({
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -4,15 +4,12 @@
   type Clock,
   type JobDecision,
   type JobEvent,
-  type JobProgress,
-  type MaintenanceWave,
   type Millis,
 } from '@turmerichoist/core';
 import {
   CELL_OWNER_KEY,
   watchTable,
   type ChangeFeed,
-  type JsonValue,
   type LeaderTerm,
   type RowChange,
   type TableStore,
@@ -34,6 +31,9 @@
 import type { ExecutorConnector, InstanceFleet, OperatorView, RowCodec } from './ports.js';
 import type { PendingAcknowledgement } from './progress-queue.js';
 import { ProgressWriter } from './progress-writer.js';
+import { ReportGate } from './report-gate.js';
+import { StoredProgress } from './stored-progress.js';
+import { TakeoverTimes } from './takeover-times.js';
 import { WaveStatusWriter } from './wave-status-writer.js';
 
 const TICK_MS: Millis = 100;
@@ -93,15 +93,11 @@
   /** Monotonic time from which orders to instances may be sent. */
   readonly #ordersAllowedAt: Millis;
   readonly #registry: ExecutorRegistry;
-  readonly #storedProgress = new Map<string, JobProgress>();
-  readonly #storedWaves = new Map<
-    number,
-    { readonly begun: readonly string[]; readonly completed: boolean }
-  >();
+  readonly #stored: StoredProgress;
+  readonly #reportGate = new ReportGate();
+  readonly #takeoverTimes: TakeoverTimes;
   readonly #countInputs = new CountInputs();
   #jobsLoaded = false;
-  /** Whether progress and waves have been read from the store. */
-  #restored = false;
   #view: OperatorView | undefined;
 
   constructor(options: JobOwnerOptions, context: ActorContext) {
@@ -110,6 +106,8 @@
     this.#registry = new ExecutorRegistry(options.rowCodec);
     const { clock, term, orderHandoverMs } = options;
     this.#load = new OwnerLoad(clock);
+    this.#takeoverTimes = new TakeoverTimes(clock);
+    this.#stored = new StoredProgress(this.log);
     const now = clock.now();
     const first = term.generation === 0;
     // Orders of an earlier process of this member have the same holder: no handover time.
@@ -173,20 +171,18 @@
     return { ...this.#load.take(), progress: this.#writer.backlog };
   }
 
-  /** Loads progress and waves from the store, then starts to watch jobs and to make decisions. */
+  /**
+   * Polls the executors, so that leases are extended at once, and loads progress, waves and jobs.
+   * Decisions begin when the jobs are loaded.
+   */
   async start(view: OperatorView): Promise<void> {
     const { cell, intake, term } = this.#options;
     const startedAt = this.#options.clock.now();
-    for (const table of ['progress', 'waves']) {
-      const rows = await this.#loadTable(cell, table);
-      rows.forEach(({ key, value }) => {
-        this.#restoreRow(key, value);
-      });
-    }
+    this.#watchExecutors();
+    await this.#stored.load(cell, this.signal);
     if (this.signal.aborted) {
       return;
     }
-    this.#restored = true;
     this.setView(this.#view ?? view);
     const onJobs = (rows: readonly RowChange[], snapshot: boolean): void => {
       this.#onJobs(rows, snapshot);
@@ -195,11 +191,6 @@
       waitMs: JOBS_WAIT_MS,
       onRead: (sentAt) => this.post({ type: 'jobs-applied', sentAt }),
     });
-    every(TICK_MS, this.signal, () => {
-      this.#load.onTickQueued();
-      this.post({ type: 'tick' });
-      this.#instances.pollIfDue(this.#decider);
-    });
     this.log.info('owner started', {
       epoch: term.epoch,
       generation: term.generation,
@@ -210,7 +201,7 @@
   /** Applies the operators' requests, or defers them until the stored rows are loaded. */
   setView(view: OperatorView): void {
     this.#view = view;
-    if (!this.#restored) {
+    if (!this.#stored.loaded) {
       return;
     }
     const { config, zonesOut, waves } = view;
@@ -219,7 +210,7 @@
       this.post({ type: 'config-applied', revision: config.revision });
     }
     this.post({ type: 'zones-out', zones: zonesOut });
-    this.post({ type: 'waves', waves: waves.map((wave) => this.#withStoredStatus(wave)) });
+    this.post({ type: 'waves', waves: waves.map((wave) => this.#stored.withStatus(wave)) });
   }
 
   protected receive(event: JobEvent | CountInput): void {
@@ -228,45 +219,26 @@
       return;
     }
     this.#load.onEvent(event);
+    this.#takeoverTimes.onEvent(event);
+    this.#reportGate.admit(event).forEach((admitted) => {
+      this.#decide(admitted);
+    });
+  }
+
+  #decide(event: JobEvent): void {
     const decisions = this.#decider.handle(event, this.#options.clock.now());
     if (event.type === 'executors' || event.type === 'tick') {
       this.#links.sync(this.#decider.executors);
     }
+    const times = decisions.length > 0 ? this.#takeoverTimes.onDecided() : undefined;
+    if (times !== undefined) {
+      this.log.info('first decision', { epoch: this.#options.term.epoch, ...times });
+    }
     decisions.forEach((decision) => {
       this.#execute(decision);
     });
   }
 
-  #withStoredStatus(wave: OperatorView['waves'][number]): MaintenanceWave {
-    const stored = this.#storedWaves.get(wave.number);
-    return {
-      ...wave,
-      begun: stored?.begun ?? [],
-      completed: stored?.completed ?? false,
-    };
-  }
-
-  async #loadTable(store: ChangeFeed, table: string): Promise<readonly RowChange[]> {
-    while (!this.signal.aborted) {
-      const read = await store.snapshot(table, this.signal);
-      if (read.isOk()) {
-        return read.value.rows;
-      }
-      this.log.warn('failed to load table, retrying', { table, error: read.error.kind });
-    }
-    return [];
-  }
-
-  #restoreRow(key: string, value: JsonValue | undefined): void {
-    const [table, name = ''] = key.split('/');
-    if (table === 'progress') {
-      this.#storedProgress.set(name, value as unknown as JobProgress);
-    } else {
-      const wave = value as { begun: readonly string[]; completed: boolean };
-      this.#storedWaves.set(Number(name), wave);
-    }
-  }
-
   #watchTable(
     feed: ChangeFeed,
     table: string,
@@ -295,7 +267,7 @@
       if (accepted === undefined) {
         return [];
       }
-      const progress = this.#storedProgress.get(accepted.id);
+      const progress = this.#stored.ofJob(accepted.id);
       return [{ accepted, ...(progress === undefined ? {} : { progress }) }];
     });
     const first = snapshot && !this.#jobsLoaded;
@@ -306,25 +278,33 @@
       this.log.error('jobs not taken in, too many events are waiting', { jobs: jobs.length });
     }
     if (first) {
-      const { intake, shared, rowCodec } = this.#options;
-      this.#watchTable(intake, 'cancels', JOBS_PAUSE_MS, (changes) => {
+      this.#watchTable(this.#options.intake, 'cancels', JOBS_PAUSE_MS, (changes) => {
         const ids = changes.map(({ key }) => key.slice(key.indexOf('/') + 1));
         this.post({ type: 'cancelled', ids });
       });
-      this.#watchTable(
-        shared,
-        rowCodec.executorTable,
-        EXECUTORS_PAUSE_MS,
-        (changes, isSnapshot) => {
-          const executors = this.#registry.apply(changes, isSnapshot);
-          if (executors !== undefined) {
-            this.post({ type: 'executors', executors });
-          }
-        },
-      );
+      this.#startTicks();
     }
   }
 
+  #startTicks(): void {
+    every(TICK_MS, this.signal, () => {
+      this.#load.onTickQueued();
+      this.post({ type: 'tick' });
+      this.#instances.pollIfDue(this.#decider);
+    });
+  }
+
+  #watchExecutors(): void {
+    const { shared, rowCodec } = this.#options;
+    const onChanges = (changes: readonly RowChange[], snapshot: boolean): void => {
+      const executors = this.#registry.apply(changes, snapshot);
+      if (executors !== undefined) {
+        this.post({ type: 'executors', executors });
+      }
+    };
+    this.#watchTable(shared, rowCodec.executorTable, EXECUTORS_PAUSE_MS, onChanges);
+  }
+
   #execute(decision: JobDecision): void {
     const { metrics } = this.#options;
     metrics.count(`owner.${decision.type}`);
--- /dev/null
+++ b/packages/daemon/src/jobs/stored-progress.ts
@@ -0,0 +1,62 @@
+import type { JobId, JobProgress, MaintenanceWave } from '@turmerichoist/core';
+import type { ChangeFeed, RowChange } from '@turmerichoist/coordination';
+import type { Logger } from '@turmerichoist/runtime';
+import type { OperatorView } from './ports.js';
+
+interface StoredWave {
+  readonly begun: readonly string[];
+  readonly completed: boolean;
+}
+
+/** The progress of jobs and waves that earlier owners have stored. */
+export class StoredProgress {
+  readonly #jobs = new Map<JobId, JobProgress>();
+  readonly #waves = new Map<number, StoredWave>();
+  readonly #log: Logger;
+  #loaded = false;
+
+  constructor(log: Logger) {
+    this.#log = log;
+  }
+
+  /** Whether all of it has been read from the store. */
+  get loaded(): boolean {
+    return this.#loaded;
+  }
+
+  /** Reads all rows, and tries again until it succeeds or the signal is aborted. */
+  async load(cell: ChangeFeed, signal: AbortSignal): Promise<void> {
+    for (const { key, value } of await this.#read(cell, 'progress', signal)) {
+      this.#jobs.set(nameOf(key), value as unknown as JobProgress);
+    }
+    for (const { key, value } of await this.#read(cell, 'waves', signal)) {
+      this.#waves.set(Number(nameOf(key)), value as unknown as StoredWave);
+    }
+    this.#loaded = !signal.aborted;
+  }
+
+  ofJob(id: JobId): JobProgress | undefined {
+    return this.#jobs.get(id);
+  }
+
+  /** Adds to a requested wave what has been stored of it. */
+  withStatus(wave: OperatorView['waves'][number]): MaintenanceWave {
+    return { ...wave, ...(this.#waves.get(wave.number) ?? { begun: [], completed: false }) };
+  }
+
+  async #read(cell: ChangeFeed, table: string, signal: AbortSignal): Promise<readonly RowChange[]> {
+    while (!signal.aborted) {
+      const read = await cell.snapshot(table, signal);
+      if (read.isOk()) {
+        return read.value.rows;
+      }
+      this.#log.warn('failed to load table, retrying', { table, error: read.error.kind });
+    }
+    return [];
+  }
+}
+
+/** Name of a row without its table. */
+function nameOf(key: string): string {
+  return key.slice(key.indexOf('/') + 1);
+}
--- a/packages/daemon/test/support/job-cell-fixture.ts
+++ b/packages/daemon/test/support/job-cell-fixture.ts
@@ -1,7 +1,14 @@
 import { StoreCallStats } from '@turmerichoist/coordination';
-import { Ok, SeededRandom, type JobConfig, type JobSpec } from '@turmerichoist/core';
+import {
+  Ok,
+  SeededRandom,
+  type ExecutorInfo,
+  type JobConfig,
+  type JobSpec,
+} from '@turmerichoist/core';
 import { NoMetrics, SystemClock, silentLogger } from '@turmerichoist/runtime';
 import { JobCell } from '../../src/jobs/job-cell.js';
+import type { ExecutorConnector } from '../../src/jobs/ports.js';
 import type { PartedTables } from './parted-tables.js';
 
 export const JOB_POLICY = {
@@ -49,8 +56,19 @@
 
 let ids = 0;
 
-/** Starts a member of a cell without executors and instances, until `signal` aborts. */
-export function startMember(member: string, tables: PartedTables, signal: AbortSignal): JobCell {
+const NO_EXECUTORS: ExecutorConnector = {
+  connect: () => {
+    throw new Error('there are no executors');
+  },
+};
+
+/** Starts a member of a cell without instances, until `signal` aborts. */
+export function startMember(
+  member: string,
+  tables: PartedTables,
+  signal: AbortSignal,
+  connector: ExecutorConnector = NO_EXECUTORS,
+): JobCell {
   const cell = new JobCell(
     {
       member,
@@ -62,15 +80,11 @@
       shared: tables.open(''),
       callerTables: { cell: tables.open('c0'), openIntake: (part) => tables.open(part) },
       openIntakeFeed: (parts) => tables.feed(parts),
-      connector: {
-        connect: () => {
-          throw new Error('there are no executors');
-        },
-      },
+      connector,
       fleet: { list: () => Promise.resolve(Ok([])), order: () => Promise.resolve('busy') },
       rowCodec: {
         executorTable: 'servers',
-        executor: () => undefined,
+        executor: ({ value }) => value as unknown as ExecutorInfo,
         waveStatus: (wave, state) => ({ key: `status/${wave}`, value: { state } }),
       },
       clock: new SystemClock(),
--- a/packages/daemon/test/support/parted-tables.ts
+++ b/packages/daemon/test/support/parted-tables.ts
@@ -23,6 +23,8 @@
   readonly commits: { readonly part: string; readonly txn: Transaction }[] = [];
   /** Table of which no changes and no snapshots can be read. */
   unreadable: string | undefined;
+  /** Time that a snapshot takes, by table. */
+  readonly snapshotDelaysMs = new Map<string, Millis>();
   readonly #stores = new Map<string, MemoryTableStore>();
   readonly #changes: LoggedChange[] = [];
 
@@ -46,6 +48,7 @@
   feed(parts: readonly string[]): ChangeFeed {
     return {
       snapshot: async (table, signal) => {
+        await sleep(this.snapshotDelaysMs.get(table) ?? 0, signal);
         if (table === this.unreadable) {
           await sleep(FEED_CHECK_MS, signal);
           return fail('store-unavailable');
