--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -119,7 +119,7 @@
     }
   }
 
-  /** Updates what a poll of the executor shows or changes. */
+  /** Updates what a poll of the executor shows or changes. A lease is never shortened. */
   updateContact(
     id: ExecutorId,
     change: Partial<Pick<ExecutorState, ContactField>>,
@@ -129,7 +129,8 @@
     if (state === undefined) {
       return;
     }
-    const updated = { ...state, ...change };
+    const leaseEndsAt = Math.max(state.leaseEndsAt, change.leaseEndsAt ?? -Infinity);
+    const updated = { ...state, ...change, leaseEndsAt };
     this.#states.set(id, updated);
     if (!this.isSchedulable(state, now) && this.isSchedulable(updated, now)) {
       this.#agenda.mark(state.info.pool);
--- a/packages/core/src/jobs/recovery.ts
+++ b/packages/core/src/jobs/recovery.ts
@@ -6,7 +6,7 @@
 export interface RecoveryOptions {
   /**
    * Monotonic time until which an executor that has not reported may still run tasks of an earlier
-   * owner.
+   * owner, unless this owner extends its lease.
    */
   readonly recoveryEndsAt: Millis;
   /** Executors on which an earlier owner may have started tasks. */
@@ -62,27 +62,33 @@
 
   /** Whether executors that have not reported yet may still run tasks of an earlier owner. */
   isPending(now: Millis): boolean {
-    if (this.#complete || now >= this.#options.recoveryEndsAt) {
-      return false;
-    }
-    return !this.#listed || this.#awaited().length > 0;
+    return !this.#complete && (this.#isListMissing(now) || this.#awaited(now).length > 0);
   }
 
   /** Number of executors that adopted tasks wait for. */
   awaitedExecutors(now: Millis): number {
-    return this.isPending(now) ? this.#awaited().length : 0;
+    return this.isPending(now) ? this.#awaited(now).length : 0;
   }
 
   /** An executor that the platform no longer lists in the store may still have runs. */
-  #awaited(): readonly ExecutorId[] {
+  #awaited(now: Millis): readonly ExecutorId[] {
     const known = this.#executors.infos.map(({ id }) => id);
     return [...new Set([...this.#inherited, ...known])].filter((id) =>
-      this.#mayHaveUnknownRuns(id),
+      this.#mayHaveUnknownRuns(id, now),
     );
   }
 
-  #mayHaveUnknownRuns(id: ExecutorId): boolean {
-    return this.#executors.get(id)?.hasReported !== true && !this.#hasEnded(id);
+  #isListMissing(now: Millis): boolean {
+    return !this.#listed && now < this.#options.recoveryEndsAt;
+  }
+
+  #mayHaveUnknownRuns(id: ExecutorId, now: Millis): boolean {
+    const state = this.#executors.get(id);
+    if (state?.hasReported === true || this.#hasEnded(id)) {
+      return false;
+    }
+    // A lease that this owner has extended keeps the runs of earlier owners going.
+    return now < this.#options.recoveryEndsAt || (state?.leaseEndsAt ?? -Infinity) > now;
   }
 
   /**
