fix(jobs): callers keep their tries while the store is away for all

What callers saw: while the store answered no entry at all, each entry refused a submission at once and sent the caller elsewhere at once, so that all five tries of the caller were used up within a second, before the store was back.

Cause: an entry does not know whether others reach the store, and advised every caller as if they did.

With the later advice set to 0, the test on used tries in silent-store fails.

Change: RetryAdvice tells a caller that has all its time Retry-After 0. One that has used part of it, as its X-Deadline-Ms tells, was turned away before and is told 1 s. The advice holds for reads and cancellations as well.

--- a/packages/daemon/src/jobs/acceptor.ts
+++ b/packages/daemon/src/jobs/acceptor.ts
@@ -19,9 +19,6 @@
 /** Upper bound of the delay before any retry, well below the time for which callers wait. */
 const RETRY_CAP_MS: Millis = 200;
 
-/** Another member can serve the caller at once. */
-export const RETRY_ELSEWHERE_MS: Millis = 100;
-
 export type AcceptMessage =
   | { readonly type: 'accept'; readonly submission: Submission }
   /** The deadline of a submission has passed without a result. */
@@ -136,10 +133,7 @@
     const unsent = this.#waiting.filter((submission) => !maybeWritten(submission));
     this.#waiting = this.#waiting.filter(maybeWritten);
     unsent.forEach((submission) => {
-      this.#answer(
-        submission,
-        fail('store-unavailable', 'the store does not answer', RETRY_ELSEWHERE_MS),
-      );
+      this.#answer(submission, fail('store-unavailable', 'the store does not answer'));
     });
   }
 
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -23,9 +23,9 @@
   type Logger,
   type Metrics,
 } from '@turmerichoist/runtime';
-import { RETRY_ELSEWHERE_MS } from './acceptor.js';
 import type { JobIntake } from './intake.js';
 import type { CallerTables, JobCall, JobReply } from './ports.js';
+import { RetryAdvice } from './retry-advice.js';
 import { WaitingCounts, type CountsRead } from './waiting-counts.js';
 
 const JOB_ID = /^[0-9a-f]{16}$/;
@@ -53,6 +53,11 @@
   /** Aborted while the store doesn't answer this process. */
   #contact = new AbortController();
   readonly #counts: WaitingCounts;
+  readonly #advice: Readonly<Record<JobCall['action']['type'], RetryAdvice>> = {
+    submit: new RetryAdvice(),
+    read: new RetryAdvice(),
+    cancel: new RetryAdvice(),
+  };
   /** Latest known state of jobs. A final state never changes. */
   readonly #cachedStates = new Map<JobId, JobState>();
   readonly #calls = {
@@ -125,12 +130,21 @@
     if (!JOB_ID.test(rest)) {
       return fail('bad-request', 'the job id must be 16 hexadecimal digits');
     }
+    this.#advice[call.action.type].observe(call.timeoutMs);
     const startedAt = this.#options.clock.now();
     const reply = await this.#dispatch(directory, route, team.value, rest, call);
     const elapsedMs = this.#options.clock.now() - startedAt;
     this.#options.metrics.timing(`calls.${call.action.type}`, elapsedMs);
     this.#calls[call.action.type].add(elapsedMs);
-    return reply;
+    return reply.mapErr((err) => this.#advise(err, call));
+  }
+
+  /** Tells a caller whom the store's silence kept from being served when to come back. */
+  #advise(err: AppError, { action, timeoutMs }: JobCall): AppError {
+    if (err.kind !== 'store-unavailable' || this.#isReachable()) {
+      return err;
+    }
+    return { ...err, retryAfterMs: this.#advice[action.type].retryAfterMs(timeoutMs) };
   }
 
   #dispatch(
@@ -178,11 +192,7 @@
     });
     if (stored.isErr()) {
       return stored.error.kind === 'store-unavailable'
-        ? fail(
-            'store-unavailable',
-            stored.error.detail,
-            stored.error.retryAfterMs ?? RETRY_AFTER_MS,
-          )
+        ? fail('store-unavailable', stored.error.detail, RETRY_AFTER_MS)
         : stored;
     }
     if (!this.#cachedStates.has(id)) {
@@ -239,9 +249,7 @@
 
   /** The latest known state, since the store doesn't answer; its reads change nothing. */
   #stateWithoutStore(known: JobState | undefined): Result<JobState, AppError> {
-    return known === undefined
-      ? fail('store-unavailable', 'the store does not answer', RETRY_ELSEWHERE_MS)
-      : Ok(known);
+    return known === undefined ? fail('store-unavailable', 'the store does not answer') : Ok(known);
   }
 
   async #cancel(id: JobId, timeoutMs: Millis): Promise<Result<JobReply, AppError>> {
--- /dev/null
+++ b/packages/daemon/src/jobs/retry-advice.ts
@@ -0,0 +1,28 @@
+import type { Millis } from '@turmerichoist/core';
+
+/** Share of the longest time that a caller gives a call above which it counts as a first try. */
+const FIRST_TRY_SHARE = 0.99;
+/** Another member can probably serve the caller at once. */
+const RETRY_ELSEWHERE_MS: Millis = 0;
+/** Members that the caller tried before could not serve it either, so the store is away for many. */
+const RETRY_LATER_MS: Millis = 1_000;
+
+/**
+ * Advises callers that a member turns away because the store doesn't answer it. The first try is
+ * sent elsewhere at once. A caller that has used part of its time has been turned away before;
+ * if it kept trying at once, its tries would be used up before the store is back.
+ */
+export class RetryAdvice {
+  #longestMs: Millis = 0;
+
+  /** Records the time that a caller gives a call. */
+  observe(timeoutMs: Millis): void {
+    this.#longestMs = Math.max(this.#longestMs, timeoutMs);
+  }
+
+  /** Time after which a caller that has `timeoutMs` left is to call another member. */
+  retryAfterMs(timeoutMs: Millis): Millis {
+    const firstTry = timeoutMs >= FIRST_TRY_SHARE * this.#longestMs;
+    return firstTry ? RETRY_ELSEWHERE_MS : RETRY_LATER_MS;
+  }
+}
--- a/packages/daemon/test/silent-store.test.ts
+++ b/packages/daemon/test/silent-store.test.ts
@@ -196,9 +196,14 @@
     return service;
   }
 
-  function call(service: JobService, id: string, action: JobCall['action']) {
+  function call(
+    service: JobService,
+    id: string,
+    action: JobCall['action'],
+    timeoutMs = DEADLINE_MS,
+  ) {
     const req = { host: 'jobs.example', path: `/q1/${id}`, key: undefined };
-    return timed<JobReply>(service.handle({ ...req, timeoutMs: DEADLINE_MS, action }));
+    return timed<JobReply>(service.handle({ ...req, timeoutMs, action }));
   }
 
   const submission = { type: 'submit', spec: Ok(JOB_SPEC) } as const;
@@ -242,6 +247,16 @@
     }
   });
 
+  test('a caller uses up its tries at once while the store is away for all entries', async () => {
+    const service = openService();
+    service.setReachable(false);
+    await call(service, OTHER, submission);
+    const retry = await call(service, OTHER, submission, DEADLINE_MS - 100);
+    expect(retry.result.unwrapErr().retryAfterMs).toBe(1_000);
+    const other = await call(service, JOB, submission);
+    expect(other.result.unwrapErr().retryAfterMs).toBe(0);
+  });
+
   test('reads fail after the store has come back', async () => {
     const service = openService();
     await call(service, JOB, submission);
