--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -172,11 +172,7 @@
 
   /** Takes the figures of this owner's load since the last call. */
   takeLoad(): LogFields {
-    return {
-      ...this.#load.take(),
-      progress: this.#writer.backlog,
-      pools: this.#decider.poolLoad.describe(this.#options.clock.now()),
-    };
+    return { ...this.#load.take(this.#decider.poolLoad), progress: this.#writer.backlog };
   }
 
   /** Loads progress and waves from the store, then starts to watch jobs and to make decisions. */
--- a/packages/daemon/src/jobs/owner-load.ts
+++ b/packages/daemon/src/jobs/owner-load.ts
@@ -1,4 +1,4 @@
-import type { Clock, JobEvent, Millis } from '@turmerichoist/core';
+import type { CellPoolLoadView, Clock, JobEvent, Millis } from '@turmerichoist/core';
 import { WindowStats, type LogFields } from '@turmerichoist/runtime';
 
 /** How far a leader is behind, and what it has handled, by period. */
@@ -41,7 +41,7 @@
   }
 
   /** Returns the figures since the last call. `listedEnds` counts an end each time it is listed. */
-  take(): LogFields {
+  take(pools: CellPoolLoadView): LogFields {
     const oldest = this.#queuedTicks[0];
     const fields = {
       eventDelayMs: this.#eventDelay.take(),
@@ -50,6 +50,7 @@
       jobsReadAgeMs: ageOf(this.#jobsReadAt, this.#clock),
       events: Object.fromEntries(this.#events),
       listedEnds: Object.fromEntries(this.#ends),
+      pools: pools.describe(this.#clock.now()),
     };
     this.#events.clear();
     this.#ends.clear();
