fix(jobs): the first starts on an executor find its lease extended

What callers saw: jobs late at the start of a queue's peak, although instances had been lent to its pool: each began to work 0.5 s after it had arrived.

Cause: the first poll of an executor reads its clock, and the second one extends its lease, in the turn in which the first report is posted. Since the link also asks whether the owner leads, through an asynchronous call, the starts that the owner decides from that report came before the second poll. They were not sent, and such a start backs the executor off for 500 ms.

Change: the link makes the asynchronous call only if the owner does not lead.

Test: executor-link (a start decided from the first report is not sent); it fails before the change.

--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -125,7 +125,9 @@
     // The first poll returns at once: it reads the executor's clock, which a lease needs.
     let answered = await this.#poll(0);
     while (!this.signal.aborted) {
-      const resumed = await this.#awaitLeadership();
+      // No other turn may come between the first report and the poll that extends the lease: starts
+      // that the owner decides from the report can't be sent before.
+      const resumed = this.#options.mayAct() ? false : await this.#awaitLeadership();
       const waitMs = answered && !resumed && this.#allAcknowledged ? POLL_WAIT_MS : 0;
       answered = await this.#poll(waitMs, answered);
       if (!answered) {
--- a/packages/daemon/test/executor-link.test.ts
+++ b/packages/daemon/test/executor-link.test.ts
@@ -48,7 +48,11 @@
   controller.abort();
 });
 
-function openLink(executor: ScriptedExecutor, clock: Clock = new SystemClock()): ExecutorLink {
+function openLink(
+  executor: Pick<ScriptedExecutor, 'client'>,
+  clock: Clock = new SystemClock(),
+  onEvent: (event: JobEvent) => void = () => undefined,
+): ExecutorLink {
   const link = new ExecutorLink(
     {
       info: {
@@ -69,6 +73,7 @@
       owner: {
         post: (event) => {
           events.push(event);
+          onEvent(event);
           return true;
         },
       },
@@ -107,6 +112,32 @@
   expect(last?.type === 'lease' && last.leaseEndsAt >= clock.now() + LEASE_MS).toBe(true);
 });
 
+/** An instance that was lent to a queue at its peak has just arrived. */
+test('a start decided from the first report is not sent, as the executor has no lease yet', async () => {
+  const executor = new ScriptedExecutor();
+  // The first poll reads the clock of the executor, so the second one is the first with a lease.
+  const leased = (): boolean => executor.polls.length >= 2;
+  const client: ExecutorClient = {
+    ...executor.client,
+    start: () => Promise.resolve(leased() ? 'started' : 'not-sent'),
+  };
+  const order = { task: TASK, attempt: 1, payload: '', checkpoint: '' };
+  const link = openLink({ client }, undefined, (event) => {
+    if (event.type === 'report') {
+      // An idle owner handles an event in the next microtask.
+      queueMicrotask(() => {
+        link.post({ type: 'start', order });
+      });
+    }
+  });
+  (await executor.waitForPoll(1))(REPORT);
+  await executor.waitForPoll(2);
+  await elapse(10);
+  expect(events).toContainEqual(
+    expect.objectContaining({ type: 'start-answer', outcome: 'started' }),
+  );
+});
+
 test('a restarted executor forgets an end that an acknowledgement to its former process covers', async () => {
   const executor = new ScriptedExecutor();
   const link = openLink(executor);
