--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -171,9 +171,8 @@
   /** Takes the figures of this owner's load since the last call. */
   takeLoad(): LogFields {
     return {
-      ...this.#load.take(),
+      ...this.#load.take(this.#decider.poolLoad),
       progress: this.#writer.backlog,
-      pools: this.#decider.poolLoad.describe(this.#options.clock.now()),
       awaitedExecutors: this.#decider.awaitedExecutors,
     };
   }
