perf(jobs): one scheduling round for all events that have arrived

Load pattern: an owner that is late finds the reports of many ended tasks in its queue while a pool has thousands of open jobs.

Cause: each event that made a round due ran it at once. A round looks at all open jobs of the pool, so the cost of an ended task grew with the backlog, later ends made the backlog larger, and the backlog made ends later.

Change: events only mark pools. Rounds run on the event `schedule`, which the owner queues once for all events that have arrived in this turn of the event loop, and on each tick before instances are lent. Lateness makes batches larger and adds no rounds. Whether recovery has ended is a class of its own. Tests of the decider that give single events use a decider that runs due rounds after each; the simulated cell queues rounds as the owner does. One test names the decisions of an event in order: a round's starts now come behind the acknowledgement, as the round follows the event.

The owner's test failed as no `schedule` was handled.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -13,6 +13,7 @@
 import type { ExecutorId, ExecutorInfo, ExecutorReport, JobId, SchedulingConfig } from './model.js';
 import { LeastWorkFirst, type JobOrdering } from './ordering.js';
 import { PaceController } from './pace-controller.js';
+import { Recovery, type RecoveryOptions } from './recovery.js';
 import { RunReconciler } from './run-reconciler.js';
 import { RunTable } from './run-table.js';
 import { SchedulingAgenda } from './scheduling-agenda.js';
@@ -20,17 +21,10 @@
 import { ProcessPauseDetector } from './process-pause-detector.js';
 import { TaskDurations } from './task-durations.js';
 
-export interface JobDeciderOptions {
+export interface JobDeciderOptions extends RecoveryOptions {
   readonly clock: Clock;
   /** Lowest attempt number that this owner uses. */
   readonly firstAttempt: number;
-  /**
-   * Monotonic time until which an executor that has not reported may still run tasks of an earlier
-   * owner.
-   */
-  readonly recoveryEndsAt: Millis;
-  /** Executors on which an earlier owner may have started tasks. */
-  readonly inheritedExecutors?: readonly ExecutorId[];
   /** Number of instances of each pool as the first owner saw it, before any was lent. */
   readonly poolSizes?: ReadonlyMap<PoolName, number>;
   /** Monotonic time from which orders to instances may be sent. */
@@ -66,8 +60,7 @@
   /** Start times of executors that were shut down with their instance. */
   readonly #retired = new Map<ExecutorId, Millis>();
   readonly #pauseDetector = new ProcessPauseDetector();
-  /** Whether all runs of earlier owners are known or have ended. */
-  #recoveryComplete = false;
+  readonly #recovery: Recovery;
   /** Cancelled jobs. Kept because a cancellation may arrive before its job. */
   readonly #cancelled = new Set<JobId>();
   /** Sequence number through which ended runs are to be acknowledged, by executor. */
@@ -77,6 +70,7 @@
     this.#options = options;
     this.#jobs = new JobTable(options, this.#agenda);
     this.#executors = new ExecutorTable(this.#runs, this.#agenda);
+    this.#recovery = new Recovery(options, this.#executors);
     const parts = {
       jobs: this.#jobs,
       runs: this.#runs,
@@ -115,8 +109,7 @@
   /** Executors that may have runs, to hand over to the next owner. */
   get executorIds(): readonly ExecutorId[] {
     const known = this.#executors.infos.map(({ id }) => id);
-    const inherited = this.#recoveryComplete ? [] : (this.#options.inheritedExecutors ?? []);
-    return [...new Set([...known, ...inherited])];
+    return [...new Set([...known, ...this.#recovery.inheritedExecutors])];
   }
 
   /** Instances that can't be maintained yet, with the reason. */
@@ -129,14 +122,17 @@
     return this.#executors.infos;
   }
 
+  /** Whether tasks may be able to start since the last round, so that a `schedule` event is due. */
+  needsRound(now: Millis): boolean {
+    return this.#agenda.isDue(now) || this.#recovery.hasEnded(now);
+  }
+
   handle(event: JobEvent, now: Millis): readonly JobDecision[] {
-    const extra = this.#apply(event, now);
+    const decided = this.#apply(event, now);
     const changes = this.#reconciler.drainChanges();
-    const starts = this.#schedule(now);
     return [
       ...changes.decisions,
-      ...extra,
-      ...starts,
+      ...decided,
       ...this.#progressWrites(changes.changedJobs),
       ...this.#acknowledgements(),
     ];
@@ -199,6 +195,8 @@
         return [];
       case 'order-answer':
         return this.#orderAnswered(event.order, event.outcome, now);
+      case 'schedule':
+        return this.#schedule(now);
       case 'tick':
         return this.#tick(now);
     }
@@ -329,12 +327,14 @@
     }
     this.#reconciler.retryStops(now);
     this.#jobs.removeEndedBefore(this.#options.clock.wall() - this.#options.endedJobRetentionMs);
-    if (this.#isRecovering(now)) {
-      return [];
+    // What can start now must not count as waiting when instances are lent.
+    const starts = this.#schedule(now);
+    if (!this.#recovery.complete) {
+      return starts;
     }
     const maintained = this.#maintenance.plan(now);
     const reserved = (instance: string): boolean => this.#maintenance.isReserved(instance);
-    return [...maintained, ...this.#lender.plan(this.#config.pools, reserved, now)];
+    return [...starts, ...maintained, ...this.#lender.plan(this.#config.pools, reserved, now)];
   }
 
   /** Drops the runs of an executor whose lease has ended, since it has stopped them by itself. */
@@ -348,32 +348,19 @@
     }
   }
 
+  /** Runs the rounds that are due. */
   #schedule(now: Millis): readonly JobDecision[] {
-    const holdAdopted = this.#isRecovering(now);
-    if (!holdAdopted && !this.#recoveryComplete) {
-      this.#recoveryComplete = true;
+    if (this.#recovery.takeEnd(now)) {
       this.#jobs.clearAdopted();
       this.#agenda.markAll();
     }
+    const holdAdopted = !this.#recovery.complete;
     const limits = { zonesOut: this.#zonesOut, teams: this.#config.teams, holdAdopted };
     return this.#agenda
       .takeDue(this.#jobs.pools, now)
       .flatMap((pool) => this.#scheduler.schedule(pool, limits, now));
   }
 
-  /** Whether executors that have not reported yet may still run tasks of an earlier owner. */
-  #isRecovering(now: Millis): boolean {
-    if (this.#recoveryComplete || now >= this.#options.recoveryEndsAt) {
-      return false;
-    }
-    // An executor that the platform no longer lists may still have runs.
-    const inherited = this.#options.inheritedExecutors ?? [];
-    return (
-      inherited.some((id) => this.#executors.get(id)?.hasReported !== true) ||
-      this.#executors.someUnreported
-    );
-  }
-
   #progressWrites(changed: ReadonlySet<JobId>): readonly JobDecision[] {
     return [...changed].flatMap((id) => {
       const job = this.#jobs.get(id);
--- a/packages/core/src/jobs/messages.ts
+++ b/packages/core/src/jobs/messages.ts
@@ -88,6 +88,8 @@
       readonly order: InstanceOrder;
       readonly outcome: InstanceOrderOutcome;
     }
+  /** All events that had arrived when a round became due have been handled. */
+  | { readonly type: 'schedule' }
   | { readonly type: 'tick' };
 
 export type JobDecision =
--- a/packages/core/src/jobs/scheduling-agenda.ts
+++ b/packages/core/src/jobs/scheduling-agenda.ts
@@ -43,6 +43,12 @@
     this.#heldByCap.delete(team);
   }
 
+  /** Whether a pool may need a scheduling round now. */
+  isDue(now: Millis): boolean {
+    const next = this.#wakeUps.peek();
+    return this.#allMarked || this.#marked.size > 0 || (next !== undefined && next.at <= now);
+  }
+
   /** Returns those of the pools that need a scheduling round now, and clears all marks. */
   takeDue(pools: Iterable<PoolName>, now: Millis): readonly PoolName[] {
     for (let next = this.#wakeUps.peek(); next !== undefined && next.at <= now;) {
@@ -50,7 +56,7 @@
       this.#marked.add(next.pool);
       next = this.#wakeUps.peek();
     }
-    if (!this.#allMarked && this.#marked.size === 0) {
+    if (!this.isDue(now)) {
       return [];
     }
     const due = [...pools].filter((pool) => this.#allMarked || this.#marked.has(pool));
--- a/packages/core/test/jobs-decider.test.ts
+++ b/packages/core/test/jobs-decider.test.ts
@@ -165,7 +165,7 @@
     const end = { seq: 1, task, attempt: 3, reason: 'failed', checkpoint: '' } as const;
     const report = { executor: 'e1', startedWallMs: 1, sentAt: 1_100, running: [], ended: [end] };
     const decisions = decider.handle({ type: 'report', leaseEndsAt: 9_000, report }, 1_100);
-    expect(decisions.map(({ type }) => type)).toEqual(['start', 'acknowledge']);
+    expect(decisions.map(({ type }) => type)).toEqual(['acknowledge', 'start']);
   });
 
   test('tasks of an executor that the platform no longer lists are started twice', () => {
--- a/packages/core/test/jobs-scheduling-rounds.test.ts
+++ b/packages/core/test/jobs-scheduling-rounds.test.ts
@@ -22,8 +22,8 @@
 );
 
 /**
- * Repeats the rounds of all pools after each event, as a decider would that doesn't know what has
- * changed, and records the starts that only this repetition brings.
+ * Repeats the rounds of all pools whenever none is due, as a decider would that doesn't know what
+ * has changed, and records the starts that only this repetition brings.
  */
 class CheckedWorld {
   readonly world: JobWorld;
@@ -37,8 +37,13 @@
     this.#random = new SeededRandom(seed);
     this.world = new JobWorld(INFOS, seed);
     this.world.onHandled = (decider, event) => {
+      const { now } = this.world;
+      if (decider.needsRound(now)) {
+        return;
+      }
+      decider.handle({ type: 'zones-out', zones: this.#zonesOut }, now);
       decider
-        .handle({ type: 'zones-out', zones: this.#zonesOut }, this.world.now)
+        .handle({ type: 'schedule' }, now)
         .filter(({ type }) => type === 'start')
         .forEach(() => this.lateStarts.push(`${event.type} at ${this.world.now}`));
     };
--- a/packages/core/test/support/job-fixtures.ts
+++ b/packages/core/test/support/job-fixtures.ts
@@ -4,7 +4,10 @@
   type Clock,
   type ExecutorInfo,
   type JobDeciderOptions,
+  type JobDecision,
+  type JobEvent,
   type JobId,
+  type Millis,
   type QueuePolicy,
   type StepSpec,
 } from '../../src/index.js';
@@ -66,12 +69,22 @@
   };
 }
 
+/** Runs the rounds that are due after each event, like an owner without waiting events. */
+export class PromptDecider extends JobDecider {
+  override handle(event: JobEvent, now: Millis): readonly JobDecision[] {
+    const decisions = super.handle(event, now);
+    return this.needsRound(now)
+      ? [...decisions, ...super.handle({ type: 'schedule' }, now)]
+      : decisions;
+  }
+}
+
 /** A decider for the first owner of a cell, unless `over` says otherwise. */
 export function newDecider(
   clock: Clock,
   over: Partial<Omit<JobDeciderOptions, 'clock'>> = {},
 ): JobDecider {
-  return new JobDecider({
+  return new PromptDecider({
     clock,
     firstAttempt: 1,
     recoveryEndsAt: 0,
--- a/packages/core/test/support/job-world.ts
+++ b/packages/core/test/support/job-world.ts
@@ -49,6 +49,8 @@
   readonly decider: JobDecider;
   readonly generation: number;
   live: boolean;
+  /** Whether a round waits behind the events of this instant. */
+  roundQueued: boolean;
 }
 
 /** Simulates a cell on a virtual clock: owner, executors, stored rows and the network. */
@@ -99,7 +101,7 @@
       ordersAllowedAt: this.now,
       endedJobRetentionMs: 600_000,
     });
-    const term = { decider, generation, live: true };
+    const term = { decider, generation, live: true, roundQueued: false };
     this.term = term;
     this.#acknowledged.clear();
     const jobs = [...this.jobs.values()].map((accepted) => {
@@ -174,10 +176,21 @@
       term.decider.handle(event, this.now).forEach((decision) => {
         this.#carryOut(term, decision);
       });
+      this.#queueRound(term);
       this.onHandled?.(term.decider, event);
     }
   }
 
+  #queueRound(term: Term): void {
+    if (!term.roundQueued && term.decider.needsRound(this.now)) {
+      term.roundQueued = true;
+      this.#after(0, () => {
+        term.roundQueued = false;
+        this.deliver(term, { type: 'schedule' });
+      });
+    }
+  }
+
   #deliverToCurrent(event: JobEvent): void {
     if (this.term !== undefined) {
       this.deliver(this.term, event);
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -20,6 +20,7 @@
 } from '@turmerichoist/coordination';
 import {
   Actor,
+  afterArrivedInput,
   every,
   type ActorContext,
   type LogFields,
@@ -103,6 +104,7 @@
   /** Whether progress and waves have been read from the store. */
   #restored = false;
   #view: OperatorView | undefined;
+  #roundQueued = false;
 
   constructor(options: JobOwnerOptions, context: ActorContext) {
     super('owner', context);
@@ -227,6 +229,9 @@
       this.#countInputs.apply(event);
       return;
     }
+    if (event.type === 'schedule') {
+      this.#roundQueued = false;
+    }
     this.#load.onEvent(event);
     const decisions = this.#decider.handle(event, this.#options.clock.now());
     if (event.type === 'executors' || event.type === 'tick') {
@@ -235,6 +240,18 @@
     decisions.forEach((decision) => {
       this.#execute(decision);
     });
+    this.#queueRound();
+  }
+
+  /** Queues one round behind all events that have arrived, so that its cost does not add to theirs. */
+  #queueRound(): void {
+    if (this.#roundQueued || !this.#decider.needsRound(this.#options.clock.now())) {
+      return;
+    }
+    this.#roundQueued = true;
+    afterArrivedInput(this.signal, () => {
+      this.#roundQueued = this.post({ type: 'schedule' });
+    });
   }
 
   #withStoredStatus(wave: OperatorView['waves'][number]): MaintenanceWave {
--- /dev/null
+++ b/packages/daemon/test/job-owner-rounds.test.ts
@@ -0,0 +1,99 @@
+import { afterEach, beforeEach, expect, test } from '@jest/globals';
+import { Ok, type JobEvent } from '@turmerichoist/core';
+import { NoMetrics, SystemClock, silentLogger } from '@turmerichoist/runtime';
+import { JobOwner } from '../src/jobs/job-owner.js';
+import { JOB_POLICY, JOB_SPEC } from './support/job-cell-fixture.js';
+import { PartedTables } from './support/parted-tables.js';
+
+// Each test is named after the failure that it guards against.
+
+let controller: AbortController;
+
+beforeEach(() => {
+  controller = new AbortController();
+});
+
+afterEach(() => {
+  controller.abort();
+});
+
+function newOwner(): JobOwner {
+  const tables = new PartedTables();
+  const table = tables.open('c0');
+  return new JobOwner(
+    {
+      term: { epoch: 1, generation: 0, succeedsSelf: false },
+      mayAct: () => true,
+      cell: table,
+      intake: tables.feed(['c0']),
+      progress: table,
+      waves: table,
+      shared: tables.open(''),
+      connector: {
+        connect: () => {
+          throw new Error('there are no executors');
+        },
+      },
+      fleet: { list: () => Promise.resolve(Ok([])), order: () => Promise.resolve('busy') },
+      rowCodec: {
+        executorTable: 'servers',
+        executor: () => undefined,
+        waveStatus: (wave, state) => ({ key: `status/${wave}`, value: { state } }),
+      },
+      clock: new SystemClock(),
+      metrics: new NoMetrics(),
+      newId: () => 'txn',
+      maxLeaseMs: 5_000,
+      orderHandoverMs: 1_000,
+      onSuperseded: () => undefined,
+      inheritedBulletin: { executors: [], poolSizes: {}, mayOrder: false },
+    },
+    { log: silentLogger, signal: controller.signal },
+  );
+}
+
+function jobAccepted(n: number): JobEvent {
+  const accepted = {
+    id: `j${n}`,
+    queue: 'q1',
+    team: '',
+    acceptedWallMs: 0,
+    policy: JOB_POLICY,
+    spec: JOB_SPEC,
+  };
+  return { type: 'jobs', jobs: [{ accepted }], adopted: false };
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+/** Events handled so far, by type. */
+async function handledBy(owner: JobOwner): Promise<unknown> {
+  // The round is queued after the input of this turn and handled in the next one.
+  await nextTurn();
+  await nextTurn();
+  await owner.idle();
+  return owner.takeLoad().events;
+}
+
+// Load pattern: many sockets are readable at once, each with an event that makes a round due. The
+// events are handled one by one as their promises settle.
+test('events that arrive together each get a scheduling round of their own', async () => {
+  const owner = newOwner();
+  for (let n = 0; n < 100; n += 1) {
+    owner.post(jobAccepted(n));
+    await owner.idle();
+  }
+  expect(await handledBy(owner)).toEqual({ jobs: 100, schedule: 1 });
+});
+
+test('a round that is due never runs because the one before it is still marked as queued', async () => {
+  const owner = newOwner();
+  owner.post(jobAccepted(1));
+  expect(await handledBy(owner)).toEqual({ jobs: 1, schedule: 1 });
+  owner.post(jobAccepted(2));
+  expect(await handledBy(owner)).toEqual({ jobs: 1, schedule: 1 });
+});
--- a/packages/measure/src/jobs/fleet-recording.ts
+++ b/packages/measure/src/jobs/fleet-recording.ts
@@ -140,6 +140,9 @@
     this.#decider.handle(event, at).forEach((decision) => {
       this.#carryOut(decision);
     });
+    if (this.#decider.needsRound(at)) {
+      this.#deliver({ type: 'schedule' });
+    }
   }
 
   #carryOut(decision: JobDecision): void {
--- a/packages/measure/src/jobs/workload.ts
+++ b/packages/measure/src/jobs/workload.ts
@@ -48,7 +48,7 @@
 };
 const DURATION_MS: Readonly<Record<QueueKind, Millis>> = { small: 640, large: 1_300 };
 
-const BASE_STEP: StepSpec = {
+export const BASE_STEP: StepSpec = {
   taskCount: TASKS_PER_STEP,
   resources: RESOURCES.small,
   estimateMs: DURATION_MS.small,
--- a/packages/runtime/src/timers.ts
+++ b/packages/runtime/src/timers.ts
@@ -17,6 +17,18 @@
   );
 }
 
+/**
+ * Calls `action` once the input that has already arrived has been read and handled. Promises alone
+ * are settled before the next socket is read.
+ */
+export function afterArrivedInput(signal: AbortSignal, action: () => void): void {
+  setImmediate(() => {
+    if (!signal.aborted) {
+      action();
+    }
+  });
+}
+
 /** Waits for `ms`. Resolves early, without an error, when the signal is aborted. */
 export async function sleep(ms: Millis, signal: AbortSignal): Promise<void> {
   try {
