perf(jobs): keep the ranking of a pool's jobs between rounds

Load patterns: an owner that keeps up and runs a round for each report while its pool has thousands of open jobs; thousands of jobs that need a label which no executor of their pool has.

Cause: a round filtered, ranked and pushed on a heap all jobs that may fit, to place about one task. Jobs with a label that no executor has stayed among them for good, and lowered the smallest need, so that the round did not end early.

Change: ReadyJobs keeps the ranking of each pool, by group of jobs with the same team and needs. A round ranks the jobs that have changed and the first of each group, and leaves out groups for which no candidate has the label and the room. JobOrdering ranks and compares jobs; the policy is as it was. Estimates of durations change with each end, so all jobs are ranked anew in the first round after 500 ms.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -11,5 +11,6 @@
   criticalPathMs,
   objectiveAt,
   type JobOrdering,
+  type RankedJob,
 } from './ordering.js';
 export { TaskDurations } from './task-durations.js';
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -68,7 +68,8 @@
 
   constructor(options: JobDeciderOptions) {
     this.#options = options;
-    this.#jobs = new JobTable(options, this.#agenda);
+    const order = options.order ?? new LeastWorkFirst(this.#durations);
+    this.#jobs = new JobTable(options, this.#agenda, order);
     this.#executors = new ExecutorTable(this.#runs, this.#agenda);
     this.#recovery = new Recovery(options, this.#executors);
     const parts = {
@@ -79,10 +80,7 @@
       agenda: this.#agenda,
     };
     this.#reconciler = new RunReconciler(parts, () => options.clock.wall());
-    this.#scheduler = new Scheduler({
-      ...parts,
-      order: options.order ?? new LeastWorkFirst(this.#durations),
-    });
+    this.#scheduler = new Scheduler(parts);
     this.#maintenance = new MaintenancePlanner(
       { ...parts, reconciler: this.#reconciler },
       options.ordersAllowedAt,
--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -2,6 +2,8 @@
 import { Job } from './job.js';
 import type { JobId, SchedulingConfig, TaskRef } from './model.js';
 import type { StoredJob } from './messages.js';
+import type { JobOrdering } from './ordering.js';
+import { ReadyJobs } from './ready-jobs.js';
 import type { SchedulingAgenda } from './scheduling-agenda.js';
 import type { StepProgress } from './step-progress.js';
 
@@ -15,14 +17,17 @@
 export class JobTable {
   readonly #options: JobTableOptions;
   readonly #agenda: SchedulingAgenda;
+  readonly #order: JobOrdering;
   readonly #jobs = new Map<JobId, Job>();
   readonly #openByPool = new Map<PoolName, Map<JobId, Job>>();
+  readonly #readyByPool = new Map<PoolName, ReadyJobs>();
   readonly #adopted = new Set<JobId>();
   #config: SchedulingConfig | undefined;
 
-  constructor(options: JobTableOptions, agenda: SchedulingAgenda) {
+  constructor(options: JobTableOptions, agenda: SchedulingAgenda, order: JobOrdering) {
     this.#options = options;
     this.#agenda = agenda;
+    this.#order = order;
   }
 
   get(id: JobId): Job | undefined {
@@ -33,22 +38,27 @@
     return this.#jobs.get(ref.jobId)?.step(ref);
   }
 
-  /** Whether an earlier owner may have started tasks of the job. */
-  isAdopted(id: JobId): boolean {
-    return this.#adopted.has(id);
-  }
-
   /** Called once the runs of earlier owners are all known. */
   clearAdopted(): void {
     this.#adopted.clear();
+    this.#readyByPool.forEach((ready) => {
+      ready.markAllChanged();
+    });
   }
 
   get pools(): readonly PoolName[] {
     return [...this.#openByPool.keys()];
   }
 
-  openJobsIn(pool: PoolName): readonly Job[] {
-    return [...(this.#openByPool.get(pool)?.values() ?? [])];
+  /** Jobs of a pool that have tasks to start. */
+  readyJobsIn(pool: PoolName): ReadyJobs {
+    const known = this.#readyByPool.get(pool);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = new ReadyJobs(this.#order, (id) => this.#adopted.has(id));
+    this.#readyByPool.set(pool, created);
+    return created;
   }
 
   /** Processors that the pending tasks of finite, ready steps need. */
@@ -91,18 +101,19 @@
     this.#applyPolicy(job);
     this.#jobs.set(job.id, job);
     if (job.open) {
-      this.#open(job);
       if (adopted) {
         this.#adopted.add(job.id);
       }
+      this.#open(job);
     }
     return job;
   }
 
   /** Removes an ended job from the open ones. */
   markClosed(job: Job): void {
-    for (const jobs of this.#openByPool.values()) {
+    for (const [pool, jobs] of this.#openByPool) {
       jobs.delete(job.id);
+      this.readyJobsIn(pool).remove(job);
     }
     this.#adopted.delete(job.id);
   }
@@ -124,10 +135,14 @@
         this.#applyPolicy(job);
         if (job.policy.pool !== pool) {
           jobs.delete(job.id);
+          this.readyJobsIn(pool).remove(job);
           this.#open(job);
         }
       }
     }
+    this.#readyByPool.forEach((ready) => {
+      ready.markAllChanged();
+    });
   }
 
   #applyPolicy(job: Job): void {
@@ -138,6 +153,11 @@
     const { pool } = job.policy;
     const jobs = this.#openByPool.get(pool) ?? new Map<JobId, Job>();
     this.#openByPool.set(pool, jobs.set(job.id, job));
+    const ready = this.readyJobsIn(pool);
+    ready.add(job);
+    job.onChange = () => {
+      ready.markChanged(job);
+    };
     this.#agenda.mark(pool);
     job.occurrences.forEach(({ dueAt }) => {
       this.#agenda.wakeAt(pool, dueAt);
--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -44,6 +44,8 @@
   /** Declared duration of the longest chain of dependent steps. */
   readonly criticalPathMs: Millis;
   policy: QueuePolicy;
+  /** Called when the tasks that may start or the progress of the job change. */
+  onChange: () => void = () => undefined;
   #state: JobState = 'queued';
   #endedWallMs: Millis = 0;
   readonly #occurrences: readonly Occurrence[];
@@ -63,6 +65,7 @@
     this.criticalPathMs = criticalPathMs(accepted.spec.steps);
     const onChange = (): void => {
       this.#ready = undefined;
+      this.onChange();
     };
     this.#occurrences = Array.from({ length: accepted.spec.occurrences }, (_, number) => ({
       number,
@@ -130,6 +133,7 @@
   markStarted(): void {
     if (this.#state === 'queued') {
       this.#state = 'running';
+      this.onChange();
     }
   }
 
--- a/packages/core/src/jobs/ordering.ts
+++ b/packages/core/src/jobs/ordering.ts
@@ -1,4 +1,3 @@
-import { Heap } from '../requests/heap.js';
 import type { Millis } from '../types/index.js';
 import type { Job } from './job.js';
 import type { StepSpec } from './model.js';
@@ -6,8 +5,10 @@
 
 /** Decides which job gets capacity first. */
 export interface JobOrdering {
-  /** Yields the jobs of one pool, the first to be served first. Usually only a few are taken. */
-  sort(jobs: readonly Job[], now: Millis): Iterable<Job>;
+  /** Ranks a job as of now. With time alone, a rank never gets better. */
+  rank(job: Job, now: Millis): RankedJob;
+  /** Negative if `a` is served before `b`; jobs that compare equal are served by arrival. */
+  compare(a: RankedJob, b: RankedJob): number;
 }
 
 /** Estimated work that a job has left, in processor-milliseconds. */
@@ -54,12 +55,12 @@
   return age <= MAX_LATENESS_FACTOR * objective ? 2 : 3;
 }
 
-interface RankedJob {
+/** What the order of a job depends on, as of one time. */
+export interface RankedJob {
   readonly job: Job;
   readonly rank: number;
   readonly started: boolean;
   readonly work: number;
-  readonly position: number;
 }
 
 function compareRanked(a: RankedJob, b: RankedJob): number {
@@ -72,7 +73,7 @@
   if (a.started !== b.started) {
     return a.started ? -1 : 1;
   }
-  return a.work - b.work || a.position - b.position;
+  return a.work - b.work;
 }
 
 /**
@@ -87,19 +88,16 @@
     this.#durations = durations;
   }
 
-  *sort(jobs: readonly Job[], now: Millis): Iterable<Job> {
-    const ranked = new Heap<RankedJob>((a, b) => compareRanked(a, b) < 0);
-    jobs.forEach((job, position) => {
-      ranked.push({
-        job,
-        rank: rank(job, now),
-        started: job.state === 'running',
-        work: remainingWork(job, this.#durations),
-        position,
-      });
-    });
-    for (let next = ranked.pop(); next !== undefined; next = ranked.pop()) {
-      yield next.job;
-    }
+  rank(job: Job, now: Millis): RankedJob {
+    return {
+      job,
+      rank: rank(job, now),
+      started: job.state === 'running',
+      work: remainingWork(job, this.#durations),
+    };
+  }
+
+  compare(a: RankedJob, b: RankedJob): number {
+    return compareRanked(a, b);
   }
 }
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -1,17 +1,21 @@
 import { add, fitsIn, maxResources, NO_RESOURCES, subtract } from '../tasks/resource-arithmetic.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, ZoneName } from '../types/index.js';
-import { footprint, type StepSpec } from './model.js';
+import { footprint, type ExecutorInfo, type StepSpec } from './model.js';
 import type { ExecutorState, ExecutorTable } from './executor-table.js';
 import type { RunTable } from './run-table.js';
+import type { TaskNeed } from './start-group.js';
 
 /** Candidate executors of one pool, with the capacity left as tasks are placed one by one. */
 export class PlacementRound {
   readonly #candidates: readonly ExecutorState[];
   readonly #runs: RunTable;
   readonly #freeCapacity = new Map<string, Resources>();
-  /** Maximum of each resource over the candidates, until the next reservation or release. */
-  #maxFree: Resources | undefined;
+  /**
+   * Maximum of each resource over the candidates with a label, or over all for the empty one, until
+   * the next reservation or release.
+   */
+  readonly #maxFree = new Map<string, Resources>();
 
   constructor(table: ExecutorTable, runs: RunTable, candidates: readonly ExecutorState[]) {
     this.#runs = runs;
@@ -23,10 +27,22 @@
     return this.#candidates.length === 0;
   }
 
-  /** Whether a task may fit. If not, no candidate has room for it. */
-  mayFit(need: Resources): boolean {
-    this.#maxFree ??= [...this.#freeCapacity.values()].reduce(maxResources, NO_RESOURCES);
-    return fitsIn(need, this.#maxFree);
+  /** Whether a task may fit. If not, no candidate has the label and room for it. */
+  mayFit({ resources, requiredLabel }: TaskNeed): boolean {
+    return fitsIn(resources, this.#maxFreeWith(requiredLabel));
+  }
+
+  #maxFreeWith(label: string): Resources {
+    const known = this.#maxFree.get(label);
+    if (known !== undefined) {
+      return known;
+    }
+    const max = this.#candidates
+      .filter(({ info }) => hasLabel(info, label))
+      .map(({ info }) => this.#freeCapacity.get(info.id) ?? NO_RESOURCES)
+      .reduce(maxResources, NO_RESOURCES);
+    this.#maxFree.set(label, max);
+    return max;
   }
 
   /**
@@ -62,7 +78,7 @@
     const free = this.#freeCapacity.get(state.info.id);
     if (free !== undefined) {
       this.#freeCapacity.set(state.info.id, subtract(free, need));
-      this.#maxFree = undefined;
+      this.#maxFree.clear();
     }
   }
 
@@ -70,7 +86,7 @@
     const free = this.#freeCapacity.get(state.info.id);
     if (free !== undefined) {
       this.#freeCapacity.set(state.info.id, add(free, need));
-      this.#maxFree = undefined;
+      this.#maxFree.clear();
     }
   }
 
@@ -102,6 +118,11 @@
   return lasting || maxPerExecutor > 0;
 }
 
+/** Every executor has the empty label. */
+function hasLabel({ labels }: ExecutorInfo, label: string): boolean {
+  return label === '' || labels.includes(label);
+}
+
 function satisfiesConstraints(
   step: StepSpec,
   { info }: ExecutorState,
@@ -109,7 +130,7 @@
   rack: string | undefined,
 ): boolean {
   return (
-    (step.requiredLabel === '' || info.labels.includes(step.requiredLabel)) &&
+    hasLabel(info, step.requiredLabel) &&
     (step.maxPerExecutor === 0 || taken < step.maxPerExecutor) &&
     (rack === undefined || info.rack === rack)
   );
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,20 +1,16 @@
-import { add, fitsIn, minResources } from '../tasks/resource-arithmetic.js';
+import { add, fitsIn } from '../tasks/resource-arithmetic.js';
 import type { CellTables } from './cell-tables.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName, ZoneName } from '../types/index.js';
 import type { ExecutorState } from './executor-table.js';
-import type { Job, ReadyStep } from './job.js';
+import type { Job } from './job.js';
 import type { JobDecision } from './messages.js';
-import { footprint, type TaskRef, type TeamPolicy } from './model.js';
-import type { JobOrdering } from './ordering.js';
+import type { TaskRef, TeamPolicy } from './model.js';
 import { candidatesOf, needsCounts, PlacementRound } from './placement.js';
 import { newRun } from './run-table.js';
+import type { StartGroup } from './start-group.js';
 import type { StepProgress } from './step-progress.js';
 
-export interface SchedulerDependencies extends CellTables {
-  readonly order: JobOrdering;
-}
-
 /** Limits on starts, apart from the capacity of executors. */
 export interface StartLimits {
   readonly zonesOut: ReadonlySet<ZoneName>;
@@ -30,19 +26,15 @@
 
 /** Places pending tasks on executors, job by job. */
 export class Scheduler {
-  readonly #dependencies: SchedulerDependencies;
+  readonly #tables: CellTables;
 
-  constructor(parts: SchedulerDependencies) {
-    this.#dependencies = parts;
+  constructor(tables: CellTables) {
+    this.#tables = tables;
   }
 
   /** Starts as many pending tasks of a pool as fit now. */
   schedule(pool: PoolName, limits: StartLimits, now: Millis): readonly JobDecision[] {
-    const { jobs, runs, executors, order } = this.#dependencies;
-    const open = jobs.openJobsIn(pool);
-    if (open.length === 0) {
-      return [];
-    }
+    const { jobs, runs, executors } = this.#tables;
     const round = new PlacementRound(
       executors,
       runs,
@@ -51,20 +43,10 @@
     if (round.empty) {
       return [];
     }
-    const fitting = open.filter(
-      (job) =>
-        !(limits.holdAdopted && jobs.isAdopted(job.id)) &&
-        job.ready(now).some(({ step }) => round.mayFit(footprint(step.spec))),
-    );
-    if (fitting.length === 0) {
-      return [];
-    }
-    const smallest = smallestNeed(fitting, now);
+    const mayStart = ({ adopted, needs }: StartGroup): boolean =>
+      !(limits.holdAdopted && adopted) && needs.some((need) => round.mayFit(need));
     const decisions: JobDecision[] = [];
-    for (const job of order.sort(fitting, now)) {
-      if (!round.mayFit(smallest)) {
-        break;
-      }
+    for (const job of jobs.readyJobsIn(pool).take(now, mayStart)) {
       this.#startReadyTasks(job, round, limits, now, decisions);
     }
     return decisions;
@@ -78,7 +60,7 @@
     decisions: JobDecision[],
   ): void {
     for (const { occurrence, number, step } of job.ready(now)) {
-      if (!round.mayFit(footprint(step.spec))) {
+      if (!round.mayFit(step.need)) {
         continue;
       }
       const ref = { jobId: job.id, occurrence, step: number, index: 0 };
@@ -104,7 +86,7 @@
   ): readonly PlacedTask[] {
     const placed: PlacedTask[] = [];
     const counts = this.#countStepRuns(ref, step);
-    const { runs, agenda } = this.#dependencies;
+    const { runs, agenda } = this.#tables;
     let usage = runs.teamUsage(job.accepted.team);
     for (const index of step.pending) {
       if (!withinCap(usage, step.spec.resources, limits.teams.get(job.accepted.team))) {
@@ -115,7 +97,7 @@
       if (state === undefined) {
         break;
       }
-      round.reserve(state, footprint(step.spec));
+      round.reserve(state, step.need.resources);
       increment(counts, state.info.id);
       usage = add(usage, step.spec.resources);
       placed.push({ index, state });
@@ -132,7 +114,7 @@
     limits: StartLimits,
   ): readonly PlacedTask[] {
     const { spec } = step;
-    const { runs, agenda } = this.#dependencies;
+    const { runs, agenda } = this.#tables;
     const usage = runs.teamUsage(job.accepted.team);
     const all = scale(spec.resources, spec.taskCount);
     const team = limits.teams.get(job.accepted.team);
@@ -160,7 +142,7 @@
     rack: string | undefined,
   ): readonly PlacedTask[] {
     const placed: PlacedTask[] = [];
-    const need = footprint(step.spec);
+    const need = step.need.resources;
     const counts = this.#countStepRuns(ref, step);
     for (const index of step.pending) {
       const state = round.choose(step.spec, counts, rack);
@@ -181,7 +163,7 @@
   #countStepRuns(ref: TaskRef, { spec }: StepProgress): Map<string, number> {
     const counts = new Map<string, number>();
     if (needsCounts(spec)) {
-      this.#dependencies.runs
+      this.#tables.runs
         .ofJob(ref.jobId)
         .filter(({ task }) => task.occurrence === ref.occurrence && task.step === ref.step)
         .forEach(({ executor }) => {
@@ -202,7 +184,7 @@
     step.markAssigned(task.index);
     job.markStarted();
     const executor = state.info.id;
-    this.#dependencies.runs.add(newRun(job, step, { task, attempt, executor, orderedAt: now }));
+    this.#tables.runs.add(newRun(job, step, { task, attempt, executor, orderedAt: now }));
     return {
       type: 'start',
       executor,
@@ -218,12 +200,6 @@
   counts.set(key, (counts.get(key) ?? 0) + 1);
 }
 
-/** Minimum of each resource over the tasks that the jobs could start now. */
-function smallestNeed(jobs: readonly Job[], now: Millis): Resources {
-  const steps = jobs.flatMap((job): readonly ReadyStep[] => job.ready(now));
-  return steps.map(({ step }) => footprint(step.spec)).reduce(minResources);
-}
-
 function scale(resources: Resources, by: number): Resources {
   return {
     processors: resources.processors * by,
--- a/packages/core/src/jobs/step-progress.ts
+++ b/packages/core/src/jobs/step-progress.ts
@@ -1,8 +1,11 @@
 import type { StepSpec } from './model.js';
+import { taskNeed, type TaskNeed } from './start-group.js';
 
 /** Progress of the tasks of one step in one occurrence: pending, done, failed attempts. */
 export class StepProgress {
   readonly spec: StepSpec;
+  /** What each of its tasks needs. */
+  readonly need: TaskNeed;
   readonly #pending = new Set<number>();
   readonly #done = new Set<number>();
   /** Failed attempt numbers by task. */
@@ -20,6 +23,7 @@
    */
   constructor(spec: StepSpec, firstAttempt: number, onChange: () => void) {
     this.spec = spec;
+    this.need = taskNeed(spec);
     this.#onChange = onChange;
     this.#firstAttempt = firstAttempt;
     for (let index = 0; index < spec.taskCount; index += 1) {
--- a/packages/core/test/jobs-scheduling-cost.test.ts
+++ b/packages/core/test/jobs-scheduling-cost.test.ts
@@ -10,6 +10,7 @@
   type JobEvent,
   type JobOrdering,
   type Millis,
+  type RankedJob,
 } from '../src/index.js';
 import { executor, job, step } from './support/job-fixtures.js';
 
@@ -23,9 +24,13 @@
   ranked = 0;
   readonly #order = new LeastWorkFirst(new TaskDurations());
 
-  sort(jobs: readonly Job[], now: Millis): Iterable<Job> {
-    this.ranked += jobs.length;
-    return this.#order.sort(jobs, now);
+  rank(job: Job, now: Millis): RankedJob {
+    this.ranked += 1;
+    return this.#order.rank(job, now);
+  }
+
+  compare(a: RankedJob, b: RankedJob): number {
+    return this.#order.compare(a, b);
   }
 }
 
@@ -44,13 +49,16 @@
   readonly #endSeqs = new Map<string, number>();
   #now: Millis = 1_000;
 
-  constructor(openJobs: number) {
+  constructor(openJobs: number, jobsWithoutExecutor = 0) {
     this.handle({ type: 'executors', executors: EXECUTORS });
     EXECUTORS.forEach(({ id }) => {
       this.#report(id, []);
     });
     const steps = [step({ taskCount: 8 })];
-    const jobs = Array.from({ length: openJobs }, (_, n) => ({ accepted: job(`j${n}`, steps) }));
+    const labelled = [step({ requiredLabel: 'none' })];
+    const jobs = Array.from({ length: openJobs + jobsWithoutExecutor }, (_, n) => ({
+      accepted: job(`j${n}`, n < openJobs ? steps : labelled),
+    }));
     this.handle({ type: 'jobs', jobs, adopted: false });
     this.runDueRound();
     this.order.ranked = 0;
@@ -101,3 +109,26 @@
   expect(pool.order.ranked).toBeLessThanOrEqual(2_000);
   expect(pool.started).toBe(EXECUTORS.length * 8);
 });
+
+// Load pattern: an owner that keeps up, so that each report finds an empty queue and gets a round of
+// its own, while its pool has thousands of open jobs.
+test('each round ranks all open jobs again although one of them has changed', () => {
+  const pool = new FullPool(2_000);
+  for (let n = 0; n < REPORTS; n += 1) {
+    pool.end();
+    pool.runDueRound();
+  }
+  expect(pool.order.ranked).toBeLessThanOrEqual(2_000 + 5 * REPORTS);
+  expect(pool.started).toBe(EXECUTORS.length * 8);
+});
+
+// Load pattern: thousands of jobs need a label that no executor of their pool has.
+test('jobs that no executor can run are ranked in each round', () => {
+  const pool = new FullPool(460, 2_000);
+  for (let n = 0; n < REPORTS; n += 1) {
+    pool.end();
+    pool.runDueRound();
+  }
+  expect(pool.order.ranked).toBeLessThanOrEqual(2_460 + 5 * REPORTS);
+  expect(pool.started).toBe(EXECUTORS.length * 8);
+});
