fix(jobs): a start whose answer is lost within the owner is stopped and started again

Seen by callers: a task that never runs while its executor is healthy and reports.

Cause: when the event with the answer to a start is lost, for example because the owner's queue is full, the run stays in phase `starting`. A report that does not list it was acted on in phase `unknown` and for confirmed runs only, and the executor's lease is extended by the same reports.

Change: a run in phase `starting` counts as unanswered once a report was asked for 2 s after the order and does not list it: a stop rules a late start out, then the task is started again. The time of the poll counts, not that at which the report is handled, so that answers waiting in the queue of a late owner stop nothing.

Evidence: jobs-executor-failures, "its task is neither stopped nor started again while the executor reports", failed before: no stop was decided. The two tests beside it hold the limits of the rule and passed before, too.

--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -25,6 +25,9 @@
 /** Time after which an answered stop is sent again because the run is still reported. */
 const STOP_REPEAT_MS: Millis = 3_000;
 
+/** Covers the time-outs of connecting and of the order, and the way through the owner's queues. */
+const START_ANSWER_LIMIT_MS: Millis = 2_000;
+
 /** Effects of the events handled since the last call of `drainChanges`. */
 export interface RunChanges {
   readonly decisions: readonly JobDecision[];
@@ -293,7 +296,7 @@
 
   /** Handles a run that the executor's report does not list. */
   #handleMissing(run: Run, report: ExecutorReport, now: Millis): void {
-    if (run.phase === 'unknown' && report.sentAt >= run.orderedAt) {
+    if (isUnanswered(run, report.sentAt)) {
       // The start may still be in flight; a stop of the attempt makes the executor refuse it.
       this.stop(run, 'start unanswered', now);
       return;
@@ -334,3 +337,12 @@
     return run?.attempt === attempt && run.executor === executor ? run : undefined;
   }
 }
+
+/** Whether an executor that was polled at `polledAt` would list the run if it had begun in time. */
+function isUnanswered({ phase, orderedAt }: Run, polledAt: Millis): boolean {
+  // The answer to a start may be lost within the owner, so that the run stays in phase `starting`.
+  return (
+    (phase === 'unknown' && polledAt >= orderedAt) ||
+    (phase === 'starting' && polledAt >= orderedAt + START_ANSWER_LIMIT_MS)
+  );
+}
--- a/packages/core/test/jobs-executor-failures.test.ts
+++ b/packages/core/test/jobs-executor-failures.test.ts
@@ -71,6 +71,30 @@
   });
 });
 
+describe('a start whose answer was lost within the owner', () => {
+  const stop = expect.objectContaining({ type: 'stop', task: TASK }) as unknown;
+
+  test('its task is neither stopped nor started again while the executor reports', () => {
+    const cell = new OneTaskCell();
+    expect(cell.report(3_100)).toContainEqual(stop);
+    const answer = { task: TASK, attempt: 1, executor: 'e1', answered: true } as const;
+    cell.handle({ type: 'stop-answer', ...answer }, 3_110);
+    expect(cell.report(3_120)).toContainEqual(expect.objectContaining({ ...START, attempt: 2 }));
+  });
+
+  test('a start that can still be answered is stopped', () => {
+    const cell = new OneTaskCell();
+    expect(cell.report(2_000)).not.toContainEqual(stop);
+  });
+
+  test('a start is stopped because its answer and a report that predates it wait in a queue', () => {
+    const cell = new OneTaskCell();
+    const report = { executor: 'e1', startedWallMs: 1, sentAt: 1_000, running: [], ended: [] };
+    const late = cell.handle({ type: 'report', leaseEndsAt: 9_000, report }, 5_000);
+    expect(late).not.toContainEqual(stop);
+  });
+});
+
 test('a stop for an untracked run is sent again after every poll', () => {
   const cell = new OneTaskCell();
   const running = [{ task: TASK, attempt: 9, checkpoint: '', percent: 0, gauge: 0 }];
