Merge scheduling rounds whose cost does not grow with the backlog

Combined with the pause of lapsed leaders: no round is due while the leader lease is not valid, since the pools stay due and rounds would follow each other without end (its test: jobs-leadership). Rounds run before lending, which goes on during a recovery.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -12,6 +12,7 @@
   objectiveAt,
   type JobOrdering,
   type Lateness,
+  type RankedJob,
 } from './ordering.js';
 export type { ExecutorCounts, CellPoolLoad, CellPoolLoadView } from './pool-load.js';
 export { TaskDurations } from './task-durations.js';
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -14,6 +14,7 @@
 import type { ExecutorId, ExecutorInfo, ExecutorReport, JobId, SchedulingConfig } from './model.js';
 import { LeastWorkFirst, type JobOrdering } from './ordering.js';
 import { PaceController } from './pace-controller.js';
+import { PendingAcknowledgements } from './pending-acknowledgements.js';
 import { CellPoolLoadView } from './pool-load.js';
 import { Recovery, type RecoveryOptions } from './recovery.js';
 import { RunReconciler } from './run-reconciler.js';
@@ -68,14 +69,15 @@
   readonly #leadership = new LeadershipGate();
   /** Cancelled jobs. Kept because a cancellation may arrive before its job. */
   readonly #cancelled = new Set<JobId>();
-  /** Sequence number through which ended runs are to be acknowledged, by executor. */
-  readonly #pendingAcknowledgements = new Map<string, number>();
+  readonly #acknowledgements: PendingAcknowledgements;
 
   constructor(options: JobDeciderOptions) {
     this.#options = options;
-    this.#jobs = new JobTable(options, this.#agenda);
+    const order = options.order ?? new LeastWorkFirst(this.#durations);
+    this.#jobs = new JobTable(options, this.#agenda, order);
     this.#executors = new ExecutorTable(this.#runs, this.#agenda);
     this.#recovery = new Recovery(options, this.#executors);
+    this.#acknowledgements = new PendingAcknowledgements(this.#executors);
     const parts = {
       jobs: this.#jobs,
       runs: this.#runs,
@@ -84,10 +86,7 @@
       agenda: this.#agenda,
     };
     this.#reconciler = new RunReconciler(parts, () => options.clock.wall());
-    this.#scheduler = new Scheduler({
-      ...parts,
-      order: options.order ?? new LeastWorkFirst(this.#durations),
-    });
+    this.#scheduler = new Scheduler(parts);
     this.#maintenance = new MaintenancePlanner(
       { ...parts, reconciler: this.#reconciler },
       options.ordersAllowedAt,
@@ -133,16 +132,20 @@
     return this.#executors.infos;
   }
 
+  /** Whether tasks may be able to start since the last round, so that a `schedule` event is due. */
+  needsRound(now: Millis): boolean {
+    const due = this.#agenda.isDue(now) || this.#recovery.isOver(now);
+    return this.#leadership.held && due;
+  }
+
   handle(event: JobEvent, now: Millis): readonly JobDecision[] {
-    const extra = this.#apply(event, now);
+    const decided = this.#apply(event, now);
     const changes = this.#reconciler.drainChanges();
-    const starts = this.#schedule(now);
     return this.#leadership.permitted([
       ...changes.decisions,
-      ...extra,
-      ...starts,
+      ...decided,
       ...this.#progressWrites(changes.changedJobs),
-      ...this.#acknowledgements(),
+      ...this.#acknowledgements.take(),
     ]);
   }
 
@@ -208,6 +211,8 @@
         return [];
       case 'order-answer':
         return this.#orderAnswered(event.order, event.outcome, now);
+      case 'schedule':
+        return this.#schedule(now);
       case 'tick':
         return this.#tick(now);
     }
@@ -245,7 +250,7 @@
 
   #handleRestart({ leaseEndsAt }: ExecutorState, info: ExecutorInfo, now: Millis): void {
     this.#reconciler.handleRestart(info.id, now);
-    this.#pendingAcknowledgements.delete(info.id);
+    this.#acknowledgements.drop(info.id);
     this.#executors.add(info, now);
     this.#executors.updateContact(info.id, { leaseEndsAt }, now);
   }
@@ -279,7 +284,7 @@
     this.#reconciler.report(state, report, now);
     const lastEndSeq = Math.max(state.lastEndSeq, ...report.ended.map(({ seq }) => seq));
     if (report.ended.length > 0) {
-      this.#pendingAcknowledgements.set(report.executor, lastEndSeq);
+      this.#acknowledgements.set(report.executor, lastEndSeq);
     }
     this.#executors.updateContact(
       report.executor,
@@ -331,7 +336,7 @@
       this.#reconciler.dropAll(id);
       this.#retired.set(id, state.info.startedWallMs);
       this.#executors.remove(id);
-      this.#pendingAcknowledgements.delete(id);
+      this.#acknowledgements.drop(id);
     }
   }
 
@@ -345,12 +350,14 @@
     if (!this.#leadership.held) {
       return [];
     }
+    // What can start now must not count as waiting when instances are lent.
+    const starts = this.#schedule(now);
     this.#reconciler.retryStops(now);
     // The disruption budgets of maintenance depend on runs that may not be known yet. Lending does
     // not: it takes only instances whose executors have reported that they run nothing.
     const maintained = this.#recovery.isPending(now) ? [] : this.#maintenance.plan(now);
     const reserved = (instance: string): boolean => this.#maintenance.isReserved(instance);
-    return [...maintained, ...this.#lender.plan(this.#config.pools, reserved, now)];
+    return [...starts, ...maintained, ...this.#lender.plan(this.#config.pools, reserved, now)];
   }
 
   /** Drops the runs of an executor whose lease has ended, since it has stopped them by itself. */
@@ -364,7 +371,7 @@
     }
   }
 
-  /** Pools that are due stay so while the leader lease is not valid. */
+  /** Runs the rounds that are due. Pools stay due while the leader lease is not valid. */
   #schedule(now: Millis): readonly JobDecision[] {
     if (!this.#leadership.held) {
       return [];
@@ -388,15 +395,4 @@
         : [{ type: 'persist', job: id, progress: job.progress() } as const];
     });
   }
-
-  #acknowledgements(): readonly JobDecision[] {
-    const decisions = [...this.#pendingAcknowledgements].flatMap(([executor, through]) => {
-      const startedWallMs = this.#executors.get(executor)?.info.startedWallMs;
-      return startedWallMs === undefined
-        ? []
-        : [{ type: 'acknowledge', executor, startedWallMs, through } as const];
-    });
-    this.#pendingAcknowledgements.clear();
-    return decisions;
-  }
 }
--- a/packages/core/src/jobs/recovery.ts
+++ b/packages/core/src/jobs/recovery.ts
@@ -62,7 +62,7 @@
 
   /** Whether executors that have not reported yet may still run tasks of an earlier owner. */
   isPending(now: Millis): boolean {
-    return !this.#complete && (this.#isListMissing(now) || this.#awaited(now).length > 0);
+    return !this.#complete && (this.#isListMissing(now) || this.#someAwaited(now));
   }
 
   /** Number of executors that adopted tasks wait for. */
@@ -70,6 +70,15 @@
     return this.isPending(now) ? this.#awaited(now).length : 0;
   }
 
+  #someAwaited(now: Millis): boolean {
+    for (const id of this.#inherited) {
+      if (this.#mayHaveUnknownRuns(id, now)) {
+        return true;
+      }
+    }
+    return this.#executors.infos.some(({ id }) => this.#mayHaveUnknownRuns(id, now));
+  }
+
   /** An executor that the platform no longer lists in the store may still have runs. */
   #awaited(now: Millis): readonly ExecutorId[] {
     const known = this.#executors.infos.map(({ id }) => id);
@@ -109,12 +118,15 @@
     );
   }
 
+  /** Whether the recovery is over, and has not been completed. */
+  isOver(now: Millis): boolean {
+    return !this.#complete && !this.isPending(now);
+  }
+
   /** Completes the recovery if it is over. Returns true once. */
   completeIfOver(now: Millis): boolean {
-    if (this.#complete || this.isPending(now)) {
-      return false;
-    }
-    this.#complete = true;
-    return true;
+    const over = this.isOver(now);
+    this.#complete ||= over;
+    return over;
   }
 }
--- a/packages/core/test/jobs-leadership.test.ts
+++ b/packages/core/test/jobs-leadership.test.ts
@@ -118,3 +118,12 @@
     expect([...leader.takeActs()].sort()).toEqual(['start', 'stop']);
   });
 });
+
+test('rounds follow each other without end because a lapsed leader runs none of them', () => {
+  const leader = new Leader();
+  leader.handle({ type: 'leadership', held: false }, 1_010);
+  leader.submit('a', 1_020);
+  expect(leader.decider.needsRound(1_020)).toBe(false);
+  leader.handle({ type: 'leadership', held: true }, 1_030);
+  expect(leader.decider.needsRound(1_030)).toBe(true);
+});
--- a/packages/core/test/support/job-world.ts
+++ b/packages/core/test/support/job-world.ts
@@ -52,6 +52,8 @@
   live: boolean;
   /** Whether the owner's leader lease is valid. */
   leading: boolean;
+  /** Whether a round waits behind the events of this instant. */
+  roundQueued: boolean;
 }
 
 /** Simulates a cell on a virtual clock: owner, executors, stored rows and the network. */
@@ -102,7 +104,7 @@
       ordersAllowedAt: this.now,
       endedJobRetentionMs: 600_000,
     });
-    const term = { decider, generation, live: true, leading: true };
+    const term = { decider, generation, live: true, leading: true, roundQueued: false };
     this.term = term;
     this.#acknowledged.clear();
     const jobs = [...this.jobs.values()].map((accepted) => {
@@ -188,6 +190,7 @@
       term.decider.handle(event, this.now).forEach((decision) => {
         this.#carryOut(term, decision);
       });
+      this.#queueRound(term);
       this.onHandled?.(term.decider, event);
     }
   }
@@ -197,6 +200,16 @@
     this.deliver(term, { type: 'leadership', held: leading });
   }
 
+  #queueRound(term: Term): void {
+    if (!term.roundQueued && term.decider.needsRound(this.now)) {
+      term.roundQueued = true;
+      this.#after(0, () => {
+        term.roundQueued = false;
+        this.deliver(term, { type: 'schedule' });
+      });
+    }
+  }
+
   #deliverToCurrent(event: JobEvent): void {
     if (this.term !== undefined) {
       this.deliver(this.term, event);
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -17,6 +17,7 @@
 } from '@turmerichoist/coordination';
 import {
   Actor,
+  afterArrivedInput,
   every,
   type ActorContext,
   type LogFields,
@@ -101,6 +102,7 @@
   #leading = true;
   #jobsLoaded = false;
   #view: OperatorView | undefined;
+  #roundQueued = false;
 
   constructor(options: JobOwnerOptions, context: ActorContext) {
     super('owner', context);
@@ -224,6 +226,9 @@
       this.#countInputs.apply(event);
       return;
     }
+    if (event.type === 'schedule') {
+      this.#roundQueued = false;
+    }
     this.#load.onEvent(event);
     this.#takeoverTimes.onEvent(event);
     this.#checkLeadership();
@@ -244,6 +249,18 @@
     decisions.forEach((decision) => {
       this.#execute(decision);
     });
+    this.#queueRound();
+  }
+
+  /** Queues one round behind all events that have arrived, so that its cost does not add to theirs. */
+  #queueRound(): void {
+    if (this.#roundQueued || !this.#decider.needsRound(this.#options.clock.now())) {
+      return;
+    }
+    this.#roundQueued = true;
+    afterArrivedInput(this.signal, () => {
+      this.#roundQueued = this.post({ type: 'schedule' });
+    });
   }
 
   /** Tells the decider when the leader lease has lapsed, and when it is valid again. */
