fix(jobs): reports that wait for a late leader do not stop all starts

Callers saw nothing start at all, lasting tasks included, as soon as the leader handled its events 1.5 s late.

Cause: an executor counts as unresponsive 2.5 s after the sending of its latest poll. A long poll takes 1 s of that, and the time for which the report waits in the leader's own queue counts, too.

Evidence: "an executor gets no tasks as its report waited for an owner that is behind" (jobs-executor-failures), a poll of 1 s whose report is handled 2.6 s after it was sent, fails before.

Change: for starts, the age of a report counts from when the process received it. Whether siblings of a task are available for maintenance, and which reports are later than a start or a call, still goes by the time at which the poll was sent. Leases are checked as before.

--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -21,7 +21,10 @@
   readonly listed: boolean;
   /** Whether it has reported to this owner, so that the runs an earlier owner left are known. */
   readonly hasReported: boolean;
+  /** Monotonic time at which the poll of its latest report was sent. */
   readonly lastReportAt: Millis | undefined;
+  /** Monotonic time at which this process received its latest report. */
+  readonly lastReceivedAt: Millis;
   /** Monotonic time by which all its runs have ended unless the lease is extended. */
   readonly leaseEndsAt: Millis;
   /** Highest sequence number of its ended runs that has been handled. */
@@ -41,7 +44,8 @@
 }
 
 /** Fields on which it depends, together with the time, whether new tasks may be placed there. */
-type ContactField = 'hasReported' | 'lastReportAt' | 'leaseEndsAt' | 'lastEndSeq';
+type ContactField =
+  'hasReported' | 'lastReportAt' | 'lastReceivedAt' | 'leaseEndsAt' | 'lastEndSeq';
 type ExecutorChange = Partial<Omit<ExecutorState, ContactField | TimingField>>;
 type TimingField = 'backoffUntil' | 'lastUnansweredAt' | 'failureStreak';
 
@@ -92,6 +96,7 @@
       listed: true,
       hasReported: false,
       lastReportAt: undefined,
+      lastReceivedAt: -Infinity,
       leaseEndsAt: now,
       lastEndSeq: 0,
       backoffUntil: 0,
@@ -186,18 +191,24 @@
     return this.#runs.freeCapacity(state.info.id, state.info.capacity);
   }
 
-  /** Whether its latest report is recent and no call has gone unanswered since. */
-  isResponsive({ lastReportAt, lastUnansweredAt }: ExecutorState, now: Millis): boolean {
-    return (
-      lastReportAt !== undefined &&
-      lastReportAt >= lastUnansweredAt &&
-      now - lastReportAt <= UNRESPONSIVE_AFTER_MS
-    );
+  /** Whether what its latest report says is recent and no call has gone unanswered since. */
+  isResponsive(state: ExecutorState, now: Millis): boolean {
+    const sentAt = state.lastReportAt ?? -Infinity;
+    return now - sentAt <= UNRESPONSIVE_AFTER_MS && this.#answersCalls(state);
+  }
+
+  #answersCalls({ lastReportAt, lastUnansweredAt }: ExecutorState): boolean {
+    return lastReportAt !== undefined && lastReportAt >= lastUnansweredAt;
   }
 
-  /** Whether new tasks may be placed there. Does not check whether its zone is out of service. */
+  /**
+   * Whether new tasks may be placed there. Does not check whether its zone is out of service. Counts
+   * from when a report was received: the time of its poll, and for which it waited for an owner that
+   * is behind, says nothing about the executor.
+   */
   isSchedulable(state: ExecutorState, now: Millis): boolean {
     const { info, listed, hasReported, backoffUntil, cordoned, leaseEndsAt } = state;
+    const heardRecently = now - state.lastReceivedAt <= UNRESPONSIVE_AFTER_MS;
     return (
       listed &&
       hasReported &&
@@ -205,7 +216,8 @@
       !cordoned &&
       backoffUntil <= now &&
       leaseEndsAt > now &&
-      this.isResponsive(state, now)
+      heardRecently &&
+      this.#answersCalls(state)
     );
   }
 }
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -11,7 +11,7 @@
   JobEvent,
   PoolInstance,
 } from './messages.js';
-import type { ExecutorId, ExecutorInfo, ExecutorReport, JobId, SchedulingConfig } from './model.js';
+import type { ExecutorId, ExecutorInfo, JobId, SchedulingConfig } from './model.js';
 import { LeastWorkFirst, type JobOrdering } from './ordering.js';
 import { PaceController } from './pace-controller.js';
 import { PendingAcknowledgements } from './pending-acknowledgements.js';
@@ -173,7 +173,7 @@
       case 'cancelled':
         return this.#cancel(event.ids, now);
       case 'report':
-        return this.#report(event.report, event.leaseEndsAt, now);
+        return this.#report(event, now);
       case 'lease':
         this.#executors.updateContact(event.executor, { leaseEndsAt: event.leaseEndsAt }, now);
         return [];
@@ -268,7 +268,8 @@
     });
   }
 
-  #report(report: ExecutorReport, leaseEndsAt: Millis, now: Millis): readonly JobDecision[] {
+  #report(event: Extract<JobEvent, { type: 'report' }>, now: Millis): readonly JobDecision[] {
+    const { report, leaseEndsAt, receivedAt: lastReceivedAt = report.sentAt } = event;
     const known = this.#executors.get(report.executor);
     // A report that was overtaken may even be of the process that ran before a restart.
     if (known === undefined || (known.lastReportAt ?? -Infinity) > report.sentAt) {
@@ -288,7 +289,7 @@
     }
     this.#executors.updateContact(
       report.executor,
-      { hasReported: true, lastReportAt: report.sentAt, leaseEndsAt, lastEndSeq },
+      { hasReported: true, lastReportAt: report.sentAt, lastReceivedAt, leaseEndsAt, lastEndSeq },
       now,
     );
     return this.#leadership.held ? this.#paceController.onReport(report.executor, now) : [];
--- a/packages/core/src/jobs/messages.ts
+++ b/packages/core/src/jobs/messages.ts
@@ -55,7 +55,13 @@
   /** Jobs from the store; `adopted` if an earlier owner may have started tasks of them. */
   | { readonly type: 'jobs'; readonly jobs: readonly StoredJob[]; readonly adopted: boolean }
   | { readonly type: 'cancelled'; readonly ids: readonly JobId[] }
-  | { readonly type: 'report'; readonly report: ExecutorReport; readonly leaseEndsAt: Millis }
+  | {
+      readonly type: 'report';
+      readonly report: ExecutorReport;
+      readonly leaseEndsAt: Millis;
+      /** Monotonic time at which this process received it; if absent, the time of its poll. */
+      readonly receivedAt?: Millis;
+    }
   /** A poll that may extend the lease of an executor is about to be sent. */
   | { readonly type: 'lease'; readonly executor: ExecutorId; readonly leaseEndsAt: Millis }
   /** A poll of an executor timed out or failed. */
--- a/packages/core/test/jobs-executor-failures.test.ts
+++ b/packages/core/test/jobs-executor-failures.test.ts
@@ -61,6 +61,18 @@
   });
 });
 
+test('an executor gets no tasks as its report waited for an owner that is behind', () => {
+  const decider = newDecider(new ManualClock(1_000));
+  decider.handle({ type: 'executors', executors: [executor('e1')] }, 1_000);
+  // The poll took 1 s; its report then waited for 1.6 s before it was handled.
+  const report = { executor: 'e1', startedWallMs: 1, sentAt: 1_000, running: [], ended: [] };
+  const event = { type: 'report', leaseEndsAt: 9_000, receivedAt: 2_000, report } as const;
+  decider.handle(event, 3_600);
+  const jobs = [{ accepted: job('a', [step({ lasting: true })]) }];
+  const decisions = decider.handle({ type: 'jobs', jobs, adopted: false }, 3_600);
+  expect(decisions).toContainEqual(expect.objectContaining(START));
+});
+
 describe('an executor that did not answer a start', () => {
   test('gets more tasks, which all wait until its lease has ended', () => {
     const cell = new OneTaskCell();
--- a/packages/core/test/jobs-leadership.test.ts
+++ b/packages/core/test/jobs-leadership.test.ts
@@ -125,5 +125,5 @@
   leader.submit('a', 1_020);
   expect(leader.decider.needsRound(1_020)).toBe(false);
   leader.handle({ type: 'leadership', held: true }, 1_030);
-  expect(leader.decider.needsRound(1_030)).toBe(true);
+  expect(leader.acts).toEqual(['start']);
 });
--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -211,7 +211,7 @@
   }
 
   #onReport(answer: Extract<PollResponse, { type: 'report' }>, sentAt: Millis): void {
-    const { info, owner } = this.#options;
+    const { info, clock, owner } = this.#options;
     this.#clockKnown = true;
     if (answer.startedWallMs !== this.#startedWallMs) {
       this.log.info('executor has restarted', { executor: info.id, born: answer.startedWallMs });
@@ -224,6 +224,7 @@
     owner.post({
       type: 'report',
       leaseEndsAt: this.#leaseEndsAt,
+      receivedAt: clock.now(),
       report: {
         executor: info.id,
         startedWallMs: answer.startedWallMs,
