fix(jobs): a new leader pauses between refused reads of the stored progress

The store client refuses calls at once while it backs off, without any input or output. A new leader that loads the progress repeated its read in the same turn, so that nothing else was handled: no renewal, no caller, no answer. If the probe that ends the backoff was another call of the leader, its answer was never read and the process never came back.

Found by reading. With the store client against a server that answers one 503: 466 reads within the backoff of 50 ms; with a probe of the list of executors under way, 59,519 reads in 4 s without an end, and 2 reads with this change. The reads now pause for 100 ms, so the event loop runs in between.

--- a/packages/daemon/src/jobs/stored-progress.ts
+++ b/packages/daemon/src/jobs/stored-progress.ts
@@ -1,8 +1,14 @@
-import type { JobId, JobProgress, MaintenanceWave } from '@turmerichoist/core';
+import type { JobId, JobProgress, MaintenanceWave, Millis } from '@turmerichoist/core';
 import type { ChangeFeed, RowChange } from '@turmerichoist/coordination';
-import type { Logger } from '@turmerichoist/runtime';
+import { sleep, type Logger } from '@turmerichoist/runtime';
 import type { OperatorView } from './ports.js';
 
+/**
+ * Pause after a failed read. The store client refuses calls at once while it backs off, so without a
+ * pause no input would be handled, not even the answer that ends the backoff.
+ */
+const RETRY_MS: Millis = 100;
+
 interface StoredWave {
   readonly begun: readonly string[];
   readonly completed: boolean;
@@ -51,6 +57,7 @@
         return read.value.rows;
       }
       this.#log.warn('failed to load table, retrying', { table, error: read.error.kind });
+      await sleep(RETRY_MS, signal);
     }
     return [];
   }
