fix(jobs): no progress is dropped when many jobs end in one turn

A job that had ended was never shown as completed, and the next leader ran its tasks again.

Cause: the owner handles all events that have arrived in one turn and posts the progress of each changed job to the writer, whose mailbox refused what exceeded 10,000 messages. A job that has ended doesn't change again, so its progress was never stored. The next acknowledgement for the executor was released all the same, since nothing told it of what had been refused. A new leader reaches the limit when it handles the reports that it has held back: 740 executors list up to 500 ends each.

Found by reading. The writer's mailbox now refuses nothing; what it holds is bounded by the jobs and executors of the cell.

--- a/packages/daemon/src/jobs/progress-writer.ts
+++ b/packages/daemon/src/jobs/progress-writer.ts
@@ -42,7 +42,9 @@
 
 /**
  * Stores the progress of jobs in batches, one at a time, and releases each acknowledgement once
- * everything that was queued before it is stored.
+ * everything that was queued before it is stored. Its mailbox refuses nothing: the progress of a job
+ * that has ended is not sent again, and a later acknowledgement would be released without it. What
+ * waits is bounded by the jobs and executors of the cell.
  */
 export class ProgressWriter extends Actor<ProgressWriterMessage> {
   readonly #options: ProgressWriterOptions;
@@ -52,7 +54,7 @@
   #superseded = false;
 
   constructor(options: ProgressWriterOptions, context: ActorContext) {
-    super('progress', context);
+    super('progress', { ...context, capacity: Infinity });
     this.#options = options;
   }
 
