--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -65,7 +65,10 @@
   connect(info: ExecutorInfo, fencingToken: number, signal: AbortSignal): ExecutorClient;
 }
 
-/** The platform's instances, which can be listed, moved between pools and maintained. */
+/**
+ * The platform's instances, which can be listed, moved between pools and maintained. One list and
+ * `MAX_ORDERS_IN_FLIGHT` orders at once are sent without delay.
+ */
 export interface InstanceFleet {
   list(signal: AbortSignal): Promise<Result<readonly PoolInstance[], AppError>>;
   order(
