fix(store): a part that does not answer does not hold up the others

While one of the 8 intake parts was silent, an entry also held back the jobs of the other parts for up to 1.2 s at a time and refused those whose time had run out.

Cause: a call of one part that failed counted as a failure of the service. All calls were refused until one probe was answered, and the silent part's own retry could be that probe, for its whole time-out, again and again. The test of a silent part (job-intake) uses stores of its own and does not pass the limiter.

Found by reading. "a part that does not answer stops calls to parts that do" and "other parts wait until the probe of a part that does not answer times out" (parted-limiter) fail before.

A failure now counts against its part only if another call was answered since the failed one was sent. While the service counts as failing, a probe that has been under way for 300 ms does not keep other parts from sending theirs; each part sends one at a time, as before.

--- a/packages/coordination/src/io/store/transport.ts
+++ b/packages/coordination/src/io/store/transport.ts
@@ -240,7 +240,7 @@
         limiter.failed(part, startedAt, now);
         return fail('store-unavailable', `status ${response.status}`);
       default:
-        limiter.succeeded(part);
+        limiter.succeeded(part, now);
         return Ok(response);
     }
   }
--- a/packages/coordination/src/state/call-limiter.ts
+++ b/packages/coordination/src/state/call-limiter.ts
@@ -33,17 +33,21 @@
   #failures = 0;
   #failedAt: Millis = -Infinity;
   #closedUntil: Millis = -Infinity;
-  #probing = false;
+  /** Time at which the probe under way was admitted; undefined without one. */
+  #probingSince: Millis | undefined;
 
   constructor(settings: CallLimiterSettings, random: Random) {
     this.#settings = settings;
     this.#random = random;
   }
 
-  /** Decides whether and when a call may start. The end of each admitted call must be reported. */
-  admit(now: Millis): CallAdmission {
+  /**
+   * Decides whether and when a call may start. The end of each admitted call must be reported. A
+   * probe that has been under way for `maxProbeMs` does not keep another one from being sent.
+   */
+  admit(now: Millis, maxProbeMs: Millis = Infinity): CallAdmission {
     if (this.#failures > 0) {
-      return this.#admitProbe(now);
+      return this.#admitProbe(now, maxProbeMs);
     }
     const { budgetPerS, burst, maxWaitMs } = this.#settings;
     const intervalMs = MS_PER_S / budgetPerS;
@@ -59,7 +63,7 @@
   /** Records that the service answered an admitted call. */
   succeeded(): void {
     this.#failures = 0;
-    this.#probing = false;
+    this.#probingSince = undefined;
   }
 
   /**
@@ -67,7 +71,7 @@
    * service.
    */
   failed(startedAt: Millis, now: Millis): void {
-    this.#probing = false;
+    this.#probingSince = undefined;
     if (startedAt < this.#failedAt) {
       // Concurrent calls fail together; they count as one failure.
       return;
@@ -81,15 +85,16 @@
 
   /** Records that the caller cancelled an admitted call, which says nothing about the service. */
   abandoned(): void {
-    this.#probing = false;
+    this.#probingSince = undefined;
   }
 
-  #admitProbe(now: Millis): CallAdmission {
+  #admitProbe(now: Millis, maxProbeMs: Millis): CallAdmission {
     const waitMs = this.#closedUntil - now;
-    if (this.#probing || waitMs > 0) {
+    const probing = now - (this.#probingSince ?? -Infinity) < maxProbeMs;
+    if (probing || waitMs > 0) {
       return { type: 'refuse', retryAfterMs: Math.max(waitMs, this.#settings.backoffBaseMs) };
     }
-    this.#probing = true;
+    this.#probingSince = now;
     return { type: 'go', delayMs: 0 };
   }
 }
--- a/packages/coordination/src/state/parted-limiter.ts
+++ b/packages/coordination/src/state/parted-limiter.ts
@@ -1,16 +1,25 @@
 import type { Millis, Random } from '@turmerichoist/core';
 import { CallLimiter, type CallAdmission, type CallLimiterSettings } from './call-limiter.js';
 
+/**
+ * Time after which the probe of one part does not hold back the calls of others any more: the part
+ * may be away alone. A service that works answers within a tenth of it.
+ */
+const MAX_PROBE_MS: Millis = 300;
+
 /**
  * Limiter of calls to a service of which each part has a limit of its own. A call that was rate
- * limited backs off calls to the same part only, since it is no sign that the service fails; a
- * failure backs off all calls. A call without a part counts against the service alone.
+ * limited backs off calls to the same part only, since it is no sign that the service fails. So does
+ * a failure if another call was answered meanwhile; otherwise it backs off all calls. A call without
+ * a part counts against the service alone.
  */
 export class PartedLimiter {
   readonly #settings: CallLimiterSettings;
   readonly #random: Random;
   readonly #service: CallLimiter;
   readonly #parts = new Map<string, CallLimiter>();
+  /** Time at which the last answer came. */
+  #answeredAt: Millis = -Infinity;
 
   constructor(settings: CallLimiterSettings, random: Random) {
     this.#settings = settings;
@@ -25,7 +34,7 @@
     if (admission?.type === 'refuse') {
       return admission;
     }
-    const ofService = this.#service.admit(now);
+    const ofService = this.#service.admit(now, limiter && MAX_PROBE_MS);
     if (ofService.type === 'refuse') {
       limiter?.abandoned();
     }
@@ -33,7 +42,8 @@
   }
 
   /** Records that the service answered an admitted call. */
-  succeeded(part: string | undefined): void {
+  succeeded(part: string | undefined, now: Millis): void {
+    this.#answeredAt = now;
     this.#service.succeeded();
     this.#partLimiter(part)?.succeeded();
   }
@@ -45,14 +55,18 @@
       this.#service.failed(startedAt, now);
       return;
     }
+    this.#answeredAt = now;
     this.#service.succeeded();
     limiter.failed(startedAt, now);
   }
 
   /** Records that an admitted call, started at `startedAt`, failed. */
   failed(part: string | undefined, startedAt: Millis, now: Millis): void {
-    this.#service.failed(startedAt, now);
-    this.#partLimiter(part)?.abandoned();
+    const limiter = this.#partLimiter(part);
+    limiter?.failed(startedAt, now);
+    if (limiter === undefined || this.#answeredAt < startedAt) {
+      this.#service.failed(startedAt, now);
+    }
   }
 
   /** Records that the caller cancelled an admitted call, which says nothing about the service. */
--- a/packages/coordination/test/parted-limiter.test.ts
+++ b/packages/coordination/test/parted-limiter.test.ts
@@ -44,7 +44,7 @@
   // The part's backoff is over, that of the service is not.
   expect(admitted(limiter, 'a', 60)).toBe(false);
   expect(admitted(limiter, 'a', 100)).toBe(true);
-  limiter.succeeded('a');
+  limiter.succeeded('a', 101);
   expect(admitted(limiter, 'a', 101)).toBe(true);
 });
 
@@ -54,3 +54,34 @@
   limiter.rateLimited(undefined, 0, 1);
   expect(admitted(limiter, undefined, 2)).toBe(false);
 });
+
+test('a part that does not answer stops calls to parts that do', () => {
+  const limiter = new PartedLimiter(SETTINGS, random);
+  expect(admitted(limiter, 'a', 0)).toBe(true);
+  expect(admitted(limiter, 'b', 500)).toBe(true);
+  limiter.succeeded('b', 510);
+  limiter.failed('a', 0, 1_200);
+  expect(admitted(limiter, 'b', 1_201)).toBe(true);
+  expect(admitted(limiter, 'a', 1_201)).toBe(false);
+});
+
+test('other parts wait until the probe of a part that does not answer times out', () => {
+  const limiter = new PartedLimiter(SETTINGS, random);
+  expect(admitted(limiter, 'a', 0)).toBe(true);
+  limiter.failed('a', 0, 1_200);
+  expect(admitted(limiter, 'a', 1_300)).toBe(true);
+  expect(admitted(limiter, 'b', 1_599)).toBe(false);
+  expect(admitted(limiter, 'b', 1_600)).toBe(true);
+  limiter.succeeded('b', 1_610);
+  limiter.failed('a', 1_300, 2_500);
+  expect(admitted(limiter, 'b', 2_501)).toBe(true);
+});
+
+test('each part sends several probes to a service that does not answer', () => {
+  const limiter = new PartedLimiter(SETTINGS, random);
+  expect(admitted(limiter, 'a', 0)).toBe(true);
+  limiter.failed('a', 0, 1_200);
+  expect(admitted(limiter, 'a', 1_300)).toBe(true);
+  expect(admitted(limiter, 'a', 1_700)).toBe(false);
+  expect(admitted(limiter, undefined, 1_700)).toBe(false);
+});
