fix(jobs): a new owner knows the cancellations before it starts tasks

Tasks of a job started seconds after its cancellation had been acknowledged.

Cause: an owner followed the cancellations only after it had loaded the jobs, and scheduled the jobs meanwhile. A cancellation that the former owner had not carried out was not known while its table was being read: for milliseconds usually, for seconds if an intake part is slow or refuses reads.

Found by reading. "tasks of jobs that were cancelled under an earlier leader start" (job-takeover), where the cancellations take 1.5 s to read, fails before.

The owner reads the cancellations beside the progress and the jobs after both.

--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -24,6 +24,7 @@
   type Metrics,
 } from '@turmerichoist/runtime';
 import type { Bulletin } from './bulletin.js';
+import { watchCancellations } from './cancellations.js';
 import { CountInputs, type CountInput } from './count-inputs.js';
 import { ExecutorLinks } from './executor-links.js';
 import { ExecutorRegistry } from './executor-registry.js';
@@ -180,14 +181,18 @@
   }
 
   /**
-   * Polls the executors, so that leases are extended at once, and loads progress, waves and jobs.
+   * Polls the executors, so that leases are extended at once, and loads progress, waves,
+   * cancellations and then jobs.
    * Decisions begin when the jobs are loaded.
    */
   async start(view: OperatorView): Promise<void> {
-    const { cell, intake, term } = this.#options;
-    const startedAt = this.#options.clock.now();
+    const { cell, intake, term, clock } = this.#options;
+    const { log, signal } = this;
+    const startedAt = clock.now();
     this.#watchExecutors();
-    await this.#stored.load(cell, this.signal);
+    // Tasks of a job start as soon as it is loaded, so its cancellation must be known by then.
+    const cancellations = watchCancellations({ intake, clock, log, owner: this, signal });
+    await Promise.all([this.#stored.load(cell, signal), cancellations]);
     if (this.signal.aborted) {
       return;
     }
@@ -202,7 +207,7 @@
     this.log.info('owner started', {
       epoch: term.epoch,
       generation: term.generation,
-      loadMs: Math.round(this.#options.clock.now() - startedAt),
+      loadMs: Math.round(clock.now() - startedAt),
     });
   }
 
@@ -316,10 +321,6 @@
       this.log.error('jobs not taken in, too many events are waiting', { jobs: jobs.length });
     }
     if (first) {
-      this.#watchTable(this.#options.intake, 'cancels', JOBS_PAUSE_MS, (changes) => {
-        const ids = changes.map(({ key }) => key.slice(key.indexOf('/') + 1));
-        this.post({ type: 'cancelled', ids });
-      });
       this.#startTicks();
     }
   }
--- a/packages/daemon/test/job-takeover.test.ts
+++ b/packages/daemon/test/job-takeover.test.ts
@@ -10,6 +10,7 @@
 // Each test is named after the failure that it guards against.
 
 const JOBS_READ_MS: Millis = 5_000;
+const CANCELS_READ_MS: Millis = 1_500;
 const MARGIN_MS: Millis = 200;
 const WAIT_MS: Millis = 12_000;
 const CHECK_MS: Millis = 10;
@@ -101,3 +102,17 @@
     expect(executor.starts).toHaveLength(2);
   }, 30_000);
 });
+
+describe('a leader that takes 1.5 s to read the cancellations', () => {
+  test('tasks of jobs that were cancelled under an earlier leader start', async () => {
+    await store('', 'servers/e1', EXECUTOR);
+    await storeJob('a1');
+    await storeJob('a2');
+    await store(INTAKE_PART_NAMES[intakePartOf('a2')] ?? '', 'cancels/a2', { wallMs: Date.now() });
+    tables.snapshotDelaysMs.set('cancels', CANCELS_READ_MS);
+    startMember('a', tables, controller.signal, executor);
+    await eventually(() => tables.rowsOf('progress').some(({ key }) => key === 'progress/a2'));
+    await eventually(() => executor.starts.includes('a1.0.0.0'));
+    expect(executor.starts).toEqual(['a1.0.0.0']);
+  }, 30_000);
+});
