fix(store): a silent connection of a long poll is noticed within 4 s

After the connections of an entry had gone silent, calls with a revoked key were served, and calls of a new route refused, for up to 21 s; a leader knew no cancellation for 11 s.

Cause: a connection that has gone silent shows only when a call over it times out. Calls for changes of the operators' rows waited for 20 s, those for cancellations and executors for 10 s, and the time-out of 1.2 s comes on top. Calls of other kinds recover at once, and nothing else restarts the long polls.

Found by reading.

All of them now wait for 2.5 s: 0.4 calls a second and entry.

--- a/packages/coordination/src/io/table-watch.ts
+++ b/packages/coordination/src/io/table-watch.ts
@@ -4,6 +4,11 @@
 
 /** Delay after a failed read, so that a store that is down is not overloaded with retries. */
 const RETRY_INTERVAL_MS: Millis = 150;
+/**
+ * Wait of calls for changes that must be known within seconds. A connection that has gone silent is
+ * noticed only when a call over it times out.
+ */
+export const FEED_WAIT_MS: Millis = 2_500;
 
 export interface TableWatchOptions {
   readonly feed: ChangeFeed;
--- a/packages/daemon/src/jobs/cancellations.ts
+++ b/packages/daemon/src/jobs/cancellations.ts
@@ -1,8 +1,7 @@
 import type { Clock, JobEvent, Millis } from '@turmerichoist/core';
-import { watchTable, type ChangeFeed } from '@turmerichoist/coordination';
+import { FEED_WAIT_MS, watchTable, type ChangeFeed } from '@turmerichoist/coordination';
 import type { Logger, Recipient } from '@turmerichoist/runtime';
 
-const WAIT_MS: Millis = 10_000;
 const PAUSE_MS: Millis = 4;
 
 export interface CancellationWatchOptions {
@@ -25,7 +24,7 @@
       table: 'cancels',
       clock,
       log,
-      waitMs: WAIT_MS,
+      waitMs: FEED_WAIT_MS,
       pauseMs: PAUSE_MS,
       onChanges: (changes) => {
         const ids = changes.map(({ key }) => key.slice(key.indexOf('/') + 1));
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -8,6 +8,7 @@
 } from '@turmerichoist/core';
 import {
   CELL_OWNER_KEY,
+  FEED_WAIT_MS,
   watchTable,
   type ChangeFeed,
   type LeaderTerm,
@@ -47,7 +48,6 @@
 const ORDER_SETTLE_MS: Millis = 1_500;
 /** Attempt numbers reserved for each owner; the next owner starts with the next block. */
 const ATTEMPTS_PER_TERM = 1_000;
-const FEED_WAIT_MS: Millis = 10_000;
 /** Short, as the published counts of waiting jobs are as old as the latest read of the jobs. */
 const JOBS_WAIT_MS: Millis = 500;
 const JOBS_PAUSE_MS: Millis = 4;
