fix(jobs): a job that is too large for a row does not fail its batch

Jobs of other callers were answered 504 without having been stored, again and again.

Cause: a request may have 256 KB, a row of the store 64 KB. The store rejects the whole transaction, and an acceptor gives up all submissions of a batch that is rejected, up to 40. The caller repeats the large job after its 504, at any entry.

Found by reading. "a job that is too large for a row fails others that are handed in with it" (job-intake) fails before. Such a job is now answered 413 and not sent to the store.

--- a/packages/daemon/src/jobs/acceptor.ts
+++ b/packages/daemon/src/jobs/acceptor.ts
@@ -14,6 +14,8 @@
 const BATCH_DELAY_MS: Millis = 3;
 const MAX_ROWS = 40;
 const MAX_BYTES = 400_000;
+/** Largest value that the store takes. A transaction with a larger one is rejected as a whole. */
+const MAX_ROW_BYTES = 65_536;
 /** Upper bound of the delay before the first retry; doubles with each failure. */
 const RETRY_BASE_MS: Millis = 25;
 /** Upper bound of the delay before any retry, well below the time for which callers wait. */
@@ -30,6 +32,8 @@
 interface Submission {
   readonly key: string;
   readonly value: JsonValue;
+  /** Size of the encoded value. */
+  readonly bytes: number;
   readonly deadline: Millis;
   readonly reply: (result: Result<void, AppError>) => void;
 }
@@ -55,7 +59,7 @@
  * same reason an insert that failed or whose outcome is unknown is repeated until the deadline.
  * Errors: `store-unavailable` or `deadline-passed` if none of the attempts for this call wrote the
  * row and none ever will, `outcome-unknown` if one may have written it or the process stops,
- * `not-ready` on shutdown. While the store doesn't answer, submissions of which no attempt may have
+ * `body-too-large` if the store takes no such row, `not-ready` on shutdown. While the store doesn't answer, submissions of which no attempt may have
  * been stored fail at once, and no attempts are sent.
  */
 export class Acceptor extends Actor<AcceptMessage> {
@@ -74,13 +78,17 @@
 
   /** Inserts a row if it does not exist. A retry must pass an equivalent value; the first stays. */
   accept(key: string, value: JsonValue, deadline: Millis): Promise<Result<void, AppError>> {
+    const bytes = Buffer.byteLength(JSON.stringify(value));
+    if (bytes > MAX_ROW_BYTES) {
+      return Promise.resolve(fail('body-too-large', `a row holds ${MAX_ROW_BYTES} bytes`));
+    }
     return new Promise((resolve) => {
       const answered = new AbortController();
       const reply = (result: Result<void, AppError>): void => {
         answered.abort();
         resolve(result);
       };
-      const submission: Submission = { key, value, deadline, reply };
+      const submission: Submission = { key, value, bytes, deadline, reply };
       if (!this.post({ type: 'accept', submission })) {
         reply(fail('not-ready', 'stopping'));
       }
@@ -175,12 +183,12 @@
   }
 
   #takeBatch(): readonly Submission[] {
-    let bytes = 0;
+    let batchBytes = 0;
     let count = 0;
     const keys = new Set<string>();
-    for (const { key, value } of this.#waiting) {
-      bytes += JSON.stringify(value).length;
-      if (count >= MAX_ROWS || (count > 0 && bytes > MAX_BYTES) || keys.has(key)) {
+    for (const { key, bytes } of this.#waiting) {
+      batchBytes += bytes;
+      if (count >= MAX_ROWS || (count > 0 && batchBytes > MAX_BYTES) || keys.has(key)) {
         break;
       }
       keys.add(key);
--- a/packages/daemon/test/job-intake.test.ts
+++ b/packages/daemon/test/job-intake.test.ts
@@ -1,6 +1,11 @@
 import { afterEach, beforeEach, expect, test } from '@jest/globals';
-import { MemoryTableStore, mergeSnapshots, type TableStore } from '@turmerichoist/coordination';
-import { SeededRandom, fail } from '@turmerichoist/core';
+import {
+  MemoryTableStore,
+  mergeSnapshots,
+  type TableStore,
+  type Write,
+} from '@turmerichoist/coordination';
+import { Ok, SeededRandom, fail } from '@turmerichoist/core';
 import { SystemClock, silentLogger } from '@turmerichoist/runtime';
 import { INTAKE_PARTS, INTAKE_PART_NAMES, JobIntake, intakePartOf } from '../src/jobs/intake.js';
 
@@ -97,3 +102,23 @@
   ]);
   expect(merged).toEqual({ rows: [row('jobs/a'), row('jobs/b')], position: 7 });
 });
+
+test('a job that is too large for a row fails others that are handed in with it', async () => {
+  const intake = createIntake(() => {
+    const store = new MemoryTableStore();
+    const isTooLarge = ({ value }: Write): boolean => JSON.stringify(value).length > 65_536;
+    return {
+      commit: (txn, signal) =>
+        txn.writes.some(isTooLarge)
+          ? Promise.resolve(fail('store-rejected', 'status 400'))
+          : store.commit(txn, signal),
+      read: (keys, signal) => store.read(keys, signal),
+      range: (prefix, after, limit, signal) => store.range(prefix, after, limit, signal),
+    };
+  });
+  const deadline = clock.now() + 300;
+  const large = intake.accept('cancels', jobId(1), { payload: 'x'.repeat(65_536) }, deadline);
+  const small = intake.accept('jobs', jobId(1), { payload: 'x' }, deadline);
+  expect(await small).toEqual(Ok(undefined));
+  expect((await large).unwrapErr().kind).toBe('body-too-large');
+});
