fix(jobs): batches of progress stay within the size of a transaction

No job was shown as ended any more and no end was taken note of, until the leader changed.

Cause: a batch of progress was bounded by its rows only. A row lists the tasks of a step that have ended; with 80 steps of some thousand tasks each, a batch exceeds the 1 MB of a transaction, and one step of 12,000 tasks the 64 KB of a row. The store rejects such a transaction each time, and the writer repeated it without end, with everything else behind it.

Found by reading. "nothing is stored any more once the progress of many wide jobs exceeds a transaction" and "... of one job exceeds a row" (progress-limits) fail before.

A batch now holds 600 KB at most, half of it for ended jobs. Progress that does not fit into a row is left out and logged; that of an ended job is small. A new leader runs the tasks of such a job again whose ends were not stored.

--- a/packages/daemon/src/jobs/progress-queue.ts
+++ b/packages/daemon/src/jobs/progress-queue.ts
@@ -26,6 +26,15 @@
   readonly queuedAt: Millis;
 }
 
+/** Limits of one batch. */
+export interface BatchLimits {
+  readonly maxRows: number;
+  /** Rows that are kept for the oldest changes while ended jobs go first. */
+  readonly oldestRows: number;
+  /** Size of the encoded progress; half of it is for ended jobs. */
+  readonly maxBytes: number;
+}
+
 interface QueuedAcknowledgement {
   readonly acknowledgement: PendingAcknowledgement;
   /** Position of the last change that was queued before it. */
@@ -37,8 +46,7 @@
  * acknowledgements behind it. At most one batch is taken at a time.
  */
 export class ProgressQueue {
-  readonly #maxRows: number;
-  readonly #oldestRows: number;
+  readonly #limits: BatchLimits;
   /** In the order of their positions, since replacing a value keeps its place in the map. */
   readonly #queued = new Map<JobId, QueuedProgress>();
   /** Queued jobs that have ended. */
@@ -49,10 +57,8 @@
   readonly #acknowledgements = new Map<ExecutorId, readonly QueuedAcknowledgement[]>();
   #lastPosition = 0;
 
-  /** A batch has at most `maxRows`; `oldestRows` of them are kept for the oldest changes. */
-  constructor(maxRows: number, oldestRows: number) {
-    this.#maxRows = maxRows;
-    this.#oldestRows = oldestRows;
+  constructor(limits: BatchLimits) {
+    this.#limits = limits;
   }
 
   /** Whether there is nothing to store and nothing to release. */
@@ -91,13 +97,28 @@
 
   /** Takes the next batch: jobs that have ended, which callers see, before others that progress. */
   take(): readonly QueuedProgress[] {
-    const ended = first(this.#ended, this.#maxRows - this.#oldestRows);
-    this.#batch = ended.flatMap((job) => this.#remove(job));
-    const others = first(this.#queued.keys(), this.#maxRows - this.#batch.length);
-    this.#batch = [...this.#batch, ...others.flatMap((job) => this.#remove(job))];
+    const { maxRows, oldestRows } = this.#limits;
+    this.#batch = this.#takeOf(this.#ended, maxRows - oldestRows);
+    const others = this.#takeOf(this.#queued.keys(), maxRows - this.#batch.length);
+    this.#batch = [...this.#batch, ...others];
     return this.#batch;
   }
 
+  /** Takes the first of these jobs, up to half of a batch's size and at least one. */
+  #takeOf(jobs: Iterable<JobId>, maxRows: number): readonly QueuedProgress[] {
+    const taken: QueuedProgress[] = [];
+    let bytes = 0;
+    for (const job of first(jobs, maxRows)) {
+      const queued = this.#queued.get(job);
+      bytes += queued === undefined ? 0 : progressBytes(queued.progress);
+      if (taken.length > 0 && bytes > this.#limits.maxBytes / 2) {
+        break;
+      }
+      taken.push(...this.#remove(job));
+    }
+    return taken;
+  }
+
   /** Records that the batch is stored. Returns the acknowledgements with nothing left before them. */
   release(): readonly PendingAcknowledgement[] {
     this.#batch = [];
@@ -141,6 +162,11 @@
   }
 }
 
+/** Size of a job's encoded progress, which has no characters of several bytes. */
+export function progressBytes(progress: JobProgress): number {
+  return JSON.stringify(progress).length;
+}
+
 function first<T>(values: Iterable<T>, count: number): readonly T[] {
   const taken: T[] = [];
   for (const value of values) {
--- a/packages/daemon/src/jobs/progress-writer.ts
+++ b/packages/daemon/src/jobs/progress-writer.ts
@@ -3,6 +3,7 @@
 import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
 import {
   ProgressQueue,
+  progressBytes,
   type PendingAcknowledgement,
   type ProgressBacklog,
   type QueuedProgress,
@@ -10,6 +11,10 @@
 
 /** Progress rows per transaction, which leaves room for the owner's and the transaction log's rows. */
 const MAX_ROWS = 80;
+/** Size of a batch, which grows by a third when it is sent; a transaction holds 1 MB. */
+const MAX_BYTES = 600_000;
+/** Largest value that the store takes. A transaction with a larger one is rejected as a whole. */
+const MAX_ROW_BYTES = 65_536;
 /** Delay before a write, so that changes that arrive close together share a transaction. */
 const BATCH_DELAY_MS: Millis = 6;
 const RETRY_MS: Millis = 100;
@@ -48,7 +53,11 @@
  */
 export class ProgressWriter extends Actor<ProgressWriterMessage> {
   readonly #options: ProgressWriterOptions;
-  readonly #queue = new ProgressQueue(MAX_ROWS, OLDEST_ROWS);
+  readonly #queue = new ProgressQueue({
+    maxRows: MAX_ROWS,
+    oldestRows: OLDEST_ROWS,
+    maxBytes: MAX_BYTES,
+  });
   #writing = false;
   /** Another owner leads, so nothing is stored or released any more. */
   #superseded = false;
@@ -85,7 +94,7 @@
 
   async #write(): Promise<void> {
     await sleep(BATCH_DELAY_MS, this.signal);
-    const batch = this.#queue.take();
+    const batch = this.#queue.take().filter((queued) => this.#fitsIntoRow(queued));
     if (batch.length > 0 && !(await this.#commit(batch))) {
       return;
     }
@@ -94,6 +103,18 @@
     });
   }
 
+  /**
+   * A job whose progress does not fit into a row is left out until it does, as it does when the job
+   * has ended. Otherwise the batch would be rejected each time and nothing would be stored any more.
+   */
+  #fitsIntoRow({ job, progress }: QueuedProgress): boolean {
+    const bytes = progressBytes(progress);
+    if (bytes > MAX_ROW_BYTES) {
+      this.log.error('progress is too large to store', { job, bytes });
+    }
+    return bytes <= MAX_ROW_BYTES;
+  }
+
   /** Retries until the rows are stored. Returns false on shutdown or if another owner leads. */
   async #commit(batch: readonly QueuedProgress[]): Promise<boolean> {
     const { store, ownerKey, epoch, newId, metrics, onSuperseded } = this.#options;
