refactor(daemon): one type for requests to peers

The freshness pings, idempotency keys, task routing and wait lookups each declared the same function type and wrapped PeerMesh.request by themselves. They share AskPeer and askPeersAbout, the listener of the coordination components takes its signatures from PeerListener, and TaskRouter returns Ok without a wrapper.

--- a/packages/daemon/src/entry/coordination-listener.ts
+++ b/packages/daemon/src/entry/coordination-listener.ts
@@ -1,30 +1,19 @@
 import type {
   AuditRecord,
-  Broadcast,
-  JsonValue,
   ListedInstance,
   MemberWatchEvent,
   OwnershipEvent,
+  PeerListener,
   PeerReport,
-  RequestTopic,
   ViewMember,
 } from '@turmerichoist/coordination';
-import type {
-  AppError,
-  Clock,
-  Configuration,
-  MemberId,
-  Millis,
-  Random,
-  Result,
-  TeamName,
-} from '@turmerichoist/core';
+import type { Clock, Configuration, Millis, Random, TeamName } from '@turmerichoist/core';
 import type { ActorContext, Metrics } from '@turmerichoist/runtime';
 import type { Settings } from '../settings/index.js';
 import type { Platform } from './platform.js';
 
 /** Receives events of the coordination components. Its methods must not block. */
-export interface CoordinationListener {
+export interface CoordinationListener extends Pick<PeerListener, 'onBroadcast' | 'onRequest'> {
   onConfig(cfg: Configuration): void;
   /** The configuration may be used until this time. */
   onFreshness(until: Millis): void;
@@ -37,13 +26,6 @@
   onView(members: readonly ViewMember[]): void;
   onMembersRead(event: Extract<MemberWatchEvent, { type: 'members-read' }>): void;
   onPeerReport(report: PeerReport): void;
-  onBroadcast(from: MemberId, message: Broadcast): void;
-  onRequest(
-    from: MemberId,
-    topic: RequestTopic,
-    body: JsonValue,
-    signal: AbortSignal,
-  ): Promise<Result<JsonValue, AppError>>;
   onOwnership(event: OwnershipEvent): void;
   onRefusal(record: AuditRecord): void;
 }
--- a/packages/daemon/src/entry/coordination.ts
+++ b/packages/daemon/src/entry/coordination.ts
@@ -18,6 +18,7 @@
 } from '@turmerichoist/coordination';
 import type { AppError, MemberId, Millis, Result, Revision } from '@turmerichoist/core';
 import { every } from '@turmerichoist/runtime';
+import { askPeersAbout } from '../peers/index.js';
 import type { CoordinationOptions } from './coordination-listener.js';
 import { declaredLimits } from './declared-limits.js';
 import { FreshnessTransport } from './freshness-transport.js';
@@ -57,9 +58,9 @@
     this.#storeStateSince = clock.now();
     this.mesh = this.#createMesh();
     this.#freshnessTransport = new FreshnessTransport(
-      (to, body, timeoutMs) =>
-        this.mesh.request(to, { topic: 'freshness', body }, timeoutMs, context.signal),
+      askPeersAbout('freshness', this.mesh),
       () => this.freshness,
+      context.signal,
     );
     this.freshness = new FreshnessTracker(
       {
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -29,6 +29,7 @@
 import { FleetOwner, FleetWaitLookup, isFleetKind } from '../fleet/index.js';
 import { HttpServer } from '../http/index.js';
 import { IdempotencyGate } from '../idempotency/index.js';
+import { askPeersAbout } from '../peers/index.js';
 import { RequestPipeline } from '../requests/index.js';
 import type { Settings } from '../settings/index.js';
 import { PoolOwners, poolRole, TaskApi, TaskRouter, type TaskCommand } from '../tasks/index.js';
@@ -113,8 +114,7 @@
       self: settings.member,
       clock,
       signal,
-      ask: (home, body, timeoutMs, until) =>
-        mesh.request(home, { topic: 'idempotency', body }, timeoutMs, until),
+      ask: askPeersAbout('idempotency', mesh),
     });
     this.pipeline.front.setIdempotencyGuard(this.#idempotencyGate);
     this.#taskRouter = new TaskRouter({
@@ -122,8 +122,7 @@
       clock,
       store: platform.table,
       owners: this.#poolOwners,
-      ask: (member, body, timeoutMs, until) =>
-        mesh.request(member, { topic: 'submit', body }, timeoutMs, until),
+      ask: askPeersAbout('submit', mesh),
     });
     const memberId = settings.member;
     this.#auditTrail = new AuditTrail({ context, memberId, clock, platform, replica, newId });
@@ -139,8 +138,7 @@
     this.#fleetWaits = new FleetWaitLookup({
       self: settings.member,
       owner: this.#fleetOwner,
-      ask: (member, body, timeoutMs, until) =>
-        mesh.request(member, { topic: 'why', body }, timeoutMs, until),
+      ask: askPeersAbout('why', mesh),
     });
     this.#configuration = new ConfigurationService({
       replica,
--- a/packages/daemon/src/entry/freshness-transport.ts
+++ b/packages/daemon/src/entry/freshness-transport.ts
@@ -14,6 +14,7 @@
 } from '@turmerichoist/core';
 import type { Recipient } from '@turmerichoist/runtime';
 import { z } from 'zod';
+import type { AskPeer } from '../peers/index.js';
 
 const PING_TIMEOUT_MS: Millis = 1_000;
 
@@ -26,13 +27,6 @@
   changePending: z.boolean(),
 });
 
-/** Sends a request to a peer and resolves with its reply. */
-export type AskPeer = (
-  member: MemberId,
-  body: JsonValue,
-  timeoutMs: Millis,
-) => Promise<Result<JsonValue, AppError>>;
-
 interface PendingPing {
   readonly from: MemberId;
   readonly nonce: number;
@@ -43,11 +37,13 @@
 export class FreshnessTransport implements Recipient<FreshnessPeerMessage> {
   readonly #ask: AskPeer;
   readonly #tracker: () => Recipient<FreshnessMessage>;
+  readonly #signal: AbortSignal;
   #pendingPings: readonly PendingPing[] = [];
 
-  constructor(ask: AskPeer, tracker: () => Recipient<FreshnessMessage>) {
+  constructor(ask: AskPeer, tracker: () => Recipient<FreshnessMessage>, signal: AbortSignal) {
     this.#ask = ask;
     this.#tracker = tracker;
+    this.#signal = signal;
   }
 
   post(frame: FreshnessPeerMessage): boolean {
@@ -79,7 +75,7 @@
   }
 
   async #ping(to: MemberId, nonce: number): Promise<void> {
-    const answer = await this.#ask(to, { nonce }, PING_TIMEOUT_MS);
+    const answer = await this.#ask(to, { nonce }, PING_TIMEOUT_MS, this.#signal);
     const parsed = reportBody.safeParse(answer.unwrapOr(null));
     if (parsed.success) {
       const report: FreshnessReport = parsed.data;
--- a/packages/daemon/src/fleet/fleet-wait-lookup.ts
+++ b/packages/daemon/src/fleet/fleet-wait-lookup.ts
@@ -8,6 +8,7 @@
   type WaitSubject,
 } from '@turmerichoist/core';
 import { z } from 'zod';
+import type { AskPeer } from '../peers/index.js';
 import type { FleetOwner } from './fleet-owner.js';
 
 /** Time-out of a request to another entry. */
@@ -23,12 +24,7 @@
 export interface FleetWaitLookupOptions {
   readonly self: MemberId;
   readonly owner: Pick<FleetOwner, 'why'>;
-  readonly ask: (
-    member: MemberId,
-    body: JsonValue,
-    timeoutMs: Millis,
-    signal: AbortSignal,
-  ) => Promise<Result<JsonValue, AppError>>;
+  readonly ask: AskPeer;
 }
 
 /** Looks up what a plan, instance or pool waits for, at the entry that owns it. */
--- a/packages/daemon/src/idempotency/idempotency-gate.ts
+++ b/packages/daemon/src/idempotency/idempotency-gate.ts
@@ -12,6 +12,7 @@
 } from '@turmerichoist/core';
 import type { JsonValue } from '@turmerichoist/coordination';
 import { z } from 'zod';
+import type { AskPeer } from '../peers/index.js';
 
 /** Time-out of a request to the home entry of a key. */
 const HOME_TIMEOUT_MS: Millis = 1_000;
@@ -23,18 +24,10 @@
 
 type KeyRequest = z.output<typeof requestBody>;
 
-/** Sends a request about a key to its home entry. */
-export type AskHome = (
-  home: MemberId,
-  body: JsonValue,
-  timeoutMs: Millis,
-  signal: AbortSignal,
-) => Promise<Result<JsonValue, AppError>>;
-
 export interface IdempotencyGateOptions {
   readonly self: MemberId;
   readonly clock: Clock;
-  readonly ask: AskHome;
+  readonly ask: AskPeer;
   readonly signal: AbortSignal;
 }
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,6 +4,7 @@
 export * from './http/index.js';
 export * from './idempotency/index.js';
 export * from './jobs/index.js';
+export * from './peers/index.js';
 export * from './requests/index.js';
 export * from './settings/index.js';
 export * from './tasks/index.js';
--- /dev/null
+++ b/packages/daemon/src/peers/index.ts
@@ -0,0 +1,1 @@
+export * from './ask-peer.js';
--- a/packages/daemon/src/tasks/task-router.ts
+++ b/packages/daemon/src/tasks/task-router.ts
@@ -10,6 +10,7 @@
   type Result,
 } from '@turmerichoist/core';
 import { z } from 'zod';
+import type { AskPeer } from '../peers/index.js';
 import type { TaskCommand } from './messages.js';
 import { poolRole, type PoolOwners } from './pool-owners.js';
 
@@ -26,12 +27,7 @@
   readonly clock: Clock;
   readonly store: TableStore;
   readonly owners: PoolOwners;
-  readonly ask: (
-    member: MemberId,
-    body: JsonValue,
-    timeoutMs: Millis,
-    signal: AbortSignal,
-  ) => Promise<Result<JsonValue, AppError>>;
+  readonly ask: AskPeer;
 }
 
 interface CachedOwner {
@@ -81,21 +77,17 @@
     const { clock, store } = this.#options;
     const known = this.#cachedOwners.get(pool);
     if (known !== undefined && clock.now() - known.readAt < OWNER_CACHE_TTL_MS) {
-      return this.#toResult(known.member);
+      return Ok(known.member);
     }
     const rows = await store.read([ownerKey(poolRole(pool))], signal);
     const owner = rows.map(([row]) => ownerBody.safeParse(row?.value).data);
     if (owner.isErr()) {
-      return known === undefined ? owner : this.#toResult(known.member);
+      return known === undefined ? owner : Ok(known.member);
     }
     if (owner.value === undefined || owner.value.released) {
       return fail('not-owner', `pool/${pool} has no owner now`);
     }
     this.#cachedOwners.set(pool, { member: owner.value.member, readAt: clock.now() });
-    return this.#toResult(owner.value.member);
-  }
-
-  #toResult(member: MemberId): Result<MemberId, AppError> {
-    return Ok(member);
+    return Ok(owner.value.member);
   }
 }
