refactor(stand-ins): shared reading of bodies and tracking of connections

The platform services, the upstream and the worker each read request bodies by their own loop, and two of them tracked and silenced their connections by the same code. Both are in stand-ins/src/http.

--- /dev/null
+++ b/packages/stand-ins/src/http/index.ts
@@ -0,0 +1,2 @@
+export * from './connections.js';
+export * from './read-body.js';
--- a/packages/stand-ins/src/platform/server.ts
+++ b/packages/stand-ins/src/platform/server.ts
@@ -1,7 +1,8 @@
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import polka from 'polka';
+import { Connections, readBody } from '../http/index.js';
 import { FaultInjector, type RequestKind, type PlatformFaults } from './faults.js';
 
 export interface ListenOptions {
@@ -53,40 +54,14 @@
   return { status, body: JSON.stringify(body) };
 }
 
-async function readBody(req: IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of req) {
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
-}
-
 /** Calls the route handlers of one stand-in and injects its faults. */
 class FaultyServer {
   readonly faults = new FaultInjector();
-  readonly #sockets = new Set<Socket>();
-  readonly #silentSockets = new WeakSet<Socket>();
-
-  track(socket: Socket): void {
-    this.#sockets.add(socket);
-    socket.once('close', () => this.#sockets.delete(socket));
-  }
-
-  silenceSockets(): void {
-    for (const socket of this.#sockets) {
-      this.#silentSockets.add(socket);
-    }
-  }
-
-  destroySockets(): void {
-    for (const socket of this.#sockets) {
-      socket.destroy();
-    }
-  }
+  readonly connections = new Connections();
 
   async serve(route: Route, req: polka.Request, res: ServerResponse): Promise<void> {
     const body = await readBody(req);
-    if (this.#silentSockets.has(req.socket)) {
+    if (this.connections.isSilent(req.socket)) {
       return;
     }
     const url = new URL(req.url ?? '/', 'http://stand-in');
@@ -98,7 +73,7 @@
       return;
     }
     await this.#delay(this.faults.current.lateMs);
-    if (!this.#silentSockets.has(req.socket)) {
+    if (!this.connections.isSilent(req.socket)) {
       res.writeHead(response.status, { 'content-type': 'application/json' });
       res.end(response.body);
     }
@@ -157,7 +132,7 @@
   const server = new FaultyServer();
   const app = polka();
   const silence = (): void => {
-    server.silenceSockets();
+    server.connections.silence();
   };
   for (const route of createRoutes(server.faults)) {
     app.add(route.method, route.pattern, (req, res) => {
@@ -172,21 +147,13 @@
     (app.server as unknown as Server).once('listening', resolve).once('error', reject);
   });
   const http = app.server as unknown as Server;
-  http.on('connection', (socket: Socket) => {
-    server.track(socket);
-  });
+  server.connections.track(http);
   const address = `${options.host}:${(http.address() as AddressInfo).port}`;
   return {
     address,
     url: `http://${address}`,
     faults: server.faults,
     silenceConnections: silence,
-    close: () =>
-      new Promise((resolve) => {
-        http.close(() => {
-          resolve();
-        });
-        server.destroySockets();
-      }),
+    close: () => server.connections.close(http),
   };
 }
--- a/packages/stand-ins/src/upstream/server.ts
+++ b/packages/stand-ins/src/upstream/server.ts
@@ -1,7 +1,8 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Millis } from '@turmerichoist/core';
+import { Connections, readBody } from '../http/index.js';
 import { NO_UPSTREAM_FAULTS, type UpstreamFaults } from './faults.js';
 
 const DEFAULT_SLOTS = 8;
@@ -54,12 +55,11 @@
 
 class UpstreamServer {
   readonly handledRequests: UpstreamRequest[] = [];
-  readonly sockets = new Set<Socket>();
+  readonly connections = new Connections();
   faults = NO_UPSTREAM_FAULTS;
   workMs: Millis;
   running = 0;
   peakRunning = 0;
-  readonly #silentSockets = new WeakSet<Socket>();
   readonly #name: string;
   readonly #slots: number;
 
@@ -69,14 +69,8 @@
     this.workMs = options.workMs ?? 0;
   }
 
-  silenceSockets(): void {
-    for (const socket of this.sockets) {
-      this.#silentSockets.add(socket);
-    }
-  }
-
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    if (this.#silentSockets.has(req.socket)) {
+    if (this.connections.isSilent(req.socket)) {
       return;
     }
     if (req.url === '/healthz') {
@@ -102,7 +96,7 @@
     };
     this.handledRequests.push(request);
     try {
-      const body = await readText(req);
+      const body = (await readBody(req)).toString('utf8');
       await delay(this.workMs);
       await this.#respond(res, { upstream: this.#name, ...request, body }, releaseSlot);
     } finally {
@@ -126,7 +120,7 @@
       res.destroy();
       return;
     }
-    if (res.socket === null || this.#silentSockets.has(res.socket)) {
+    if (res.socket === null || this.connections.isSilent(res.socket)) {
       return;
     }
     const text = JSON.stringify(echo);
@@ -169,25 +163,6 @@
   }
 }
 
-async function readText(req: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of req) {
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
-
-async function closeServer(http: Server, sockets: ReadonlySet<Socket>): Promise<void> {
-  for (const socket of sockets) {
-    socket.destroy();
-  }
-  await new Promise<void>((resolve) => {
-    http.close(() => {
-      resolve();
-    });
-  });
-}
-
 /** Starts an upstream stand-in, which echoes each request in its response. */
 export async function startUpstream(options: UpstreamOptions): Promise<Upstream> {
   const server = new UpstreamServer(options);
@@ -196,10 +171,7 @@
       res.destroy();
     });
   });
-  http.on('connection', (socket) => {
-    server.sockets.add(socket);
-    socket.once('close', () => server.sockets.delete(socket));
-  });
+  server.connections.track(http);
   await new Promise<void>((resolve) => {
     http.listen(options.port, options.host, resolve);
   });
@@ -219,8 +191,8 @@
       server.workMs = ms;
     },
     silenceConnections: () => {
-      server.silenceSockets();
+      server.connections.silence();
     },
-    close: () => closeServer(http, server.sockets),
+    close: () => server.connections.close(http),
   };
 }
--- a/packages/stand-ins/src/worker/server.ts
+++ b/packages/stand-ins/src/worker/server.ts
@@ -19,6 +19,7 @@
   renewBody,
   stopBody,
 } from '@turmerichoist/daemon';
+import { readBody } from '../http/index.js';
 import { WorkerModel, type TaskRun } from './worker-model.js';
 import type { WorkerFaults } from './faults.js';
 
@@ -59,16 +60,8 @@
 type RequestHandler = (body: unknown, req: IncomingMessage) => unknown;
 
 async function readJson(req: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > MAX_BODY_BYTES) {
-      throw new Error('request body too large');
-    }
-    chunks.push(chunk);
-  }
-  return bytes === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString('utf8'));
+  const body = await readBody(req, MAX_BODY_BYTES);
+  return body.length === 0 ? {} : JSON.parse(body.toString('utf8'));
 }
 
 function sendJson(res: ServerResponse, status: number, body: unknown): void {
