refactor(quota): the tests and the measures use TableState

Two more in-memory tables with the rule of versions and conditions stood beside TableState: one in the quota tests and one in the quota measures.

--- a/packages/coordination/test/quota-ledger.test.ts
+++ b/packages/coordination/test/quota-ledger.test.ts
@@ -10,18 +10,17 @@
   RECLAIM_AFTER_MS,
   type QuotaDecision,
   type QuotaEvent,
-  type QuotaRow,
   type TableStore,
   type Transaction,
 } from '@turmerichoist/coordination';
-import { MemoryTable } from './quota-support.js';
+import { QuotaTable } from './quota-support.js';
 import { waitUntil } from './peers-support.js';
 
 type Usable = Extract<QuotaDecision, { type: 'usable' }>;
 
 /** Drives one ledger with a table that responds at once, except that `hold` delays transactions. */
 class Driver {
-  readonly #table: MemoryTable;
+  readonly #table: QuotaTable;
   readonly #ledger: GrantLedger;
   readonly #id: string;
   now = 0;
@@ -32,7 +31,7 @@
   readonly otherDecisions: QuotaDecision[] = [];
   reads = 0;
 
-  constructor(table: MemoryTable, id = 'm', incarnation = `${id}-1`) {
+  constructor(table: QuotaTable, id = 'm', incarnation = `${id}-1`) {
     this.#table = table;
     this.#id = id;
     this.#ledger = new GrantLedger({ self: id, random: new SeededRandom(1) });
@@ -105,17 +104,8 @@
   }
 }
 
-const writeQuotaRow = (table: MemoryTable, team: string, value: QuotaRow): void => {
-  const version = table.rows.get(`quota/${team}`)?.version ?? 0;
-  table.rows.set(`quota/${team}`, {
-    key: `quota/${team}`,
-    version: version + 1,
-    value: value as never,
-  });
-};
-
 test('many teams change in one transaction, and rounds keep their minimum interval', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const teams = Array.from({ length: 40 }, (_, i) => `t${i}`);
   const all = <T>(value: T) => Object.fromEntries(teams.map((team) => [team, value]));
   const d = new Driver(table).demand(all([0, 2] as const)).limits(all(5));
@@ -127,11 +117,11 @@
 });
 
 test('a conflict on one team does not delay the others', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const d = new Driver(table);
   d.hold = true;
   d.demand({ a: [0, 1], b: [0, 1] }).limits({ a: 2, b: 2 });
-  writeQuotaRow(table, 'a', { limit: 2, revision: 1, grants: [] });
+  table.writeQuota('a', { limit: 2, revision: 1, grants: [] });
   d.hold = false;
   d.held.forEach((txn) => {
     d.settle(txn);
@@ -142,7 +132,7 @@
 });
 
 test('units granted by an in-doubt transaction are not used before the row has a new version', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const d = new Driver(table).demand({ a: [0, 1] }).limits({ a: 5 });
   d.hold = true;
   d.advance(GRANT_ROUND_MS, { a: [1, 3] });
@@ -155,7 +145,7 @@
 });
 
 test('units returned by an in-doubt transaction are not used, even if the row still has them', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const d = new Driver(table).demand({ a: [0, 4] }).limits({ a: 5 });
   d.hold = true;
   d.advance(GRANT_IDLE_MS + GRANT_ROUND_MS, { a: [1, 0] });
@@ -166,7 +156,7 @@
 });
 
 test('the row is lowered only after the limiter confirmed the reduction', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const d = new Driver(table).demand({ a: [0, 4] }).limits({ a: 5 });
   d.now = 1_000;
   const appliedSerial = d.usable.serial;
@@ -180,7 +170,7 @@
 });
 
 test('idle units are returned after the idle time, and at once when a peer has unmet demand', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const d = new Driver(table).demand({ a: [0, 4] }).limits({ a: 5 });
   d.advance(GRANT_IDLE_MS - 100, { a: [1, 0] });
   expect(d.unitsInRow('a')).toBe(4);
@@ -193,8 +183,8 @@
 });
 
 test('demand beyond an exhausted limit is published to the peers', () => {
-  const table = new MemoryTable();
-  writeQuotaRow(table, 'a', {
+  const table = new QuotaTable();
+  table.writeQuota('a', {
     limit: 3,
     revision: 1,
     grants: [{ member: 'x', incarnation: '1', units: 2 }],
@@ -205,7 +195,7 @@
 });
 
 test('a backlog at one member does not keep another member from its fair share', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const d = new Driver(table).demand({ a: [0, 14] }).limits({ a: 4 });
   d.send({ type: 'peer-want', member: 'x', wants: [{ team: 'a', units: 2 }] });
   d.advance(100, { a: [4, 10] });
@@ -215,7 +205,7 @@
 });
 
 test('a lower limit prevents raises at once and is in force only when the grants fit into it', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const d = new Driver(table).demand({ a: [0, 6] }).limits({ a: 6 });
   d.limits({ a: 2 }, 2).advance(1_500, { a: [6, 2] });
   expect(table.quota('a')).toMatchObject({ limit: 6, nextLimit: 2 });
@@ -228,16 +218,16 @@
 });
 
 test('a member with an older configuration does not restore the former limit', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   new Driver(table).limits({ a: 2 }, 5);
   const d = new Driver(table, 'n').limits({ a: 9 }, 4).advance(1_000, { a: [0, 9] });
   expect([table.quota('a')?.limit, d.units('a')]).toEqual([2, 2]);
 });
 
 test('grants of an expired session are not reclaimed until its longest work has ended', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const grants = [{ member: 'x', incarnation: '1', units: 2 }];
-  writeQuotaRow(table, 'a', { limit: 2, revision: 1, grants });
+  table.writeQuota('a', { limit: 2, revision: 1, grants });
   const rows = [{ member: 'x', incarnation: '1' }];
   const members: QuotaEvent = { type: 'members', rows, readAt: 0 };
   const d = new Driver(table).limits({ a: 2 }).send(members);
@@ -249,9 +239,9 @@
 });
 
 test('grants of an older incarnation are reclaimed only after its session and work have ended', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const grants = [{ member: 'm', incarnation: 'm-0', units: 2 }];
-  writeQuotaRow(table, 'a', { limit: 2, revision: 1, grants });
+  table.writeQuota('a', { limit: 2, revision: 1, grants });
   const rows = [{ member: 'm', incarnation: 'm-1' }];
   const members: QuotaEvent = { type: 'members', rows, readAt: 0 };
   const d = new Driver(table).limits({ a: 2 }).send(members);
@@ -262,19 +252,19 @@
 });
 
 test('a holder whose session is newer than the known member rows keeps its units', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const grants = [{ member: 'x', incarnation: '2', units: 2 }];
   const former = [{ member: 'x', incarnation: '1' }];
   const d = new Driver(table).send({ type: 'members', rows: former, readAt: 0 });
   d.now = ABSENT_EXPIRY_MS + RECLAIM_AFTER_MS;
-  writeQuotaRow(table, 'a', { limit: 2, revision: 1, grants });
+  table.writeQuota('a', { limit: 2, revision: 1, grants });
   d.limits({ a: 2 }).advance(500, { a: [0, 1] });
   d.send({ type: 'members', rows: former, readAt: d.now - 1_000 }).advance(500, { a: [0, 1] });
   expect(d.units('a')).toBe(0);
 });
 
 test('a process that lost its session gets its units back without the reclaim delay', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const d = new Driver(table).demand({ a: [0, 4] }).limits({ a: 4 });
   d.send({ type: 'session', incarnation: 'm-2', validUntil: 1_000_000 });
   expect(d.units('a')).toBe(0);
@@ -284,7 +274,7 @@
 });
 
 test('a stopping member completes its work and then returns all units', () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const d = new Driver(table).demand({ a: [0, 4] }).limits({ a: 4 });
   d.send({ type: 'stopping' }).advance(500, { a: [2, 0] });
   expect([d.unitsInRow('a'), d.otherDecisions.some(({ type }) => type === 'released')]).toEqual([
@@ -296,7 +286,7 @@
 });
 
 test('no transaction is sent after the session has expired', () => {
-  const d = new Driver(new MemoryTable());
+  const d = new Driver(new QuotaTable());
   d.send({ type: 'session', incarnation: 'm-1', validUntil: 10 });
   d.now = 10;
   d.demand({ a: [0, 1] }).limits({ a: 1 });
@@ -304,7 +294,7 @@
 });
 
 test('the broker treats a lost response as an unknown outcome and recovers from it', async () => {
-  const table = new MemoryTable();
+  const table = new QuotaTable();
   const stop = new AbortController();
   let commits = 0;
   const store: Pick<TableStore, 'read' | 'commit'> = {
--- a/packages/coordination/test/quota-support.ts
+++ b/packages/coordination/test/quota-support.ts
@@ -1,10 +1,11 @@
 import {
+  encodeQuotaRow,
   parseQuotaRow,
+  quotaKey,
+  TableState,
   type QuotaRow,
-  type Row,
-  type Transaction,
-  type TxnOutcome,
 } from '@turmerichoist/coordination';
+import type { TeamName } from '@turmerichoist/core';
 
 /** Runs callbacks in order of simulated time. */
 export class Timeline {
@@ -37,30 +38,20 @@
   }
 }
 
-/** In-memory table of versioned rows. */
-export class MemoryTable {
-  readonly rows = new Map<string, Row>();
-
-  commit({ conditions, writes }: Transaction): TxnOutcome {
-    const versionOf = (key: string): number => this.rows.get(key)?.version ?? 0;
-    const failed = conditions.filter(({ key, version }) => versionOf(key) !== version);
-    if (failed.length > 0) {
-      return { committed: false, failed: failed.map(({ key }) => key) };
-    }
-    const versions: Record<string, number> = {};
-    for (const { key, value } of writes) {
-      versions[key] = versionOf(key) + 1;
-      this.rows.set(key, { key, value, version: versions[key] });
-    }
-    return { committed: true, versions };
-  }
-
-  read(keys: readonly string[]): readonly Row[] {
-    return keys.flatMap((key) => this.rows.get(key) ?? []);
+/** In-memory table with access to its quota rows. */
+export class QuotaTable extends TableState {
+  quota(team: TeamName): QuotaRow | undefined {
+    const [row] = this.read([quotaKey(team)]);
+    return row === undefined ? undefined : parseQuotaRow(row.value).unwrap();
   }
 
-  quota(team: string): QuotaRow | undefined {
-    const row = this.rows.get(`quota/${team}`);
-    return row === undefined ? undefined : parseQuotaRow(row.value).unwrap();
+  /** Writes a row as another member would, whatever its present version. */
+  writeQuota(team: TeamName, row: QuotaRow): void {
+    const key = quotaKey(team);
+    this.commit({
+      txnId: 'another-member',
+      conditions: [],
+      writes: [{ key, value: encodeQuotaRow(row) }],
+    });
   }
 }
--- a/packages/coordination/test/quota-world.ts
+++ b/packages/coordination/test/quota-world.ts
@@ -4,13 +4,12 @@
   encodeQuotaRow,
   grantedUnits,
   type DeclaredLimit,
-  type JsonValue,
   type QuotaDecision,
   type QuotaEvent,
   type Transaction,
   type TxnOutcome,
 } from '@turmerichoist/coordination';
-import { MemoryTable, Timeline } from './quota-support.js';
+import { QuotaTable, Timeline } from './quota-support.js';
 
 const TICK_MS = 400;
 const RENEW_MS = 2_000;
@@ -296,7 +295,7 @@
 /** Simulates a store and members, and checks the limits at each start of work and commit. */
 export class World {
   readonly time = new Timeline();
-  readonly table = new MemoryTable();
+  readonly table = new QuotaTable();
   readonly sessions = new Map<string, Session>();
   declared: ReadonlyMap<string, DeclaredLimit> = new Map();
   readonly running = new Map<string, number>();
@@ -345,11 +344,7 @@
   read(holder: Holder, keys: readonly string[], answer: (event: QuotaEvent) => void): void {
     this.time.after(this.latency(), () => {
       const down = this.time.now < Math.max(holder.partitionedUntil, this.storeDownUntil);
-      const rows = this.table.read(keys) as readonly {
-        key: string;
-        version: number;
-        value: JsonValue;
-      }[];
+      const rows = this.table.read(keys);
       answer(down ? { type: 'read-failed' } : { type: 'rows', keys, rows });
     });
   }
--- a/packages/measure/src/quota/expiring-grants.ts
+++ b/packages/measure/src/quota/expiring-grants.ts
@@ -1,12 +1,10 @@
 import type { Millis } from '@turmerichoist/core';
 import {
   GrantLedger,
+  TableState,
   type GrantPolicy,
-  type JsonValue,
   type QuotaDecision,
   type QuotaEvent,
-  type Transaction,
-  type TxnOutcome,
 } from '@turmerichoist/coordination';
 import {
   DEATH_OBSERVED_MS,
@@ -22,34 +20,6 @@
 /** Delay of a message between the limiter and the grant broker of one entry. */
 const MAILBOX_DELAY_MS: Millis = 0.1;
 
-interface StoredRow {
-  readonly key: string;
-  readonly version: number;
-  readonly value: JsonValue;
-}
-
-/** In-memory table of versioned rows with conditional transactions, like the table service. */
-class FakeTable {
-  readonly #rows = new Map<string, StoredRow>();
-
-  read(keys: readonly string[]): readonly StoredRow[] {
-    return keys.flatMap((key) => this.#rows.get(key) ?? []);
-  }
-
-  commit({ conditions, writes }: Transaction): TxnOutcome {
-    const failed = conditions.filter((c) => (this.#rows.get(c.key)?.version ?? 0) !== c.version);
-    if (failed.length > 0) {
-      return { committed: false, failed: failed.map(({ key }) => key) };
-    }
-    const versions: Record<string, number> = {};
-    for (const { key, value } of writes) {
-      versions[key] = (this.#rows.get(key)?.version ?? 0) + 1;
-      this.#rows.set(key, { key, value, version: versions[key] });
-    }
-    return { committed: true, versions };
-  }
-}
-
 /** Grant ledger of one entry and the units that its limiter may use. */
 class GrantHolder {
   readonly ledger: GrantLedger;
@@ -66,7 +36,7 @@
 export class ExpiringGrants implements QuotaScheme {
   readonly name: string;
   readonly #simulation: QuotaSimulation;
-  readonly #table = new FakeTable();
+  readonly #table = new TableState();
   readonly #holders: readonly GrantHolder[];
   #peerMessages = 0;
   #storeCalls = 0;
