refactor: one function splits addresses into host and port

Seven places split `host:port` by themselves; they call parseEndpoint of core.

Tests: peers-mesh, settings, caller-server, whole-path, worker-stand-in: 37 passed.

--- a/packages/coordination/src/io/peers/peer-mesh.ts
+++ b/packages/coordination/src/io/peers/peer-mesh.ts
@@ -4,6 +4,7 @@
   Err,
   Ok,
   fail,
+  parseEndpoint,
   type AppError,
   type MemberId,
   type Millis,
@@ -206,8 +207,7 @@
     if (!isDialer(this.#options.self.member, member.member)) {
       return;
     }
-    const [host = '', port = ''] = member.address.split(':');
-    const socket = connect({ host, port: Number(port) });
+    const socket = connect(parseEndpoint(member.address));
     this.#lastDialAt.set(member.member, now);
     this.#dialingLinks.set(member.member, this.#createLink(socket, 'dialer'));
   }
--- a/packages/coordination/test/peers-mesh.test.ts
+++ b/packages/coordination/test/peers-mesh.test.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net';
 import { afterEach, expect, test } from '@jest/globals';
+import { parseEndpoint } from '@turmerichoist/core';
 import {
   HEARTBEAT_MS,
   LINK_SILENT_MS,
@@ -129,7 +130,7 @@
 
 test('malformed frames close the connection and do not affect the listener', async () => {
   const [a, b] = [await startTracked('a'), await startTracked('b')];
-  const port = Number(b.address.split(':')[1]);
+  const { port } = parseEndpoint(b.address);
   const frame = (version: number, text: string) =>
     encodeFrame(version, Buffer.from(text, 'hex')).unwrap();
   const broken = [
--- a/packages/coordination/test/peers-support.ts
+++ b/packages/coordination/test/peers-support.ts
@@ -1,5 +1,12 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
-import { Ok, fail, type AppError, type MemberId, type Result } from '@turmerichoist/core';
+import {
+  Ok,
+  fail,
+  parseEndpoint,
+  type AppError,
+  type MemberId,
+  type Result,
+} from '@turmerichoist/core';
 import { NoMetrics, SystemClock, silentLogger, type Metrics } from '@turmerichoist/runtime';
 import {
   PeerMesh,
@@ -123,8 +130,7 @@
   #target = { host: '', port: 0 };
 
   async start(address: string): Promise<string> {
-    const [host = '', port = ''] = address.split(':');
-    this.#target = { host, port: Number(port) };
+    this.#target = parseEndpoint(address);
     await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
--- a/packages/daemon/src/entry/coordination.ts
+++ b/packages/daemon/src/entry/coordination.ts
@@ -16,7 +16,14 @@
   type PeerListener,
   type SessionEvent,
 } from '@turmerichoist/coordination';
-import type { AppError, MemberId, Millis, Result, Revision } from '@turmerichoist/core';
+import {
+  parseEndpoint,
+  type AppError,
+  type MemberId,
+  type Millis,
+  type Result,
+  type Revision,
+} from '@turmerichoist/core';
 import { every } from '@turmerichoist/runtime';
 import { askPeersAbout } from '../peers/index.js';
 import type { CoordinationOptions } from './coordination-listener.js';
@@ -178,7 +185,6 @@
 
   #createMesh(): PeerMesh {
     const { settings, context, clock, metrics, listener } = this.#options;
-    const [host = '', port = ''] = settings.peerListen.split(':');
     const incarnation = (): string => this.#incarnation;
     const peers: PeerListener = {
       onLink: (member, peer, up) =>
@@ -205,7 +211,7 @@
             return incarnation();
           },
         },
-        listen: { host, port: Number(port) },
+        listen: parseEndpoint(settings.peerListen),
         secret: new TextEncoder().encode(settings.peerSecret),
         clock,
         metrics,
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -13,6 +13,7 @@
 import {
   fail,
   Ok,
+  parseEndpoint,
   RequestDecider,
   type AppError,
   type Clock,
@@ -151,7 +152,6 @@
 
   /** Starts all components. Resolves with the address for callers. Errors: `settings-invalid`. */
   async start(): Promise<Result<string, AppError>> {
-    const { listen } = this.options.settings;
     const started = await this.coordination.start();
     if (started.isErr()) {
       return started;
@@ -159,9 +159,9 @@
     this.#demandReporter.start();
     this.#auditTrail.start();
     this.#fleetOwner.start();
-    const [host = '', port = ''] = listen.split(':');
+    const { host, port } = parseEndpoint(this.options.settings.listen);
     try {
-      return Ok(await this.server.listen(host, Number(port)));
+      return Ok(await this.server.listen(host, port));
     } catch (err) {
       return fail('settings-invalid', `listen: ${String(err)}`);
     }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -2,7 +2,7 @@
 import { randomInt, randomUUID } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
 import { parseArgs } from 'node:util';
-import { SeededRandom } from '@turmerichoist/core';
+import { parseEndpoint, SeededRandom } from '@turmerichoist/core';
 import {
   createLogger,
   NoMetrics,
@@ -44,11 +44,9 @@
   if (settings.metrics === undefined) {
     return new NoMetrics();
   }
-  const [host = '', port = ''] = settings.metrics.address.split(':');
-  const { prefix } = settings.metrics;
+  const { address, prefix } = settings.metrics;
   return new StatsdMetrics({
-    host,
-    port: Number(port),
+    ...parseEndpoint(address),
     prefix,
     onError: (err) => {
       log.warn('cannot send metrics', { err: err.message });
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -1,3 +1,4 @@
+import { parseEndpoint } from '@turmerichoist/core';
 import { z } from 'zod';
 
 const DEFAULT_DRAIN_MS = 2_000;
@@ -8,7 +9,7 @@
 const address = z
   .string()
   .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be IP:port')
-  .refine((text) => Number(text.split(':')[1]) <= 65_535, 'the port must be at most 65535');
+  .refine((text) => parseEndpoint(text).port <= 65_535, 'the port must be at most 65535');
 const url = z.url({ protocol: /^http$/ });
 const name = z
   .string()
--- a/packages/measure/src/pass-through/servers.ts
+++ b/packages/measure/src/pass-through/servers.ts
@@ -5,6 +5,7 @@
 import {
   Configuration,
   parseDocument,
+  parseEndpoint,
   RequestDecider,
   SeededRandom,
   type Resource,
@@ -96,5 +97,5 @@
     },
   });
   const address = await server.listen(HOST, 0);
-  return Number(address.split(':')[1]);
+  return parseEndpoint(address).port;
 }
--- a/packages/stand-ins/src/demo/demo-system.ts
+++ b/packages/stand-ins/src/demo/demo-system.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { sha256Hex, parseSettings, Entry, type Settings } from '@turmerichoist/daemon';
-import { SeededRandom } from '@turmerichoist/core';
+import { parseEndpoint, SeededRandom } from '@turmerichoist/core';
 import { createLogger, NoMetrics, SystemClock } from '@turmerichoist/runtime';
 import { stringify } from 'yaml';
 import {
@@ -72,7 +72,7 @@
     log: createLogger(settings.log).child(settings.member),
     metrics: new NoMetrics(),
     clock: new SystemClock(),
-    random: new SeededRandom(settings.member.length + Number(settings.listen.split(':')[1])),
+    random: new SeededRandom(settings.member.length + parseEndpoint(settings.listen).port),
     newId: randomUUID,
   });
   (await entry.start()).unwrap();
