refactor: shared schema of lease terms, shared flag for resource files

The bodies that grant and renew leases repeated four fields, and the commands apply and diff the same flag.

Tests: worker-stand-in, maintenance-path, tasks: passed; help of apply looked at.

--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -1,15 +1,12 @@
 import { Flags } from '@oclif/core';
 import { BaseCommand } from '../base-command.js';
+import { fileFlag } from '../file-flag.js';
 
 export default class Apply extends BaseCommand {
   static override description = 'Apply the resources of a YAML file in one atomic change.';
 
   static override flags = {
-    file: Flags.string({
-      char: 'f',
-      required: true,
-      description: 'YAML file, or - for standard input',
-    }),
+    file: fileFlag,
     'dry-run': Flags.boolean({ description: 'check the change without making it' }),
   };
 
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -1,15 +1,11 @@
-import { Flags } from '@oclif/core';
 import { BaseCommand } from '../base-command.js';
+import { fileFlag } from '../file-flag.js';
 
 export default class Diff extends BaseCommand {
   static override description = 'Show what applying a file would change.';
 
   static override flags = {
-    file: Flags.string({
-      char: 'f',
-      required: true,
-      description: 'YAML file, or - for standard input',
-    }),
+    file: fileFlag,
   };
 
   async run(): Promise<void> {
--- a/packages/daemon/src/workers/wire.ts
+++ b/packages/daemon/src/workers/wire.ts
@@ -10,13 +10,17 @@
 });
 const millis = z.number().min(0);
 
+/** The time for which a lease holds, in each order that grants or renews it. */
+const leaseTerm = z.object({
+  taskId: z.string(),
+  fence,
+  ttlMs: millis,
+  validBeforeMs: millis.optional(),
+});
+
 export const leasesBody = z.object({
   leases: z.array(
-    z.object({
-      taskId: z.string(),
-      fence,
-      ttlMs: millis,
-      validBeforeMs: millis.optional(),
+    leaseTerm.extend({
       incarnation: z.string().optional(),
       command: z.string(),
       resources,
@@ -27,15 +31,7 @@
 
 export const renewBody = z.object({
   epoch: z.int().min(0).optional(),
-  leases: z.array(
-    z.object({
-      taskId: z.string(),
-      fence,
-      ttlMs: millis,
-      validBeforeMs: millis.optional(),
-      throttled: z.boolean().optional(),
-    }),
-  ),
+  leases: z.array(leaseTerm.extend({ throttled: z.boolean().optional() })),
 });
 
 export const stopBody = z.object({
