refactor(measure): one function builds the simulated fleets of workers

Four measures built the same simulation of a deployment, and the phases of the zone measure repeated their counters.

--- a/packages/measure/src/fleet/zones.ts
+++ b/packages/measure/src/fleet/zones.ts
@@ -3,6 +3,7 @@
   FleetDecider,
   FleetSimulation,
   type Configuration,
+  type Millis,
   type Resource,
 } from '@turmerichoist/core';
 import { configurationOf, type Deployment } from './deployments.js';
@@ -20,14 +21,18 @@
 
 interface Phase {
   readonly name: string;
-  readonly from: number;
-  readonly to: number;
+  readonly from: Millis;
+  readonly to: Millis;
   /** Capacity that may be used: every instance that is up in an in-service zone. */
   allowedMinutes: number;
   /** Capacity on which the decider lets work start. */
   schedulableMinutes: number;
 }
 
+function phase(name: string, from: Millis, to: Millis): Phase {
+  return { name, from, to, allowedMinutes: 0, schedulableMinutes: 0 };
+}
+
 export interface ZoneOutcome {
   readonly phases: readonly Readonly<Phase>[];
   readonly drains: number;
@@ -38,35 +43,11 @@
 /** Measures, in instance-minutes, the schedulable capacity while a zone leaves and returns. */
 export function runZones(deployment: Deployment): ZoneOutcome {
   const phases: readonly Phase[] = [
-    { name: 'before', from: 0, to: OUT_AT_MS, allowedMinutes: 0, schedulableMinutes: 0 },
-    {
-      name: 'leaving',
-      from: OUT_AT_MS,
-      to: OUT_AT_MS + 2 * TASK_MS,
-      allowedMinutes: 0,
-      schedulableMinutes: 0,
-    },
-    {
-      name: 'out',
-      from: OUT_AT_MS + 2 * TASK_MS,
-      to: IN_AT_MS,
-      allowedMinutes: 0,
-      schedulableMinutes: 0,
-    },
-    {
-      name: 'returning',
-      from: IN_AT_MS,
-      to: IN_AT_MS + 5 * MINUTE_MS,
-      allowedMinutes: 0,
-      schedulableMinutes: 0,
-    },
-    {
-      name: 'after',
-      from: IN_AT_MS + 5 * MINUTE_MS,
-      to: END_MS,
-      allowedMinutes: 0,
-      schedulableMinutes: 0,
-    },
+    phase('before', 0, OUT_AT_MS),
+    phase('leaving', OUT_AT_MS, OUT_AT_MS + 2 * TASK_MS),
+    phase('out', OUT_AT_MS + 2 * TASK_MS, IN_AT_MS),
+    phase('returning', IN_AT_MS, IN_AT_MS + 5 * MINUTE_MS),
+    phase('after', IN_AT_MS + 5 * MINUTE_MS, END_MS),
   ];
   const decider = new FleetDecider({ poolPlanner: new FixedBuffer(0) });
   let drains = 0;
@@ -106,9 +87,9 @@
 /** Runs `runZones` and renders its outcome. */
 export function measureZones(deployment: Deployment): string {
   const { phases, drains, largestStep } = runZones(deployment);
-  const rows = phases.map((phase): readonly Cell[] => {
-    const part = ((100 * phase.schedulableMinutes) / phase.allowedMinutes).toFixed(2);
-    return [phase.name, phase.schedulableMinutes.toFixed(1), phase.allowedMinutes.toFixed(1), part];
+  const rows = phases.map(({ name, schedulableMinutes, allowedMinutes }): readonly Cell[] => {
+    const part = ((100 * schedulableMinutes) / allowedMinutes).toFixed(2);
+    return [name, schedulableMinutes.toFixed(1), allowedMinutes.toFixed(1), part];
   });
   const headings = ['phase', 'open instance-min', 'allowed instance-min', '%'];
   return `${renderTable(headings, rows)}drains ${drains}, largest step ${largestStep} instances\n`;
@@ -137,14 +118,14 @@
   simulation: FleetSimulation,
   decider: FleetDecider,
 ): void {
-  const phase = phases.find(({ from, to }) => simulation.now >= from && simulation.now < to);
-  if (phase === undefined) {
+  const current = phases.find(({ from, to }) => simulation.now >= from && simulation.now < to);
+  if (current === undefined) {
     return;
   }
   const { cfg } = simulation;
   for (const { name, spec } of cfg.list('instance')) {
     const isIn = cfg.spec('zone', spec.zone)?.state === 'in';
-    phase.allowedMinutes += isIn && simulation.isUp(name) ? SAMPLE_MS / MINUTE_MS : 0;
-    phase.schedulableMinutes += decider.isSchedulable(name) ? SAMPLE_MS / MINUTE_MS : 0;
+    current.allowedMinutes += isIn && simulation.isUp(name) ? SAMPLE_MS / MINUTE_MS : 0;
+    current.schedulableMinutes += decider.isSchedulable(name) ? SAMPLE_MS / MINUTE_MS : 0;
   }
 }
--- a/packages/measure/src/tasks/decision-time.ts
+++ b/packages/measure/src/tasks/decision-time.ts
@@ -1,6 +1,7 @@
 import { SeededRandom, type Millis } from '@turmerichoist/core';
-import { TaskFleetSimulation, type TaskFleetSimulationOptions } from '@turmerichoist/stand-ins';
-import { POOL, allowancesOf, configurationOf, type Deployment } from './deployments.js';
+import type { TaskFleetSimulation, TaskFleetSimulationOptions } from '@turmerichoist/stand-ins';
+import type { Deployment } from './deployments.js';
+import { simulateFleet } from './simulated-fleet.js';
 import { Workload } from './workload.js';
 
 const MEAN_RUN_MS = 20_000;
@@ -57,15 +58,10 @@
     spentMs.ticks += event.type === 'tick' ? elapsed : 0;
     return decisions;
   };
-  const cfg = configurationOf(deployment);
-  const allowances = allowancesOf(deployment);
-  const timing = { stepMs: STEP_MS, reportMs: 500 };
-  const fleet = new TaskFleetSimulation({
-    pool: POOL,
-    cfg,
-    allowances,
+  const fleet = simulateFleet(deployment, {
+    stepMs: STEP_MS,
+    reportMs: 500,
     interceptDecision: timeDecision,
-    ...timing,
   });
   let open = 0;
   let starts = 0;
--- a/packages/measure/src/tasks/packing.ts
+++ b/packages/measure/src/tasks/packing.ts
@@ -1,7 +1,8 @@
 import { SeededRandom } from '@turmerichoist/core';
-import { TaskFleetSimulation } from '@turmerichoist/stand-ins';
-import { POOL, allowancesOf, configurationOf, type Deployment } from './deployments.js';
+import type { TaskFleetSimulation } from '@turmerichoist/stand-ins';
+import type { Deployment } from './deployments.js';
 import { FirstComeFleet } from './first-come.js';
+import { SAMPLED_FLEET_TIMING, simulateFleet } from './simulated-fleet.js';
 import { Workload, type WorkloadTask } from './workload.js';
 
 const RUN_MS = 180_000;
@@ -37,16 +38,7 @@
   deployment: Deployment,
   workload: Workload,
 ): Omit<Packing, 'usedByDeclaration'> {
-  const cfg = configurationOf(deployment);
-  const allowances = allowancesOf(deployment);
-  const fleet = new TaskFleetSimulation({
-    pool: POOL,
-    cfg,
-    allowances,
-    stepMs: 100,
-    reportMs: 500,
-    lagMs: 2_000,
-  });
+  const fleet = simulateFleet(deployment, SAMPLED_FLEET_TIMING);
   const capacity = deployment.workers * deployment.processors;
   const counts = { throttle: 0, checkpoint: 0, stop: 0 };
   let open = 0;
--- a/packages/measure/src/tasks/shares.ts
+++ b/packages/measure/src/tasks/shares.ts
@@ -1,14 +1,8 @@
 import { SeededRandom, type Millis } from '@turmerichoist/core';
-import { TaskFleetSimulation } from '@turmerichoist/stand-ins';
-import {
-  POOL,
-  allowancesOf,
-  configurationOf,
-  teamName,
-  weightOf,
-  type Deployment,
-} from './deployments.js';
+import type { TaskFleetSimulation } from '@turmerichoist/stand-ins';
+import { teamName, weightOf, type Deployment } from './deployments.js';
 import { FirstComeFleet } from './first-come.js';
+import { SAMPLED_FLEET_TIMING, simulateFleet } from './simulated-fleet.js';
 import { Workload, type WorkloadTask } from './workload.js';
 
 /** Length of the run, including the time in which the fleet fills. */
@@ -50,17 +44,8 @@
   readonly #teams: number;
 
   constructor(deployment: Deployment) {
-    const cfg = configurationOf(deployment);
-    const allowances = allowancesOf(deployment);
     this.#teams = deployment.teams;
-    this.#fleet = new TaskFleetSimulation({
-      pool: POOL,
-      cfg,
-      allowances,
-      stepMs: 100,
-      reportMs: 500,
-      lagMs: 2_000,
-    });
+    this.#fleet = simulateFleet(deployment, SAMPLED_FLEET_TIMING);
   }
 
   submit({ spec }: WorkloadTask): void {
--- a/packages/measure/src/tasks/urgent.ts
+++ b/packages/measure/src/tasks/urgent.ts
@@ -1,7 +1,8 @@
 import { build, type Histogram } from 'hdr-histogram-js';
 import { SeededRandom, type Millis } from '@turmerichoist/core';
-import { TaskFleetSimulation } from '@turmerichoist/stand-ins';
-import { POOL, allowancesOf, configurationOf, type Deployment } from './deployments.js';
+import type { TaskFleetSimulation } from '@turmerichoist/stand-ins';
+import type { Deployment } from './deployments.js';
+import { simulateFleet } from './simulated-fleet.js';
 import { Workload } from './workload.js';
 
 const FILL_MS = 20_000;
@@ -22,13 +23,7 @@
 export function measureUrgent(deployment: Deployment, seed: number): UrgentStarts {
   const random = new SeededRandom(seed);
   const workload = new Workload(random);
-  const fleet = new TaskFleetSimulation({
-    pool: POOL,
-    cfg: configurationOf(deployment),
-    allowances: allowancesOf(deployment),
-    stepMs: STEP_MS,
-    lagMs: 2_000,
-  });
+  const fleet = simulateFleet(deployment, { stepMs: STEP_MS, lagMs: 2_000 });
   fillFleet(fleet, deployment, workload);
   fleet.step(FILL_MS);
   const submitted = new Map<string, Millis>();
