--- a/packages/measure/src/capacity/coordination-costs.ts
+++ b/packages/measure/src/capacity/coordination-costs.ts
@@ -16,7 +16,8 @@
   type QuotaDecision,
   type QuotaEvent,
 } from '@turmerichoist/coordination';
-import { keySha256Of, parseResource } from '../requests/request-simulation.js';
+import { parseResource } from '../requests/parse-resource.js';
+import { keySha256Of } from '../requests/request-simulation.js';
 import { cpuMillis, median, usedHeapMb } from './probes.js';
 
 const APPLY_COUNT = 200;
--- a/packages/measure/src/pass-through/servers.ts
+++ b/packages/measure/src/pass-through/servers.ts
@@ -2,16 +2,10 @@
 import type { AddressInfo } from 'node:net';
 import polka from 'polka';
 import { Pool } from 'undici';
-import {
-  Configuration,
-  parseDocument,
-  parseEndpoint,
-  RequestDecider,
-  SeededRandom,
-  type Resource,
-} from '@turmerichoist/core';
+import { Configuration, parseEndpoint, RequestDecider, SeededRandom } from '@turmerichoist/core';
 import { HttpServer, RequestPipeline, sha256Hex } from '@turmerichoist/daemon';
 import { NoMetrics, silentLogger, SystemClock } from '@turmerichoist/runtime';
+import { parseResource } from '../requests/parse-resource.js';
 
 /** API key of the only team of the benchmark. */
 export const BENCHMARK_KEY = 'benchmark-key';
@@ -57,19 +51,21 @@
   });
 }
 
-function resource(kind: string, name: string, spec: unknown): Resource {
-  return { ...parseDocument({ kind, name, spec }).unwrap(), version: 1 };
-}
-
 function configuration(upstreamPort: number): Configuration {
   const keys = [{ id: 'k', sha256: sha256Hex(BENCHMARK_KEY) }];
   const address = `${HOST}:${upstreamPort}`;
   return Configuration.of(1, [
-    resource('zone', 'z', { region: 'r' }),
-    resource('pool', 'p', { size: 1, budget: { maxUnavailable: 0 } }),
-    resource('queue', 'q', { pool: 'p' }),
-    resource('team', 't', { share: 1, limit: { requests: SLOTS }, keys }),
-    resource('upstream', 'u', { pool: 'p', zone: 'z', address, slots: SLOTS, connections: SLOTS }),
+    parseResource('zone', 'z', { region: 'r' }),
+    parseResource('pool', 'p', { size: 1, budget: { maxUnavailable: 0 } }),
+    parseResource('queue', 'q', { pool: 'p' }),
+    parseResource('team', 't', { share: 1, limit: { requests: SLOTS }, keys }),
+    parseResource('upstream', 'u', {
+      pool: 'p',
+      zone: 'z',
+      address,
+      slots: SLOTS,
+      connections: SLOTS,
+    }),
   ]);
 }
 
--- a/packages/measure/src/requests/decision-time.ts
+++ b/packages/measure/src/requests/decision-time.ts
@@ -6,7 +6,8 @@
   SeededRandom,
 } from '@turmerichoist/core';
 import { build, type Histogram } from 'hdr-histogram-js';
-import { keySha256Of, parseResource } from './request-simulation.js';
+import { parseResource } from './parse-resource.js';
+import { keySha256Of } from './request-simulation.js';
 
 const TEAM_COUNTS = [10, 100, 300] as const;
 const EXECUTORS = 9;
--- a/packages/measure/src/requests/request-simulation.ts
+++ b/packages/measure/src/requests/request-simulation.ts
@@ -10,10 +10,10 @@
   type Resource,
   SeededRandom,
   type WorkClass,
-  parseDocument,
 } from '@turmerichoist/core';
 import { build, type Histogram } from 'hdr-histogram-js';
 import { type ExecutorProfile, FakeExecutor } from './fake-executor.js';
+import { parseResource } from './parse-resource.js';
 import { VirtualTimeScheduler } from './virtual-time-scheduler.js';
 
 export const TICK_MS = 10;
@@ -219,7 +219,3 @@
     }),
   ];
 }
-
-export function parseResource(kind: string, name: string, spec: unknown): Resource {
-  return { ...parseDocument({ kind, name, spec }).unwrap(), version: 1 };
-}
