--- a/packages/daemon/src/entry/coordination.ts
+++ b/packages/daemon/src/entry/coordination.ts
@@ -16,8 +16,16 @@
   type PeerListener,
   type SessionEvent,
 } from '@turmerichoist/coordination';
-import type { AppError, MemberId, Millis, Result, Revision } from '@turmerichoist/core';
+import {
+  parseEndpoint,
+  type AppError,
+  type MemberId,
+  type Millis,
+  type Result,
+  type Revision,
+} from '@turmerichoist/core';
 import { every } from '@turmerichoist/runtime';
+import { askPeersAbout } from '../peers/index.js';
 import type { CoordinationOptions } from './coordination-listener.js';
 import { declaredLimits } from './declared-limits.js';
 import { FreshnessTransport } from './freshness-transport.js';
@@ -57,9 +65,9 @@
     this.#storeStateSince = clock.now();
     this.mesh = this.#createMesh();
     this.#freshnessTransport = new FreshnessTransport(
-      (to, body, timeoutMs) =>
-        this.mesh.request(to, { topic: 'freshness', body }, timeoutMs, context.signal),
+      askPeersAbout('freshness', this.mesh),
       () => this.freshness,
+      context.signal,
     );
     this.freshness = new FreshnessTracker(
       {
@@ -177,7 +185,6 @@
 
   #createMesh(): PeerMesh {
     const { settings, context, clock, metrics, listener } = this.#options;
-    const [host = '', port = ''] = settings.peerListen.split(':');
     const incarnation = (): string => this.#incarnation;
     const peers: PeerListener = {
       onLink: (member, peer, up) =>
@@ -204,7 +211,7 @@
             return incarnation();
           },
         },
-        listen: { host, port: Number(port) },
+        listen: parseEndpoint(settings.peerListen),
         secret: new TextEncoder().encode(settings.peerSecret),
         clock,
         metrics,
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -13,6 +13,7 @@
 import {
   fail,
   Ok,
+  parseEndpoint,
   RequestDecider,
   type AppError,
   type Clock,
@@ -29,6 +30,7 @@
 import { FleetOwner, FleetWaitLookup, isFleetKind } from '../fleet/index.js';
 import { HttpServer } from '../http/index.js';
 import { IdempotencyGate } from '../idempotency/index.js';
+import { askPeersAbout } from '../peers/index.js';
 import { RequestPipeline } from '../requests/index.js';
 import type { Settings } from '../settings/index.js';
 import { PoolOwners, poolRole, TaskApi, TaskRouter, type TaskCommand } from '../tasks/index.js';
@@ -113,8 +115,7 @@
       self: settings.member,
       clock,
       signal,
-      ask: (home, body, timeoutMs, until) =>
-        mesh.request(home, { topic: 'idempotency', body }, timeoutMs, until),
+      ask: askPeersAbout('idempotency', mesh),
     });
     this.pipeline.front.setIdempotencyGuard(this.#idempotencyGate);
     this.#taskRouter = new TaskRouter({
@@ -122,8 +123,7 @@
       clock,
       store: platform.table,
       owners: this.#poolOwners,
-      ask: (member, body, timeoutMs, until) =>
-        mesh.request(member, { topic: 'submit', body }, timeoutMs, until),
+      ask: askPeersAbout('submit', mesh),
     });
     const memberId = settings.member;
     this.#auditTrail = new AuditTrail({ context, memberId, clock, platform, replica, newId });
@@ -139,8 +139,7 @@
     this.#fleetWaits = new FleetWaitLookup({
       self: settings.member,
       owner: this.#fleetOwner,
-      ask: (member, body, timeoutMs, until) =>
-        mesh.request(member, { topic: 'why', body }, timeoutMs, until),
+      ask: askPeersAbout('why', mesh),
     });
     this.#configuration = new ConfigurationService({
       replica,
@@ -153,7 +152,6 @@
 
   /** Starts all components. Resolves with the address for callers. Errors: `settings-invalid`. */
   async start(): Promise<Result<string, AppError>> {
-    const { listen } = this.options.settings;
     const started = await this.coordination.start();
     if (started.isErr()) {
       return started;
@@ -161,9 +159,9 @@
     this.#demandReporter.start();
     this.#auditTrail.start();
     this.#fleetOwner.start();
-    const [host = '', port = ''] = listen.split(':');
+    const { host, port } = parseEndpoint(this.options.settings.listen);
     try {
-      return Ok(await this.server.listen(host, Number(port)));
+      return Ok(await this.server.listen(host, port));
     } catch (err) {
       return fail('settings-invalid', `listen: ${String(err)}`);
     }
