--- a/packages/coordination/src/io/table-watch.ts
+++ b/packages/coordination/src/io/table-watch.ts
@@ -38,6 +38,8 @@
   const { signal, log, table } = options;
   let position: RowVersion | undefined;
   let failing = false;
+  /** Whether the last read that succeeded was a snapshot. */
+  let afterSnapshot = false;
   while (!signal.aborted) {
     const sentAt = options.clock.now();
     // After a failure the client admits only one probe at a time. A probe that waits for a change
@@ -58,12 +60,17 @@
       log.info('table readable again', { table, position });
     }
     failing = false;
+    const snapshot = position === undefined;
     position = outcome === 'gone' ? undefined : outcome;
     if (outcome === 'gone') {
       log.info('changes no longer retained, reading a snapshot', { table });
+      // The history is shorter than a snapshot takes: reading the whole table on end would load the
+      // store further.
+      await sleep(afterSnapshot ? RETRY_INTERVAL_MS : 0, signal);
     } else if (options.pauseMs > 0) {
       await sleep(options.pauseMs, signal);
     }
+    afterSnapshot = snapshot;
   }
 }
 
--- a/packages/coordination/test/table-watch.test.ts
+++ b/packages/coordination/test/table-watch.test.ts
@@ -117,3 +117,28 @@
     ]);
   });
 });
+
+test('the whole table is read without a pause while the changes after it are not retained', async () => {
+  const stopping = new AbortController();
+  let snapshots = 0;
+  const feed: ChangeFeed = {
+    snapshot: () => {
+      snapshots += 1;
+      return Promise.resolve(Ok({ rows: [], position: 1 }));
+    },
+    changes: () => Promise.resolve(fail('revision-gone')),
+  };
+  void watchTable({
+    feed,
+    table: 'jobs',
+    clock: new ManualClock(),
+    log: silent,
+    waitMs: WAIT_MS,
+    pauseMs: 4,
+    onChanges: () => undefined,
+    signal: stopping.signal,
+  });
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  stopping.abort();
+  expect(snapshots).toBeLessThanOrEqual(4);
+});
