fix(jobs): the cost of stopping unknown runs does not grow with the square of their number

A new leader that found many runs of jobs that had been cancelled or were unknown handled nothing else for seconds, so that leases ended.

Cause: each stop of such a run looked through all stops that had been sent in the last 600 ms.

Found by reading.

--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -281,10 +281,12 @@
     why: string,
     now: Millis,
   ): void {
-    for (const [key, sentAt] of this.#untrackedStops) {
-      if (now - sentAt >= STOP_RETRY_MS) {
-        this.#untrackedStops.delete(key);
+    // In the order in which they were sent.
+    for (const [sent, sentAt] of this.#untrackedStops) {
+      if (now - sentAt < STOP_RETRY_MS) {
+        break;
       }
+      this.#untrackedStops.delete(sent);
     }
     const key = `${executor}/${taskKey(task)}#${attempt}`;
     if (!this.#untrackedStops.has(key)) {
