fix(jobs): a state that was shown is not followed by an earlier one

A caller saw a job as running that had been shown as completed.

Cause: reads of a state overtake each other, and the last answer replaced what was known, also a final state. While the store doesn't answer, such a state was answered until it did.

Found by reading. "a job is shown as running after it was shown as completed, as an older read ends late" (job-states) fails before.

--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -233,14 +233,12 @@
     const [progress] = rows.value.progress;
     if (progress !== undefined) {
       const { state } = progress.value as unknown as JobProgress;
-      this.#cacheState(id, state);
-      return Ok(state);
+      return Ok(this.#cacheState(id, state));
     }
     if (known === undefined && rows.value.jobs.length === 0) {
       return fail('job-unknown', id);
     }
-    this.#cacheState(id, known ?? 'queued');
-    return Ok(known ?? 'queued');
+    return Ok(this.#cacheState(id, known ?? 'queued'));
   }
 
   #isReachable(): boolean {
@@ -285,7 +283,13 @@
     return fail('not-ready', `waiting count ${reason}`, RETRY_AFTER_MS);
   }
 
-  #cacheState(id: JobId, state: JobState): void {
+  /**
+   * Keeps a state that was read, unless a later one is known: reads overtake each other. Returns the
+   * later one.
+   */
+  #cacheState(id: JobId, read: JobState): JobState {
+    const known = this.#cachedStates.get(id);
+    const state = known !== undefined && stageOf(known) > stageOf(read) ? known : read;
     this.#cachedStates.set(id, state);
     if (this.#cachedStates.size > MAX_CACHED_STATES) {
       const [oldest] = this.#cachedStates.keys();
@@ -293,9 +297,15 @@
         this.#cachedStates.delete(oldest);
       }
     }
+    return state;
   }
 }
 
+/** States of a job follow each other in the order of their stages. */
+function stageOf(state: JobState): number {
+  return state === 'queued' ? 0 : isFinal(state) ? 2 : 1;
+}
+
 function isFinal(state: JobState): boolean {
   return state === 'completed' || state === 'failed' || state === 'cancelled';
 }
--- /dev/null
+++ b/packages/daemon/test/job-states.test.ts
@@ -0,0 +1,90 @@
+import { afterEach, beforeEach, expect, test } from '@jest/globals';
+import { MemoryTableStore, type JsonValue, type TableStore } from '@turmerichoist/coordination';
+import { JobDirectory, SeededRandom, type JobProgress, type JobState } from '@turmerichoist/core';
+import { NoMetrics, SystemClock, silentLogger } from '@turmerichoist/runtime';
+import { JobIntake } from '../src/jobs/intake.js';
+import { JobService } from '../src/jobs/job-service.js';
+import { JOB_CONFIG } from './support/job-cell-fixture.js';
+
+// Each test is named after the failure that it guards against.
+
+const JOB = '00000000000000aa';
+
+const clock = new SystemClock();
+let controller: AbortController;
+let store: MemoryTableStore;
+/** Ends of the reads of progress that are under way, oldest first. */
+let heldReads: (() => void)[];
+let ids = 0;
+
+beforeEach(() => {
+  controller = new AbortController();
+  store = new MemoryTableStore();
+  heldReads = [];
+});
+
+afterEach(() => {
+  controller.abort();
+});
+
+/** Reads at once and answers when the test says so, so that answers overtake each other. */
+const read: TableStore['read'] = async (keys, signal) => {
+  const rows = await store.read(keys, signal);
+  await new Promise<void>((resolve) => {
+    heldReads.push(resolve);
+  });
+  return rows;
+};
+
+function openService(): JobService {
+  const newId = (): string => {
+    ids += 1;
+    return `txn-${ids}`;
+  };
+  const log = silentLogger;
+  const { signal } = controller;
+  const intake = new JobIntake(
+    { tables: { openIntake: () => store }, clock, random: new SeededRandom(1), newId },
+    { log, signal },
+  );
+  const metrics = new NoMetrics();
+  const service = new JobService({ intake, cell: { read }, clock, log, metrics, signal });
+  service.setDirectory(new JobDirectory(JOB_CONFIG));
+  return service;
+}
+
+async function storeRow(key: string, value: unknown): Promise<void> {
+  const writes = [{ key, value: value as JsonValue }];
+  await store.commit({ txnId: key, conditions: [], writes }, controller.signal);
+}
+
+async function storeState(state: JobState): Promise<void> {
+  const progress: JobProgress = { state, endedWallMs: 0, done: {}, failures: {} };
+  await storeRow(`progress/${JOB}`, progress);
+}
+
+function get(service: JobService): Promise<unknown> {
+  const req = { host: 'jobs.example', path: `/q1/${JOB}`, key: undefined, timeoutMs: 2_000 };
+  return service.handle({ ...req, action: { type: 'read' } }).then((reply) => reply.unwrap());
+}
+
+async function settle(): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, 5));
+}
+
+test('a job is shown as running after it was shown as completed, as an older read ends late', async () => {
+  await storeRow(`jobs/${JOB}`, {});
+  await storeState('running');
+  const service = openService();
+  const older = get(service);
+  await settle();
+  await storeState('completed');
+  const newer = get(service);
+  await settle();
+  heldReads[1]?.();
+  expect(await newer).toEqual({ type: 'state', state: 'completed' });
+  heldReads[0]?.();
+  expect(await older).toEqual({ type: 'state', state: 'completed' });
+  service.setReachable(false);
+  expect(await get(service)).toEqual({ type: 'state', state: 'completed' });
+});
