--- a/packages/core/src/types/clock.ts
+++ b/packages/core/src/types/clock.ts
@@ -1,6 +1,9 @@
 /** A duration or a point in time, in milliseconds. */
 export type Millis = number;
 
+/** A point in time before every reading of a clock. */
+export const NEVER: Millis = Number.NEGATIVE_INFINITY;
+
 /** Time source. Decisions use only `now`, since wall clocks of two instances cannot be compared. */
 export interface Clock {
   /** Monotonic time in milliseconds since an arbitrary origin. */
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -12,6 +12,7 @@
 } from '@turmerichoist/coordination';
 import {
   fail,
+  NEVER,
   Ok,
   parseEndpoint,
   RequestDecider,
@@ -43,8 +44,6 @@
 import { RolloutTracker } from './rollout.js';
 import { stopEntry } from './stop.js';
 
-const NEVER: Millis = Number.NEGATIVE_INFINITY;
-
 export interface EntryOptions {
   readonly settings: Settings;
   readonly log: Logger;
