--- /dev/null
+++ b/packages/daemon/src/entry/entry-server.ts
@@ -0,0 +1,53 @@
+import { fail, type AppError, type Result } from '@turmerichoist/core';
+import { OperatorApi, Operators } from '../api/index.js';
+import { isFleetKind } from '../fleet/index.js';
+import { HttpServer } from '../http/index.js';
+import { TaskApi } from '../tasks/index.js';
+import type { EntryComponents } from './entry-components.js';
+import type { EntryOptions } from './entry-options.js';
+
+/** Creates the HTTP server for the callers and operators of an entry. */
+export function createEntryServer(
+  components: EntryComponents,
+  { settings, log }: EntryOptions,
+  signal: AbortSignal,
+): HttpServer {
+  const { configuration, pipeline, taskRouter } = components;
+  const operators = new OperatorApi({
+    access: configuration,
+    operators: new Operators(settings.operators),
+    why: (kind, name, until) => explainWait(components, kind, name, until),
+    signal,
+  });
+  const tasks = new TaskApi({
+    cfg: () => configuration.current(),
+    isConfigFresh: () => components.ready,
+    route: (command, until) => taskRouter.route(command, until),
+    signal,
+  });
+  return new HttpServer({
+    callers: (req, res) => pipeline.front.accept(req, res),
+    tasks: (req, res) => tasks.handle(req, res),
+    operators: (req, res) => operators.handle(req, res),
+    ready: () => components.ready,
+    onError: (err) => {
+      log.error('request handler failed', { err: String(err) });
+    },
+  });
+}
+
+/** Asks the owner of a plan, instance, pool or task what it waits for. Errors: `not-found`. */
+function explainWait(
+  { fleetWaits, taskRouter }: EntryComponents,
+  kind: string,
+  name: string,
+  signal: AbortSignal,
+): Promise<Result<unknown, AppError>> {
+  if (isFleetKind(kind)) {
+    return fleetWaits.find(kind, name, signal);
+  }
+  const pool = name.split(':')[0] ?? '';
+  return kind === 'task'
+    ? taskRouter.route({ type: 'show', pool, id: name }, signal)
+    : Promise.resolve(fail('not-found', `${kind}/${name}`));
+}
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -1,2 +1,3 @@
 export * from './entry.js';
+export * from './entry-options.js';
 export * from './platform.js';
