--- a/packages/coordination/src/state/quota/grant-ledger.ts
+++ b/packages/coordination/src/state/quota/grant-ledger.ts
@@ -1,41 +1,29 @@
 import type { Decider, Incarnation, MemberId, Millis, Random, TeamName } from '@turmerichoist/core';
-import type { JsonValue, RowVersion, Transaction } from '../../store/index.js';
-import { ISOLATED_ROUNDS, GRANT_ROUND_MS, MAX_BACKOFF_MS, MAX_TEAMS_PER_TXN } from './constants.js';
+import type { Row, RowVersion } from '../../store/index.js';
+import { ISOLATED_ROUNDS, MAX_TEAMS_PER_TXN } from './constants.js';
+import { GrantSession } from './grant-session.js';
 import { GrantHolders } from './holders.js';
 import { shouldReadRow, planTeam, targetUnits, type PlanContext, type TeamPlan } from './plan.js';
 import { FairSharePolicy, type GrantPolicy } from './policy.js';
-import { ReportedLimits, UsableUnitsPublisher } from './publication.js';
 import {
-  encodeQuotaRow,
-  grantedUnits,
-  parseQuotaRow,
-  quotaKey,
-  raiseCeiling,
-  teamOfKey,
-  type DeclaredLimit,
-} from './rows.js';
-import { TeamAccount } from './team-account.js';
-import type { QuotaDecision, QuotaEvent, Settlement, UnmetDemand } from './types.js';
+  ReportedLimits,
+  reportLimitsInForce,
+  unmetDemand,
+  UsableUnitsPublisher,
+} from './publication.js';
+import { RoundSchedule } from './round-schedule.js';
+import { parseQuotaRow, quotaKey, teamOfKey } from './rows.js';
+import { TeamAccounts } from './team-accounts.js';
+import { quotaTransaction, TxnQueue, type OpenTxn, type PlannedTxn } from './txn-queue.js';
+import type { QuotaDecision, QuotaEvent, Settlement } from './types.js';
 import { UnmetDemandPublisher, PeerUnmetDemand } from './unmet-demand.js';
 
-interface PlannedTxn {
-  readonly plans: ReadonlyMap<TeamName, TeamPlan>;
-}
-
-interface OpenTxn extends PlannedTxn {
-  readonly txnId: string;
-  /** Units held before the transaction, by team. */
-  readonly held: ReadonlyMap<TeamName, number>;
-}
-
 export interface GrantLedgerOptions {
   readonly self: MemberId;
   readonly random: Random;
   readonly policy?: GrantPolicy;
 }
 
-const NEVER = Number.NEGATIVE_INFINITY;
-
 /**
  * Adjusts the quota grants of this member to its demand. A unit is usable only after the
  * transaction that granted it is known to have committed, and it is removed from the row only after
@@ -44,33 +32,25 @@
 export class GrantLedger implements Decider<QuotaEvent, QuotaDecision> {
   readonly #options: GrantLedgerOptions;
   readonly #policy: GrantPolicy;
-  readonly #accounts = new Map<TeamName, TeamAccount>();
+  readonly #session = new GrantSession();
+  readonly #accounts = new TeamAccounts();
   readonly #holders = new GrantHolders();
+  readonly #schedule: RoundSchedule;
+  readonly #txns = new TxnQueue();
   readonly #peerUnmetDemand = new PeerUnmetDemand();
   readonly #unmetDemandPublisher = new UnmetDemandPublisher();
   readonly #reportedLimits = new ReportedLimits();
   readonly #unitsPublisher = new UsableUnitsPublisher();
-  #limits: ReadonlyMap<TeamName, DeclaredLimit> = new Map();
-  #incarnation: Incarnation = '';
-  #formerIncarnations: readonly Incarnation[] = [];
-  /** Former incarnations are adopted only after the limiter has applied this publication. */
-  #adoptSerial = 0;
-  #sessionUntil: Millis = NEVER;
-  #outageUntil: Millis = NEVER;
   #appliedSerial = 0;
   #reading = false;
-  #openTxn: OpenTxn | undefined;
-  #queuedTxns: readonly PlannedTxn[] = [];
   #round = 0;
-  #nextRoundAt: Millis = NEVER;
-  #failures = 0;
-  #txnCount = 0;
   #stopping = false;
   #released = false;
 
   constructor(options: GrantLedgerOptions) {
     this.#options = options;
     this.#policy = options.policy ?? new FairSharePolicy();
+    this.#schedule = new RoundSchedule(options.random);
   }
 
   handle(event: QuotaEvent, now: Millis): readonly QuotaDecision[] {
@@ -82,7 +62,7 @@
       ...eventDecisions,
       ...round,
       ...this.#publishUnmetDemand(now),
-      ...this.#reportLimitsInForce(),
+      ...reportLimitsInForce(this.#accounts, this.#reportedLimits),
       ...this.#reportReleased(),
     ];
   }
@@ -93,13 +73,14 @@
         this.#onSession(event.incarnation, event.validUntil);
         return [];
       case 'outage':
-        this.#outageUntil = event.until ?? NEVER;
+        this.#session.setOutageUntil(event.until);
         return [];
       case 'limits':
-        this.#onLimits(event.limits);
+        this.#accounts.onLimits(event.limits);
         return [];
       case 'demand':
-        this.#onDemand(event, now);
+        this.#appliedSerial = Math.max(this.#appliedSerial, event.appliedSerial);
+        this.#accounts.onDemand(event.teams, now);
         return [];
       case 'members':
         this.#holders.onMembers(event.rows, event.readAt, now);
@@ -117,9 +98,7 @@
         this.#backOff(now);
         return [];
       case 'settled':
-        return event.txnId === this.#openTxn?.txnId
-          ? this.#onSettled(this.#openTxn, event.result, now)
-          : [];
+        return this.#onSettled(event.txnId, event.result, now);
       case 'stopping':
         this.#stopping = true;
         return [];
@@ -128,51 +107,21 @@
     }
   }
 
-  #account(team: TeamName): TeamAccount {
-    const account = this.#accounts.get(team) ?? new TeamAccount();
-    this.#accounts.set(team, account);
-    return account;
-  }
-
   #onSession(incarnation: Incarnation, validUntil: Millis): void {
-    this.#sessionUntil = validUntil;
-    if (incarnation === this.#incarnation) {
-      return;
-    }
-    if (this.#incarnation !== '') {
-      this.#formerIncarnations = [...this.#formerIncarnations, this.#incarnation];
-    }
-    this.#incarnation = incarnation;
-    // Adopt only after the limiter has applied the publication that revokes the former units.
-    this.#adoptSerial = this.#unitsPublisher.serial + 1;
-    this.#unitsPublisher.invalidate();
-    for (const account of this.#accounts.values()) {
-      account.cancelShrink();
-    }
-  }
-
-  #onLimits(limits: ReadonlyMap<TeamName, DeclaredLimit>): void {
-    this.#limits = limits;
-    for (const team of limits.keys()) {
-      this.#account(team);
-    }
-  }
-
-  #onDemand(event: Extract<QuotaEvent, { type: 'demand' }>, now: Millis): void {
-    this.#appliedSerial = Math.max(this.#appliedSerial, event.appliedSerial);
-    const teams = new Map(event.teams.map((demand) => [demand.team, demand]));
-    for (const team of new Set([...this.#accounts.keys(), ...teams.keys()])) {
-      this.#account(team).onDemand(teams.get(team) ?? { running: 0, waiting: 0 }, now);
+    const nextSerial = this.#unitsPublisher.serial + 1;
+    if (this.#session.renew(incarnation, validUntil, nextSerial)) {
+      this.#unitsPublisher.invalidate();
+      this.#accounts.cancelShrinks();
     }
   }
 
   #context(team: TeamName, now: Millis): PlanContext {
     return {
       self: this.#options.self,
-      incarnation: this.#incarnation,
-      adoptable: new Set(this.#appliedSerial >= this.#adoptSerial ? this.#formerIncarnations : []),
+      incarnation: this.#session.incarnation,
+      adoptable: this.#session.adoptable(this.#appliedSerial),
       appliedSerial: this.#appliedSerial,
-      declared: this.#limits.get(team),
+      declared: this.#accounts.declared(team),
       wants: this.#peerUnmetDemand.of(team, now),
       stopping: this.#stopping,
       holders: this.#holders,
@@ -182,11 +131,12 @@
   }
 
   #startRound(now: Millis): readonly QuotaDecision[] {
-    const busy = this.#reading || this.#openTxn !== undefined;
-    if (busy || now < this.#nextRoundAt || now >= this.#sessionUntil) {
+    const busy = this.#reading || this.#txns.hasOpen;
+    if (busy || !this.#schedule.isDue(now) || !this.#session.isValid(now)) {
       return [];
     }
-    const teams = [...this.#accounts]
+    const teams = this.#accounts
+      .all()
       .filter(([team, account]) => shouldReadRow(account, this.#context(team, now)))
       .sort(([, a], [, b]) => a.lastPlannedAt - b.lastPlannedAt)
       .slice(0, MAX_TEAMS_PER_TXN);
@@ -194,15 +144,11 @@
       return [];
     }
     this.#reading = true;
-    this.#nextRoundAt = now + GRANT_ROUND_MS;
+    this.#schedule.onStarted(now);
     return [{ type: 'read', keys: teams.map(([team]) => quotaKey(team)) }];
   }
 
-  #onRows(
-    keys: readonly string[],
-    rows: readonly { key: string; version: RowVersion; value: JsonValue }[],
-    now: Millis,
-  ): readonly QuotaDecision[] {
+  #onRows(keys: readonly string[], rows: readonly Row[], now: Millis): readonly QuotaDecision[] {
     const found = new Map(rows.map((row) => [row.key, row]));
     const readable: TeamName[] = [];
     for (const key of keys) {
@@ -210,7 +156,7 @@
       const value = row === undefined ? undefined : parseQuotaRow(row.value);
       if (value?.isErr() !== true) {
         const team = teamOfKey(key);
-        this.#account(team).onRow(row?.version ?? 0, value?.unwrap());
+        this.#accounts.get(team).onRow(row?.version ?? 0, value?.unwrap());
         this.#holders.onGrants(value?.unwrap().grants ?? [], now);
         readable.push(team);
       }
@@ -219,7 +165,7 @@
       return [];
     }
     this.#reading = false;
-    this.#failures = 0;
+    this.#schedule.onRead();
     this.#plan(readable, now);
     return this.#commitNext(now);
   }
@@ -230,7 +176,7 @@
     const batch = new Map<TeamName, TeamPlan>();
     const isolated: PlannedTxn[] = [];
     for (const team of teams) {
-      const account = this.#account(team);
+      const account = this.#accounts.get(team);
       account.lastPlannedAt = now;
       const plan = planTeam(account, this.#context(team, now));
       if (plan !== undefined && account.isolatedUntilRound >= this.#round) {
@@ -239,42 +185,30 @@
         batch.set(team, plan);
       }
     }
-    this.#queuedTxns = [...(batch.size > 0 ? [{ plans: batch }] : []), ...isolated];
+    this.#txns.replace([...(batch.size > 0 ? [{ plans: batch }] : []), ...isolated]);
   }
 
   #commitNext(now: Millis): readonly QuotaDecision[] {
-    const [next, ...rest] = this.#queuedTxns;
-    this.#queuedTxns = now < this.#sessionUntil ? rest : [];
-    if (next === undefined || now >= this.#sessionUntil) {
+    if (!this.#session.isValid(now)) {
+      this.#txns.replace([]);
       return [];
     }
-    const { self } = this.#options;
-    this.#txnCount += 1;
-    const txnId = `${self}/${this.#incarnation}/quota/${this.#txnCount}`;
-    const teams = [...next.plans.keys()];
-    const held = teams.map((team) => [team, this.#held(team)] as const);
-    this.#openTxn = { ...next, txnId, held: new Map(held) };
-    return [{ type: 'commit', txn: this.#transaction(txnId, next) }];
-  }
-
-  #transaction(txnId: string, { plans }: PlannedTxn): Transaction {
-    const all = [...plans];
-    return {
-      txnId,
-      conditions: all.map(([team]) => ({
-        key: quotaKey(team),
-        version: this.#account(team).version,
-      })),
-      writes: all.map(([team, plan]) => ({ key: quotaKey(team), value: encodeQuotaRow(plan.row) })),
-    };
+    const idPrefix = `${this.#options.self}/${this.#session.incarnation}/quota`;
+    const open = this.#txns.openNext(idPrefix, (team) => this.#held(team));
+    return open === undefined
+      ? []
+      : [{ type: 'commit', txn: quotaTransaction(open, this.#accounts) }];
   }
 
   #held(team: TeamName): number {
-    return this.#account(team).held(this.#options.self, this.#incarnation);
+    return this.#accounts.get(team).held(this.#options.self, this.#session.incarnation);
   }
 
-  #onSettled(open: OpenTxn, result: Settlement, now: Millis): readonly QuotaDecision[] {
-    this.#openTxn = undefined;
+  #onSettled(txnId: string, result: Settlement, now: Millis): readonly QuotaDecision[] {
+    const open = this.#txns.close(txnId);
+    if (open === undefined) {
+      return [];
+    }
     switch (result.committed) {
       case true:
         this.#onCommitted(open, result.versions);
@@ -284,7 +218,7 @@
         break;
       case 'unknown':
         for (const [team, { units }] of open.plans) {
-          this.#account(team).onUnknownOutcome(units, open.held.get(team) ?? 0);
+          this.#accounts.get(team).onUnknownOutcome(units, open.held.get(team) ?? 0);
         }
         this.#backOff(now);
         break;
@@ -299,9 +233,9 @@
     for (const [team, { row, units }] of open.plans) {
       const version = versions[quotaKey(team)];
       if (version === undefined) {
-        this.#account(team).onUnknownOutcome(units, open.held.get(team) ?? 0);
+        this.#accounts.get(team).onUnknownOutcome(units, open.held.get(team) ?? 0);
       } else {
-        this.#account(team).onRow(version, row);
+        this.#accounts.get(team).onRow(version, row);
       }
     }
   }
@@ -310,24 +244,22 @@
   #onConflict(open: OpenTxn, failed: readonly string[]): void {
     const conflicts = new Set(failed.map(teamOfKey));
     for (const team of conflicts) {
-      this.#account(team).isolatedUntilRound = this.#round + ISOLATED_ROUNDS;
+      this.#accounts.get(team).isolatedUntilRound = this.#round + ISOLATED_ROUNDS;
     }
     const rest = [...open.plans].filter(([team]) => !conflicts.has(team));
     if (rest.length > 0 && rest.length < open.plans.size) {
-      this.#queuedTxns = [{ plans: new Map(rest) }, ...this.#queuedTxns];
+      this.#txns.addFirst({ plans: new Map(rest) });
     }
   }
 
   #backOff(now: Millis): void {
-    this.#queuedTxns = [];
-    this.#failures += 1;
-    const longest = Math.min(MAX_BACKOFF_MS, GRANT_ROUND_MS * 2 ** this.#failures);
-    this.#nextRoundAt = now + longest * (0.5 + this.#options.random.next() / 2);
+    this.#txns.replace([]);
+    this.#schedule.onFailed(now);
   }
 
   /** Offers fewer units to the limiter as soon as the target is lower; the row is lowered later. */
   #reduceOffers(now: Millis): void {
-    for (const [team, account] of this.#accounts) {
+    for (const [team, account] of this.#accounts.all()) {
       const held = this.#held(team);
       if (held > 0) {
         const target = targetUnits(account, this.#context(team, now));
@@ -342,52 +274,31 @@
 
   #publishUsable(): readonly QuotaDecision[] {
     const { self } = this.#options;
-    const usable = [...this.#accounts]
-      .map(([team, account]) => [team, account.usable(self, this.#incarnation)] as const)
+    const usable = this.#accounts
+      .all()
+      .map(([team, account]) => [team, account.usable(self, this.#session.incarnation)] as const)
       .filter(([, units]) => units > 0);
     const units = new Map(usable);
-    const validUntil = Math.max(this.#sessionUntil, this.#outageUntil);
+    const validUntil = this.#session.usableUntil;
     const changed = this.#unitsPublisher.update(units, validUntil);
     const { serial } = this.#unitsPublisher;
-    for (const account of this.#accounts.values()) {
-      account.onPublished(serial);
-    }
+    this.#accounts.onPublished(serial);
     return changed ? [{ type: 'usable', serial, units, validUntil }] : [];
   }
 
   #publishUnmetDemand(now: Millis): readonly QuotaDecision[] {
-    const missing: UnmetDemand[] = [];
-    for (const [team, account] of this.#accounts) {
-      const row = account.row(this.#limits.get(team));
-      if (account.known && account.need > 0 && grantedUnits(row) >= raiseCeiling(row)) {
-        // Not capped at the fair share: other members keep idle units until they see unmet demand.
-        const units = Math.min(account.need, raiseCeiling(row)) - this.#held(team);
-        missing.push(...(units > 0 ? [{ team, units }] : []));
-      }
-    }
+    const missing = unmetDemand(this.#accounts, (team) => this.#held(team));
     const wants = this.#unmetDemandPublisher.update(missing, now);
     return wants === undefined ? [] : [{ type: 'want', wants }];
   }
 
-  #reportLimitsInForce(): readonly QuotaDecision[] {
-    const decisions: QuotaDecision[] = [];
-    for (const [team, account] of this.#accounts) {
-      const row = account.row(this.#limits.get(team));
-      if (account.version > 0 && this.#reportedLimits.recordIfNew(team, row)) {
-        const { limit, revision } = row;
-        decisions.push({ type: 'limit-in-force', team, limit, revision });
-      }
-    }
-    return decisions;
-  }
-
   #reportReleased(): readonly QuotaDecision[] {
-    if (!this.#stopping || this.#released || this.#openTxn !== undefined) {
+    if (!this.#stopping || this.#released || this.#txns.hasOpen) {
       return [];
     }
-    const left = [...this.#accounts].some(
-      ([team, account]) => this.#held(team) > 0 || account.inDoubt || account.need > 0,
-    );
+    const left = this.#accounts
+      .all()
+      .some(([team, account]) => this.#held(team) > 0 || account.inDoubt || account.need > 0);
     this.#released = !left;
     return left ? [] : [{ type: 'released' }];
   }
--- a/packages/coordination/src/state/quota/holders.ts
+++ b/packages/coordination/src/state/quota/holders.ts
@@ -1,4 +1,4 @@
-import type { Incarnation, MemberId, Millis } from '@turmerichoist/core';
+import { NEVER, type Incarnation, type MemberId, type Millis } from '@turmerichoist/core';
 import { ABSENT_EXPIRY_MS, MAX_MEMBER_READ_GAP_MS, RECLAIM_AFTER_MS } from './constants.js';
 import type { Grant } from './rows.js';
 
@@ -27,7 +27,7 @@
 export class GrantHolders {
   #current: ReadonlyMap<MemberId, CurrentSession> = new Map();
   readonly #records = new Map<string, HolderRecord>();
-  #lastReadAt: Millis = Number.NEGATIVE_INFINITY;
+  #lastReadAt: Millis = NEVER;
 
   /** Replaces the list of sessions that have a member row, from a read sent at `readAt`. */
   onMembers(rows: readonly Session[], readAt: Millis, now: Millis): void {
--- a/packages/coordination/src/state/quota/publication.ts
+++ b/packages/coordination/src/state/quota/publication.ts
@@ -1,5 +1,7 @@
 import type { Millis, Revision, TeamName } from '@turmerichoist/core';
-import type { QuotaRow } from './rows.js';
+import { grantedUnits, raiseCeiling, type QuotaRow } from './rows.js';
+import type { TeamAccounts } from './team-accounts.js';
+import type { QuotaDecision, UnmetDemand } from './types.js';
 
 /** Numbers the publications of usable units to the limiter, and suppresses unchanged ones. */
 export class UsableUnitsPublisher {
@@ -45,3 +47,36 @@
     return true;
   }
 }
+
+/** Reports the limits that have come into force since the last call. */
+export function reportLimitsInForce(
+  accounts: TeamAccounts,
+  reported: ReportedLimits,
+): readonly QuotaDecision[] {
+  const decisions: QuotaDecision[] = [];
+  for (const [team, account] of accounts.all()) {
+    const row = accounts.row(team);
+    if (account.version > 0 && reported.recordIfNew(team, row)) {
+      const { limit, revision } = row;
+      decisions.push({ type: 'limit-in-force', team, limit, revision });
+    }
+  }
+  return decisions;
+}
+
+/** The units that this member lacks because the rows of its teams are exhausted. */
+export function unmetDemand(
+  accounts: TeamAccounts,
+  held: (team: TeamName) => number,
+): readonly UnmetDemand[] {
+  const missing: UnmetDemand[] = [];
+  for (const [team, account] of accounts.all()) {
+    const row = accounts.row(team);
+    if (account.known && account.need > 0 && grantedUnits(row) >= raiseCeiling(row)) {
+      // Not capped at the fair share: other members keep idle units until they see unmet demand.
+      const units = Math.min(account.need, raiseCeiling(row)) - held(team);
+      missing.push(...(units > 0 ? [{ team, units }] : []));
+    }
+  }
+  return missing;
+}
--- a/packages/coordination/src/state/quota/team-account.ts
+++ b/packages/coordination/src/state/quota/team-account.ts
@@ -1,4 +1,4 @@
-import type { Incarnation, MemberId, Millis } from '@turmerichoist/core';
+import { NEVER, type Incarnation, type MemberId, type Millis } from '@turmerichoist/core';
 import type { RowVersion } from '../../store/index.js';
 import { DemandWindow } from './demand-window.js';
 import { unitsOf, type DeclaredLimit, type QuotaRow } from './rows.js';
@@ -23,7 +23,7 @@
   #shrink: PendingShrink | undefined;
   /** The team gets separate transactions up to and including this round. */
   isolatedUntilRound = 0;
-  lastPlannedAt: Millis = Number.NEGATIVE_INFINITY;
+  lastPlannedAt: Millis = NEVER;
 
   /** Whether the row, or its absence, has been read. */
   get known(): boolean {
--- a/packages/coordination/src/state/quota/unmet-demand.ts
+++ b/packages/coordination/src/state/quota/unmet-demand.ts
@@ -1,4 +1,4 @@
-import type { MemberId, Millis, TeamName } from '@turmerichoist/core';
+import { NEVER, type MemberId, type Millis, type TeamName } from '@turmerichoist/core';
 import { GRANT_ROUND_MS, UNMET_DEMAND_REPEAT_MS, UNMET_DEMAND_STALE_MS } from './constants.js';
 import type { UnmetDemand } from './types.js';
 
@@ -31,7 +31,7 @@
 /** Decides when unmet demand is published: when its teams change, and at intervals. */
 export class UnmetDemandPublisher {
   #published: readonly UnmetDemand[] = [];
-  #publishedAt: Millis = Number.NEGATIVE_INFINITY;
+  #publishedAt: Millis = NEVER;
 
   /** The unmet demand to be published now; undefined when no publication is due. */
   update(wants: readonly UnmetDemand[], now: Millis): readonly UnmetDemand[] | undefined {
