refactor(daemon): FleetOwner without transactions, checks and operator drains

fleet-owner.ts ran the decider, checked roles and freshness, repeated transactions and derived drains from cordons. FleetGuard, FleetTransactions and OperatorDrains do the last three.

--- a/packages/daemon/src/fleet/fleet-owner.ts
+++ b/packages/daemon/src/fleet/fleet-owner.ts
@@ -1,10 +1,4 @@
-import {
-  fencingCondition,
-  RoleGuard,
-  type Holding,
-  type JsonValue,
-  type OwnershipEvent,
-} from '@turmerichoist/coordination';
+import type { Holding, JsonValue, OwnershipEvent } from '@turmerichoist/coordination';
 import {
   Configuration,
   FleetDecider,
@@ -15,19 +9,21 @@
   type Clock,
   type FleetDecision,
   type FleetEvent,
-  type FleetTransaction,
   type InstanceName,
   type Millis,
-  type OwnerFence,
   type PoolName,
   type Result,
   type StoredRow,
   type WaitSubject,
 } from '@turmerichoist/core';
 import { Actor, every, sleep, type ActorContext } from '@turmerichoist/runtime';
-import { poolRole, POOL_ROLE_PREFIX } from '../tasks/index.js';
+import { POOL_ROLE_PREFIX } from '../tasks/index.js';
+import { FleetGuard } from './fleet-guard.js';
 import { FleetLinks } from './fleet-links.js';
+import type { FleetOwnerMessage } from './fleet-messages.js';
 import { FleetRows, type FleetRowsOptions } from './fleet-rows.js';
+import { FleetTransactions } from './fleet-transactions.js';
+import { OperatorDrains } from './operator-drains.js';
 
 const TICK_MS: Millis = 250;
 /** Period at which instances are polled for their reports. */
@@ -41,32 +37,6 @@
 /** Delay before a failed read of rows is retried. */
 const READ_RETRY_DELAY_MS: Millis = 500;
 
-export type FleetOwnerMessage =
-  | OwnershipEvent
-  | Extract<
-      FleetEvent,
-      {
-        type:
-          | 'config-changed'
-          | 'instance-seen'
-          | 'drain-finished'
-          | 'demand'
-          | 'transaction-committed'
-          | 'transaction-conflicted'
-          | 'transaction-unknown'
-          | 'rows-read';
-      }
-    >
-  | { readonly type: 'freshness'; readonly configUntil: Millis; readonly ownerUntil: Millis }
-  | { readonly type: 'poll' }
-  | { readonly type: 'read-rows' }
-  | { readonly type: 'tick' }
-  | {
-      readonly type: 'gained';
-      readonly holding: Holding;
-      readonly rows: readonly StoredRow[];
-    };
-
 export interface FleetOwnerOptions extends FleetRowsOptions {
   readonly clock: Clock;
 }
@@ -76,13 +46,13 @@
   readonly #clock: Clock;
   readonly #rows: FleetRows;
   readonly #links: FleetLinks;
-  readonly #roleGuard = new RoleGuard();
+  readonly #guard: FleetGuard;
+  readonly #transactions: FleetTransactions;
+  readonly #operatorDrains = new OperatorDrains();
   readonly #decider = new FleetDecider({ poolPlanner: new ProportionalBorrowing() });
   /** Pools whose rows were read under the current epoch. */
   readonly #owned = new Set<PoolName>();
-  #cordoned: ReadonlySet<InstanceName> = new Set();
   #cfg = Configuration.empty;
-  #configUntil: Millis = Number.NEGATIVE_INFINITY;
   #reading = false;
   #polls = 0;
 
@@ -90,7 +60,9 @@
     super('fleet', context);
     this.#clock = options.clock;
     this.#rows = new FleetRows(options);
-    this.#links = new FleetLinks(this, (fence) => this.#holding(fence).isOk(), this.signal);
+    this.#guard = new FleetGuard(options.clock);
+    this.#transactions = new FleetTransactions(this, this.#rows, this.#guard, this.signal);
+    this.#links = new FleetLinks(this, (fence) => this.#guard.holding(fence).isOk(), this.signal);
   }
 
   /** Starts the timers. */
@@ -121,7 +93,7 @@
   protected receive(message: FleetOwnerMessage): void {
     switch (message.type) {
       case 'owned':
-        this.#onOwned(message.holding);
+        this.#onOwned(message);
         return;
       case 'lost':
         this.#onLost(message);
@@ -130,8 +102,7 @@
         this.#takeOver(message.holding, message.rows);
         return;
       case 'freshness':
-        this.#configUntil = message.configUntil;
-        this.#roleGuard.handle({ type: 'session', validUntil: message.ownerUntil });
+        this.#guard.onFreshness(message.configUntil, message.ownerUntil);
         return;
       case 'poll':
         this.#poll();
@@ -154,19 +125,15 @@
     this.#cfg = cfg;
     this.#links.configure(cfg);
     this.#decide({ type: 'config-changed', cfg });
-    const before = this.#cordoned;
-    this.#cordoned = cordonedInstances(cfg);
-    for (const instance of difference(this.#cordoned, before)) {
-      this.#decide({ type: 'operator-drain', instance, on: true });
-    }
-    for (const instance of difference(before, this.#cordoned)) {
-      this.#decide({ type: 'operator-drain', instance, on: false });
+    for (const drain of this.#operatorDrains.configure(cfg)) {
+      this.#decide(drain);
     }
   }
 
   /** Starts an asynchronous read of the rows. The role may be lost while it runs. */
-  #onOwned(holding: Holding): void {
-    this.#roleGuard.handle({ type: 'owned', holding });
+  #onOwned(event: Extract<OwnershipEvent, { type: 'owned' }>): void {
+    this.#guard.onOwnership(event);
+    const { holding } = event;
     if (holding.role.startsWith(POOL_ROLE_PREFIX)) {
       void this.#loadRows(holding);
     }
@@ -186,7 +153,7 @@
 
   #takeOver(holding: Holding, rows: readonly StoredRow[]): void {
     const fence = { role: poolOfRole(holding.role), epoch: holding.epoch };
-    if (this.#holding(fence).isErr()) {
+    if (this.#guard.holding(fence).isErr()) {
       // The role was lost, or the session lapsed and a later event tells whether the role is still
       // held.
       this.#retryTakeOver(holding);
@@ -194,35 +161,21 @@
     }
     this.#owned.add(fence.role);
     this.#decide({ type: 'ownership-gained', fence, rows });
-    this.#syncOperatorDrains(fence.role, rows);
+    for (const drain of this.#operatorDrains.sync(fence.role, rows, this.#cfg)) {
+      this.#decide(drain);
+    }
     this.log.info('fleet of pool owned', { pool: fence.role, epoch: fence.epoch });
   }
 
   /** Retries while the role is held, until the session and the configuration are valid again. */
   #retryTakeOver(holding: Holding): void {
-    const held = this.#roleGuard.check(holding.role, Number.NEGATIVE_INFINITY);
-    if (held.isOk() && held.value.epoch === holding.epoch) {
+    if (this.#guard.isHeld(holding)) {
       void sleep(READ_RETRY_DELAY_MS, this.signal).then(() => this.#loadRows(holding));
     }
   }
 
-  /** Aligns the operator drains in the budget row with the cordons in the configuration. */
-  #syncOperatorDrains(pool: PoolName, rows: readonly StoredRow[]): void {
-    const row = rows.find(({ kind, name }) => kind === 'budget' && name === pool);
-    const recorded = new Set(row?.kind === 'budget' ? row.value.requested : []);
-    const wanted = new Set(
-      [...this.#cordoned].filter((name) => this.#cfg.get('instance', name)?.spec.pool === pool),
-    );
-    for (const instance of difference(wanted, recorded)) {
-      this.#decide({ type: 'operator-drain', instance, on: true });
-    }
-    for (const instance of difference(recorded, wanted)) {
-      this.#decide({ type: 'operator-drain', instance, on: false });
-    }
-  }
-
   #onLost(event: Extract<OwnershipEvent, { type: 'lost' }>): void {
-    this.#roleGuard.handle(event);
+    this.#guard.onOwnership(event);
     const pool = poolOfRole(event.role);
     if (this.#owned.delete(pool)) {
       this.#decide({ type: 'ownership-lost', role: pool });
@@ -259,11 +212,7 @@
 
   /** Skips the tick without a valid session, since no decision could be carried out. */
   #tick(): void {
-    const now = this.#clock.now();
-    const valid = [...this.#owned].some((pool) =>
-      this.#roleGuard.check(poolRole(pool), now).isOk(),
-    );
-    if (valid && now < this.#configUntil) {
+    if (this.#guard.canActOnAny(this.#owned)) {
       this.#decide({ type: 'tick', wallMs: this.#clock.wall() });
     }
   }
@@ -279,7 +228,7 @@
       case 'change-budget':
       case 'record-progress':
       case 'move-instances':
-        void this.#commit(decision.txn);
+        void this.#transactions.commit(decision.txn);
         break;
       case 'cordon':
       case 'drain':
@@ -292,49 +241,6 @@
     }
   }
 
-  async #commit(txn: FleetTransaction): Promise<void> {
-    const { id, fence } = txn;
-    const holding = this.#holding(fence);
-    const done = holding.isErr()
-      ? holding
-      : await this.#rows.commit(txn, fencingCondition(holding.value), this.signal);
-    if (done.isOk() && done.value !== undefined) {
-      this.post({ type: 'transaction-committed', id, rows: done.value });
-      return;
-    }
-    if (done.isErr() && done.error.kind === 'outcome-unknown') {
-      this.post({ type: 'transaction-unknown', id });
-      await this.#resolveUnknownOutcome(txn);
-      return;
-    }
-    await this.#reportConflict(txn);
-  }
-
-  /**
-   * Repeats a transaction of unknown outcome until the outcome is known. Its conditions let it take
-   * effect only once. If they fail, the rows show whether an earlier attempt took effect.
-   */
-  async #resolveUnknownOutcome(txn: FleetTransaction): Promise<void> {
-    do {
-      await sleep(READ_RETRY_DELAY_MS, this.signal);
-      if (this.signal.aborted) {
-        return;
-      }
-    } while (this.#isPaused(txn.fence));
-    await this.#commit(txn);
-  }
-
-  async #reportConflict(txn: FleetTransaction): Promise<void> {
-    while (!this.signal.aborted) {
-      const rows = await this.#rows.readFor(txn, this.signal);
-      if (rows.isOk()) {
-        this.post({ type: 'transaction-conflicted', id: txn.id, rows: rows.value });
-        return;
-      }
-      await sleep(READ_RETRY_DELAY_MS, this.signal);
-    }
-  }
-
   async #readRows(): Promise<void> {
     if (this.#reading || this.#owned.size === 0) {
       return;
@@ -347,23 +253,6 @@
     }
   }
 
-  /** The holding that a fence is valid under now. Errors: `not-owner`, `session-lapsed`. */
-  #holding({ role, epoch }: OwnerFence): Result<Holding, AppError> {
-    const now = this.#clock.now();
-    if (now >= this.#configUntil) {
-      return fail('session-lapsed', 'the configuration is not fresh');
-    }
-    return this.#roleGuard
-      .check(poolRole(role), now)
-      .andThen((holding) => (holding.epoch === epoch ? Ok(holding) : fail('not-owner', role)));
-  }
-
-  /** Whether the role is held but can't be used now. */
-  #isPaused(fence: OwnerFence): boolean {
-    const holding = this.#holding(fence);
-    return holding.isErr() && holding.error.kind === 'session-lapsed';
-  }
-
   #owns(kind: WaitSubject['kind'], name: string): boolean {
     switch (kind) {
       case 'plan':
@@ -379,15 +268,3 @@
 function poolOfRole(role: string): PoolName {
   return role.slice(POOL_ROLE_PREFIX.length);
 }
-
-function difference(
-  names: ReadonlySet<InstanceName>,
-  others: ReadonlySet<InstanceName>,
-): readonly InstanceName[] {
-  return [...names].filter((name) => !others.has(name));
-}
-
-function cordonedInstances(cfg: Configuration): ReadonlySet<InstanceName> {
-  const cordoned = cfg.list('instance').filter(({ spec }) => spec.cordoned);
-  return new Set(cordoned.map(({ name }) => name));
-}
