refactor(peers): requests and status reports out of the mesh

PeerMesh owned links, requests, heartbeats and broadcasts. PeerRequests pairs requests and responses, StatusReports builds and reads heartbeats.

--- a/packages/coordination/src/io/peers/peer-mesh.ts
+++ b/packages/coordination/src/io/peers/peer-mesh.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import {
-  Err,
+  NEVER,
   Ok,
   fail,
   parseEndpoint,
@@ -16,10 +16,8 @@
   HEARTBEAT_MS,
   NONCE_BYTES,
   PROTOCOL_VERSION,
-  PendingRequests,
   SeenBroadcasts,
   isDialer,
-  decodeError,
   isBroadcast,
   isFullMesh,
   neighbours,
@@ -27,31 +25,22 @@
   type Broadcast,
   type Heartbeat,
   type LinkRole,
-  type MemberStatus,
-  type MessageOf,
   type Peer,
   type PeerMessage,
   type Relay,
   type RequestTopic,
-  type VouchedReport,
 } from '../../state/peers/index.js';
 import type { PeerResponse, MeshMessage } from './mesh-messages.js';
 import { PeerLink, type LinkObserver } from './peer-link.js';
-import type { PeerMember, PeerMeshOptions, PeerReport } from './types.js';
+import { PeerRequests } from './peer-requests.js';
+import { StatusReports } from './status-reports.js';
+import type { PeerMember, PeerMeshOptions } from './types.js';
 
 /** Interval at which missing links are dialed and requests are checked for time-outs. */
 const TICK_INTERVAL_MS: Millis = 100;
 /** Minimum time between two attempts to dial the same member. */
 const REDIAL_INTERVAL_MS: Millis = 500;
 
-const INITIAL_STATUS: MemberStatus = {
-  revision: 0,
-  storeReachable: false,
-  storeForMs: 0,
-  freshMs: 0,
-  stopping: false,
-};
-
 /** Owns the peer listener and all peer links of this member. */
 export class PeerMesh extends Actor<MeshMessage> {
   readonly #options: PeerMeshOptions;
@@ -60,18 +49,18 @@
   readonly #links = new Map<MemberId, PeerLink>();
   readonly #dialingLinks = new Map<MemberId, PeerLink>();
   readonly #lastDialAt = new Map<MemberId, Millis>();
-  readonly #reports = new Map<MemberId, PeerReport>();
-  readonly #pendingRequests = new PendingRequests<(response: PeerResponse) => void>();
+  readonly #reports: StatusReports;
+  readonly #requests: PeerRequests;
   readonly #seenBroadcasts = new SeenBroadcasts();
   #members: ReadonlyMap<MemberId, PeerMember> = new Map();
   #neighbours: ReadonlySet<MemberId> = new Set();
-  #status = INITIAL_STATUS;
-  #statusSetAt: Millis = 0;
   #lastSeq = 0;
 
   constructor(options: PeerMeshOptions, context: ActorContext) {
     super('peer-mesh', context);
     this.#options = options;
+    this.#reports = new StatusReports(options);
+    this.#requests = new PeerRequests(options.listener);
     this.#observer = {
       onReady: (link, peer) => this.post({ type: 'link-ready', link, peer }),
       onMessage: (link, message) => this.post({ type: 'link-message', link, message }),
@@ -142,14 +131,13 @@
         this.#onMembers(message.members);
         break;
       case 'status':
-        this.#status = message.status;
-        this.#statusSetAt = this.#options.clock.now();
+        this.#reports.setStatus(message.status);
         break;
       case 'publish':
         this.#publish(message.message);
         break;
       case 'request':
-        this.#sendRequest(message);
+        this.#requests.send(message, this.#links.get(message.member));
         break;
       case 'accepted':
         this.#createLink(message.socket, 'acceptor');
@@ -168,7 +156,7 @@
         break;
       case 'tick':
         this.#dialMissing();
-        this.#expireRequests();
+        this.#requests.expire(this.#options.clock.now());
         break;
     }
   }
@@ -196,7 +184,7 @@
     for (const id of this.#neighbours) {
       const member = this.#members.get(id);
       const busy = this.#links.has(id) || this.#dialingLinks.has(id);
-      const lastDialAt = this.#lastDialAt.get(id) ?? Number.NEGATIVE_INFINITY;
+      const lastDialAt = this.#lastDialAt.get(id) ?? NEVER;
       if (member !== undefined && !busy && now - lastDialAt >= REDIAL_INTERVAL_MS) {
         this.#dial(member, now);
       }
@@ -228,7 +216,7 @@
     // The newer link wins: its dialer has already seen the older one fail, even if it still looks
     // healthy at this end.
     previous?.post({ type: 'closed', reason: 'replaced by a newer link' });
-    link.post({ type: 'send', message: this.#buildHeartbeat(link) });
+    this.#sendHeartbeat(link);
     this.#options.listener.onLink(peer.member, peer.incarnation, true);
   }
 
@@ -245,10 +233,8 @@
       return;
     }
     this.#links.delete(peer.member);
-    this.#reports.delete(peer.member);
-    for (const { waiter } of this.#pendingRequests.lost(peer.member)) {
-      waiter(fail('peer-unavailable', `${peer.member}: ${reason}`));
-    }
+    this.#reports.forget(peer.member);
+    this.#requests.onLinkLost(peer.member, reason);
     this.#options.listener.onLink(peer.member, peer.incarnation, false);
   }
 
@@ -269,10 +255,10 @@
         this.#onRelay(from, message);
         break;
       case 'request':
-        void this.#serveRequest(link, from, message);
+        void this.#requests.serve(link, from, message);
         break;
       case 'response':
-        this.#onResponse(from, message);
+        this.#requests.onResponse(from, message);
         break;
       default:
         link.post({ type: 'closed', reason: `unexpected ${message.type}` });
@@ -280,59 +266,20 @@
   }
 
   #onHeartbeat(heartbeat: Heartbeat): void {
-    const { member, incarnation, echo, vouched, ...status } = heartbeat;
-    if (echo === null) {
-      return;
-    }
-    const report = { member, incarnation, status, datedAt: echo };
-    this.#reports.set(member, report);
-    this.#options.listener.onReport(report);
-    for (const { member: other, ageMs, storeReachable } of vouched) {
-      const datedAt = echo - ageMs;
-      this.#options.listener.onReport({ member: other, status: { storeReachable }, datedAt });
+    for (const report of this.#reports.receive(heartbeat)) {
+      this.#options.listener.onReport(report);
     }
   }
 
   #sendHeartbeats(): void {
     for (const link of this.#links.values()) {
-      link.post({ type: 'send', message: this.#buildHeartbeat(link) });
+      this.#sendHeartbeat(link);
     }
   }
 
-  #buildHeartbeat(link: PeerLink): Heartbeat {
-    const { member, incarnation } = this.#options.self;
-    const now = this.#options.clock.now();
-    const age = now - this.#statusSetAt;
-    return {
-      type: 'heartbeat',
-      member,
-      incarnation,
-      ...this.#status,
-      storeForMs: Math.floor(this.#status.storeForMs + age),
-      freshMs: Math.max(0, Math.floor(this.#status.freshMs - age)),
-      sentAt: Math.floor(now),
-      echo: link.peerSentAt,
-      vouched: this.#vouchedReports(),
-    };
-  }
-
-  /**
-   * Status reports of other members of this zone, forwarded for members that have no link to them
-   * in a sparse mesh. Empty while the store is reachable.
-   */
-  #vouchedReports(): readonly VouchedReport[] {
-    if (this.#status.storeReachable || isFullMesh(this.#members.size + 1)) {
-      return [];
-    }
-    const now = this.#options.clock.now();
-    const zone = this.#options.self.zone;
-    return [...this.#reports.values()]
-      .filter(({ member }) => this.#members.get(member)?.zone === zone)
-      .map(({ member, status, datedAt }) => ({
-        member,
-        ageMs: Math.max(0, Math.ceil(now - datedAt)),
-        storeReachable: status.storeReachable,
-      }));
+  #sendHeartbeat(link: PeerLink): void {
+    const message = this.#reports.heartbeat(link.peerSentAt, this.#members);
+    link.post({ type: 'send', message });
   }
 
   #publish(message: Broadcast): void {
@@ -359,39 +306,4 @@
       this.#links.get(member)?.post({ type: 'send', message: relay });
     }
   }
-
-  #sendRequest(request: Extract<MeshMessage, { type: 'request' }>): void {
-    const link = this.#links.get(request.member);
-    if (link === undefined) {
-      request.resolve(fail('peer-unavailable', request.member));
-      return;
-    }
-    const { id } = this.#pendingRequests.add(request.member, request.deadline, request.resolve);
-    link.post({ type: 'send', message: { ...request.message, id } });
-  }
-
-  async #serveRequest(
-    link: PeerLink,
-    from: MemberId,
-    request: MessageOf<'request'>,
-  ): Promise<void> {
-    const { listener } = this.#options;
-    const body = request.body;
-    const answer = await listener.onRequest(from, request.topic, body, link.ended);
-    const content: unknown = answer.isOk() ? answer.value : answer.error;
-    const response = { type: 'response', id: request.id, ok: answer.isOk(), body: content };
-    link.post({ type: 'send', message: response as MessageOf<'response'> });
-  }
-
-  #onResponse(from: MemberId, response: MessageOf<'response'>): void {
-    const body = response.body;
-    const request = this.#pendingRequests.answered(response.id, from);
-    request?.waiter(response.ok ? Ok(body) : Err(decodeError(body)));
-  }
-
-  #expireRequests(): void {
-    for (const { member, waiter } of this.#pendingRequests.expired(this.#options.clock.now())) {
-      waiter(fail('peer-unavailable', `${member}: request timed out`));
-    }
-  }
 }
