--- a/packages/stand-ins/src/worker/server.ts
+++ b/packages/stand-ins/src/worker/server.ts
@@ -2,24 +2,10 @@
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import polka from 'polka';
-import type {
-  Clock,
-  LeaseOrder,
-  LeaseReply,
-  Millis,
-  OwnerFence,
-  Resources,
-} from '@turmerichoist/core';
+import type { Clock, Millis, Resources } from '@turmerichoist/core';
 import { SystemClock, every, sleep } from '@turmerichoist/runtime';
-import {
-  cordonBody,
-  drainBody,
-  leasesBody,
-  rebootBody,
-  renewBody,
-  stopBody,
-} from '@turmerichoist/daemon';
 import { readBody } from '../http/index.js';
+import { WorkerApi } from './worker-api.js';
 import { WorkerModel, type TaskRun } from './worker-model.js';
 import type { WorkerFaults } from './faults.js';
 
@@ -55,7 +41,6 @@
 }
 
 const DEFAULT_REBOOT_MS = 200;
-const NO_VALIDITY_LIMIT: Millis = Number.MAX_SAFE_INTEGER;
 
 type RequestHandler = (body: unknown, req: IncomingMessage) => unknown;
 
@@ -69,11 +54,12 @@
   res.end(JSON.stringify(body));
 }
 
-/** Serves the HTTP API of a worker (section 5 of docs/design.md) from a `WorkerModel`. */
+/** Serves the API of a worker over HTTP, and injects its faults. */
 class WorkerServer implements Worker {
   readonly #options: WorkerOptions;
   readonly #clock: Clock;
   readonly #model: WorkerModel;
+  readonly #api: WorkerApi;
   readonly #shutdown = new AbortController();
   readonly #server: Server;
   #address = '';
@@ -84,6 +70,7 @@
     this.#clock = options.clock ?? new SystemClock();
     const { capacity, lagMs = 0 } = options;
     this.#model = new WorkerModel({ capacity, lagMs }, this.#clock.now());
+    this.#api = new WorkerApi(this.#model, this.#clock);
     const app = this.#routes();
     this.#server = createServer((req, res) => {
       app.handler(req as polka.Request, res);
@@ -138,27 +125,27 @@
     return polka()
       .post(
         '/v1/leases',
-        this.#withFaults((body) => this.#lease(body)),
+        this.#withFaults((body) => this.#api.lease(body)),
       )
       .post(
         '/v1/leases/renew',
-        this.#withFaults((body) => this.#renew(body)),
+        this.#withFaults((body) => this.#api.renew(body)),
       )
       .post(
         '/v1/leases/stop',
-        this.#withFaults((body) => this.#stop(body)),
+        this.#withFaults((body) => this.#api.stop(body)),
       )
       .get(
         '/v1/report',
-        this.#withFaults((_, req) => this.#report(req)),
+        this.#withFaults((_, req) => this.#api.report(req.url ?? '/')),
       )
       .post(
         '/v1/cordon',
-        this.#withFaults((body) => this.#cordon(body)),
+        this.#withFaults((body) => this.#api.cordon(body)),
       )
       .post(
         '/v1/drain',
-        this.#withFaults((body) => this.#drain(body)),
+        this.#withFaults((body) => this.#api.drain(body)),
       )
       .post(
         '/v1/reboot',
@@ -218,83 +205,10 @@
     }
   }
 
-  #lease(body: unknown): unknown {
-    const now = this.#clock.now();
-    const results = leasesBody.parse(body).leases.map(({ taskId, ...lease }) => {
-      const order: LeaseOrder = {
-        ...lease,
-        id: taskId,
-        validBeforeMs: lease.validBeforeMs ?? NO_VALIDITY_LIMIT,
-        incarnation: lease.incarnation ?? this.#model.incarnation,
-        resume: lease.resume ?? false,
-      };
-      return { taskId, fence: lease.fence, reply: this.#model.lease(order, now) };
-    });
-    return { results };
-  }
-
-  #renew(body: unknown): unknown {
-    const now = this.#clock.now();
-    const { leases, epoch } = renewBody.parse(body);
-    const results = leases.map(({ taskId, validBeforeMs = NO_VALIDITY_LIMIT, ...lease }) => {
-      const order = { ...lease, id: taskId, validBeforeMs, throttled: lease.throttled ?? false };
-      const reply = this.#model.renew(epoch ?? lease.fence.epoch, order, now);
-      return { taskId, fence: lease.fence, reply };
-    });
-    return { results };
-  }
-
-  #stop(body: unknown): unknown {
-    const { taskId, fence, mode, epoch } = stopBody.parse(body);
-    const order = { id: taskId, fence };
-    const reply: LeaseReply = this.#model.stop(
-      epoch ?? fence.epoch,
-      order,
-      mode,
-      this.#clock.now(),
-    );
-    return { results: [{ taskId, fence, reply }] };
-  }
-
-  #report(req: IncomingMessage): unknown {
-    const after = Number(new URL(req.url ?? '/', 'http://worker').searchParams.get('after') ?? 0);
-    const report = this.#model.report(Number.isFinite(after) ? after : 0, this.#clock.now());
-    return {
-      ...report,
-      running: report.running.map(({ id, ...task }) => ({ taskId: id, ...task })),
-      finished: report.finished.map(({ id, ...task }) => ({ taskId: id, ...task })),
-    };
-  }
-
-  #cordon(body: unknown): unknown {
-    const { fence, on } = cordonBody.parse(body);
-    this.#requireCurrentFence(fence);
-    this.#model.cordon(on);
-    return {};
-  }
-
-  #drain(body: unknown): unknown {
-    this.#requireCurrentFence(drainBody.parse(body).fence);
-    this.#model.drain(this.#clock.now());
-    return {};
-  }
-
   #reboot(body: unknown): unknown {
-    const { fence, boot } = rebootBody.parse(body);
-    this.#requireCurrentFence(fence);
-    if (boot !== undefined && boot !== this.boot) {
-      throw new Error(`boot ${boot} is not the current boot`);
-    }
-    this.#model.reboot(this.#clock.now());
+    const reply = this.#api.reboot(body);
     void this.#simulateReboot();
-    return {};
-  }
-
-  /** Throws for a request of a former owner, which a later owner has replaced. */
-  #requireCurrentFence(fence: OwnerFence | undefined): void {
-    if (!this.#model.acceptOwnerFence(fence)) {
-      throw new Error('stale fence: a later owner has acted on this worker');
-    }
+    return reply;
   }
 
   async #simulateReboot(): Promise<void> {
