refactor(fleet): OwnerFence and FleetWaitReason have one name

The index of core renamed two types of the fleet on export, since tasks have other types of the same name. The message of outcome-unknown speaks of the outcome.

--- a/packages/core/src/errors/kinds.ts
+++ b/packages/core/src/errors/kinds.ts
@@ -84,7 +84,7 @@
   ),
   'outcome-unknown': unknown(
     504,
-    'The fate of the change is unknown.',
+    'The outcome of the change is unknown.',
     'Read it before repeating.',
   ),
   'store-unavailable': none(503, 'The table service cannot be reached.', 'Try again later.'),
--- a/packages/core/src/fleet/budget-ledger.ts
+++ b/packages/core/src/fleet/budget-ledger.ts
@@ -11,7 +11,7 @@
   type RowVersion,
   type StoredRow,
 } from './rows.js';
-import type { WaitReason } from './wait-reasons.js';
+import type { FleetWaitReason } from './wait-reasons.js';
 
 /** Instances that count against the budget of one pool, and the zone of each. */
 export type UnavailableInstances = ReadonlyMap<InstanceName, ZoneName | undefined>;
@@ -160,7 +160,7 @@
     pool: PoolName,
     added: readonly InstanceName[],
     row: BudgetRow = this.budget(pool),
-  ): WaitReason | undefined {
+  ): FleetWaitReason | undefined {
     const held = new Set(row.taken.filter(isPlanned).map((entry) => entry.instance));
     const uncounted = added.filter((name) => !held.has(name));
     const before = new Map(this.unavailable(pool, row));
@@ -175,7 +175,7 @@
     pool: PoolName,
     added: readonly InstanceName[],
     row: BudgetRow,
-  ): WaitReason | undefined {
+  ): FleetWaitReason | undefined {
     const temporary = row.taken.filter((entry) => !isLasting(entry));
     const lasting = { ...row, taken: row.taken.filter(isLasting) };
     const before = new Map(this.unavailable(pool, lasting));
@@ -186,7 +186,7 @@
   }
 
   /** Returns the first budget of the pool that is exceeded by the instances unavailable now. */
-  exceededBudget(pool: PoolName): WaitReason | undefined {
+  exceededBudget(pool: PoolName): FleetWaitReason | undefined {
     const spec = this.#view.pool(pool);
     const now = this.unavailable(pool);
     const limit = spec?.budget.maxUnavailable ?? 0;
@@ -212,7 +212,7 @@
     pool: PoolName,
     before: UnavailableInstances,
     added: readonly InstanceName[],
-  ): WaitReason | undefined {
+  ): FleetWaitReason | undefined {
     const spec = this.#view.pool(pool);
     const limit = spec?.budget.maxUnavailable ?? 0;
     const whole = checkBudget({ pool, used: before.size, needed: added.length, limit });
@@ -243,7 +243,7 @@
   readonly limit: number;
 }
 
-function checkBudget(claim: BudgetClaim): WaitReason | undefined {
+function checkBudget(claim: BudgetClaim): FleetWaitReason | undefined {
   if (claim.needed === 0 || claim.used + claim.needed <= claim.limit) {
     return undefined;
   }
--- a/packages/core/src/fleet/budget-row-updates.ts
+++ b/packages/core/src/fleet/budget-row-updates.ts
@@ -1,7 +1,7 @@
 import type { InstanceName } from '../types/index.js';
 import type { RoundContext } from './round-context.js';
 import type { BudgetEntry, BudgetRow } from './rows.js';
-import type { WaitReason } from './wait-reasons.js';
+import type { FleetWaitReason } from './wait-reasons.js';
 
 /** Adds entries for failed instances to the pool's row and removes those of recovered ones. */
 export function recordFailures({ batch, view, role }: RoundContext): void {
@@ -51,7 +51,7 @@
   }
 
   /** Returns a reason while the operator's drain request for the instance stands. */
-  holdReason(entry: BudgetEntry, { batch }: RoundContext): WaitReason | undefined {
+  holdReason(entry: BudgetEntry, { batch }: RoundContext): FleetWaitReason | undefined {
     const isWanted = entry.pools.some((pool) => {
       return batch.budget(pool).requested.includes(entry.instance);
     });
--- a/packages/core/src/fleet/cordons.ts
+++ b/packages/core/src/fleet/cordons.ts
@@ -2,10 +2,10 @@
 import type { BudgetLedger } from './budget-ledger.js';
 import type { FleetView } from './fleet-view.js';
 import type { FleetDecision } from './messages.js';
-import type { Fence } from './rows.js';
+import type { OwnerFence } from './rows.js';
 import { unschedulableByZone } from './zone-controller.js';
 
-interface SentCordon extends Fence {
+interface SentCordon extends OwnerFence {
   readonly on: boolean;
 }
 
@@ -28,7 +28,7 @@
   readonly #sent = new Map<InstanceName, SentCordon>();
 
   /** Returns the cordon changes since the last call under this fence. */
-  update(fence: Fence, view: FleetView, ledger: BudgetLedger): readonly FleetDecision[] {
+  update(fence: OwnerFence, view: FleetView, ledger: BudgetLedger): readonly FleetDecision[] {
     const cordoned = cordonedInstances(fence.role, view, ledger);
     const decisions: FleetDecision[] = [];
     for (const { name } of view.instancesOf(fence.role)) {
@@ -46,7 +46,7 @@
     this.#sent.delete(instance);
   }
 
-  #isSent(name: InstanceName, on: boolean, { role, epoch }: Fence): boolean {
+  #isSent(name: InstanceName, on: boolean, { role, epoch }: OwnerFence): boolean {
     const sent = this.#sent.get(name);
     return sent?.on === on && sent.role === role && sent.epoch === epoch;
   }
--- a/packages/core/src/fleet/disruptions.ts
+++ b/packages/core/src/fleet/disruptions.ts
@@ -1,8 +1,8 @@
 import type { InstanceName, Millis } from '../types/index.js';
 import type { FleetDecision } from './messages.js';
 import type { RoundContext } from './round-context.js';
-import type { BudgetEntry, Cause, Fence } from './rows.js';
-import type { WaitReason } from './wait-reasons.js';
+import type { BudgetEntry, Cause, OwnerFence } from './rows.js';
+import type { FleetWaitReason } from './wait-reasons.js';
 
 /** A drain or reboot command is sent again after this time, because it may have been lost. */
 const COMMAND_RESEND_MS = 30_000;
@@ -19,7 +19,7 @@
 }
 
 /** Returns why an entry that doesn't end with a reboot must be kept, or undefined to release it. */
-export type HoldCheck = (entry: BudgetEntry, context: RoundContext) => WaitReason | undefined;
+export type HoldCheck = (entry: BudgetEntry, context: RoundContext) => FleetWaitReason | undefined;
 
 /** Drives each planned budget entry through drain and reboot to its release. */
 export class Disruptions {
@@ -41,7 +41,7 @@
   }
 
   /** Records the end of a drain for each of the instance's entries acquired by the fence's role. */
-  recordDrainFinished(instance: InstanceName, fence: Fence): void {
+  recordDrainFinished(instance: InstanceName, fence: OwnerFence): void {
     for (const [key, progress] of this.#progress) {
       const matches = key.startsWith(`${instance} ${fence.role} `);
       if (matches && progress.epoch === fence.epoch) {
@@ -51,7 +51,7 @@
   }
 
   /** True if this owner has sent a drain command for the entry, or an earlier owner may have. */
-  hasStarted(entry: BudgetEntry, fence: Fence): boolean {
+  hasStarted(entry: BudgetEntry, fence: OwnerFence): boolean {
     return entry.epoch !== fence.epoch || this.#progressOf(entry, fence).drainSentAt !== undefined;
   }
 
@@ -101,7 +101,7 @@
     return ledger.plannedEntriesTakenBy(role).filter((entry) => !ledger.isReleasing(entry));
   }
 
-  #progressOf(entry: BudgetEntry, fence: Fence): EntryProgress {
+  #progressOf(entry: BudgetEntry, fence: OwnerFence): EntryProgress {
     const known = this.#progress.get(progressKey(entry));
     return known?.epoch === fence.epoch ? known : { epoch: fence.epoch, drained: false };
   }
@@ -167,7 +167,7 @@
    * A drain doesn't start while failures since the entry was acquired exceed the budget. A drain
    * that the instance itself reports continues, since the instance is unavailable already.
    */
-  #drainBlockedBy(entry: BudgetEntry, { ledger }: RoundContext): WaitReason | undefined {
+  #drainBlockedBy(entry: BudgetEntry, { ledger }: RoundContext): FleetWaitReason | undefined {
     if (this.#reportedDraining.has(entry.instance)) {
       return undefined;
     }
--- a/packages/core/src/fleet/fleet-decider.ts
+++ b/packages/core/src/fleet/fleet-decider.ts
@@ -10,7 +10,7 @@
 import type { PoolPlanner } from './pool-planner.js';
 import { RowBatch } from './row-batch.js';
 import type { RoundContext } from './round-context.js';
-import type { Fence, FleetTransaction, PlanRow } from './rows.js';
+import type { OwnerFence, FleetTransaction, PlanRow } from './rows.js';
 import { WaitTracker, type Wait, type WaitSubject } from './wait-reasons.js';
 import { ZoneController } from './zone-controller.js';
 
@@ -31,7 +31,7 @@
   readonly #disruptions: Disruptions;
   readonly #planner: MaintenancePlanner;
   readonly #moves: PoolMoves;
-  readonly #ownedFences = new Map<PoolName, Fence>();
+  readonly #ownedFences = new Map<PoolName, OwnerFence>();
   #nextTransactionId = 1;
   #roundCount = 0;
   /** Wall clock minus monotonic clock at the last tick. */
@@ -157,7 +157,7 @@
     return [...decisions, ...waits];
   }
 
-  #planRole(fence: Fence, now: Millis): readonly FleetDecision[] {
+  #planRole(fence: OwnerFence, now: Millis): readonly FleetDecision[] {
     const context = this.#newContext(fence, now);
     this.#planDisruptions(context);
     const sent = this.#submit(context);
@@ -196,7 +196,7 @@
     return [decisionOf(txn)];
   }
 
-  #newContext(fence: Fence, now: Millis): RoundContext {
+  #newContext(fence: OwnerFence, now: Millis): RoundContext {
     return {
       now,
       wallMs: now + this.#wallOffset,
--- a/packages/core/src/fleet/maintenance-planner.ts
+++ b/packages/core/src/fleet/maintenance-planner.ts
@@ -9,7 +9,7 @@
 import { reserveIfStarved, dropStaleReservations } from './plan-reservations.js';
 import type { RoundContext } from './round-context.js';
 import type { BudgetEntry, Cause, PlanRow } from './rows.js';
-import type { WaitReason } from './wait-reasons.js';
+import type { FleetWaitReason } from './wait-reasons.js';
 
 export interface MaintenanceOptions {
   /** Cycle of the continuous maintenance of every pool, in milliseconds; none if undefined. */
@@ -126,7 +126,7 @@
   }
 
   /** Returns why the plan may not start any group now, or undefined if it may. */
-  #stopReason(round: PlanRound, context: RoundContext): WaitReason | undefined {
+  #stopReason(round: PlanRound, context: RoundContext): FleetWaitReason | undefined {
     const { definition, row } = round;
     if (definition.state !== 'running') {
       return { type: 'paused' };
@@ -147,7 +147,7 @@
   #failureStopReason(
     { definition, row, inFlight }: PlanRound,
     context: RoundContext,
-  ): WaitReason | undefined {
+  ): FleetWaitReason | undefined {
     const overdue = inFlight.filter((entry) => this.#disruptions.isOverdue(entry, context.now));
     const current = countFailures(definition, context) + overdue.length;
     const atWave = row.failuresAtWave;
@@ -189,7 +189,7 @@
     round: PlanRound,
     capacity: number,
     context: RoundContext,
-  ): WaitReason | undefined {
+  ): FleetWaitReason | undefined {
     const { cause, definition } = round;
     if (capacity <= 0) {
       return this.#startCapacityReason(definition);
@@ -248,14 +248,14 @@
     return definition.byRack ? (view.instance(name)?.spec.rack ?? name) : name;
   }
 
-  #startCapacityReason(definition: PlanDefinition): WaitReason {
+  #startCapacityReason(definition: PlanDefinition): FleetWaitReason {
     return definition.allowance === undefined
       ? { type: 'parallel', limit: definition.maxParallel }
       : { type: 'pace' };
   }
 
   /** Other disruptions of an instance must end first, but a drained zone may be maintained. */
-  #busyReason(group: PlanGroup, { batch }: RoundContext): WaitReason | undefined {
+  #busyReason(group: PlanGroup, { batch }: RoundContext): FleetWaitReason | undefined {
     for (const { name, spec } of group.instances) {
       const other = batch
         .budget(spec.pool)
@@ -288,11 +288,15 @@
     }
   }
 
-  #notePlan({ definition }: PlanRound, reason: WaitReason, { waits, now }: RoundContext): void {
+  #notePlan(
+    { definition }: PlanRound,
+    reason: FleetWaitReason,
+    { waits, now }: RoundContext,
+  ): void {
     waits.record({ kind: 'plan', name: definition.name }, reason, now);
   }
 
-  #noteInstances(group: PlanGroup, reason: WaitReason, { waits, now }: RoundContext): void {
+  #noteInstances(group: PlanGroup, reason: FleetWaitReason, { waits, now }: RoundContext): void {
     for (const name of namesOf(group.instances)) {
       waits.record({ kind: 'instance', name }, reason, now);
     }
--- a/packages/core/src/fleet/messages.ts
+++ b/packages/core/src/fleet/messages.ts
@@ -1,6 +1,6 @@
 import type { Configuration } from '../resources/index.js';
 import type { InstanceName, Millis, PoolName, ZoneName } from '../types/index.js';
-import type { Fence, FleetTransaction, StoredRow } from './rows.js';
+import type { OwnerFence, FleetTransaction, StoredRow } from './rows.js';
 import type { Wait } from './wait-reasons.js';
 
 /** Running and waiting work of one pool and its capacity, in slots. */
@@ -29,7 +29,7 @@
   | {
       readonly type: 'drain-finished';
       readonly instance: InstanceName;
-      readonly fence: Fence;
+      readonly fence: OwnerFence;
     }
   | {
       readonly type: 'transaction-committed';
@@ -57,7 +57,7 @@
     }
   | {
       readonly type: 'ownership-gained';
-      readonly fence: Fence;
+      readonly fence: OwnerFence;
       /** Every budget and plan row. */
       readonly rows: readonly StoredRow[];
     }
@@ -77,15 +77,15 @@
       readonly type: 'cordon';
       readonly instance: InstanceName;
       readonly on: boolean;
-      readonly fence: Fence;
+      readonly fence: OwnerFence;
     }
-  | { readonly type: 'drain'; readonly instance: InstanceName; readonly fence: Fence }
+  | { readonly type: 'drain'; readonly instance: InstanceName; readonly fence: OwnerFence }
   /** Must be ignored by an instance whose boot count is not `boot`: it has rebooted already. */
   | {
       readonly type: 'reboot';
       readonly instance: InstanceName;
       readonly boot: number;
-      readonly fence: Fence;
+      readonly fence: OwnerFence;
     }
   | { readonly type: 'wait'; readonly wait: Wait };
 
--- a/packages/core/src/fleet/plan-bound.ts
+++ b/packages/core/src/fleet/plan-bound.ts
@@ -3,7 +3,7 @@
 import { isInWindow, windowMinutes } from './maintenance-window.js';
 import type { PlanDefinition } from './plan-definition.js';
 import { groupsOf, type PlanGroup } from './plan-groups.js';
-import type { WaitReason } from './wait-reasons.js';
+import type { FleetWaitReason } from './wait-reasons.js';
 
 /** Durations of the two steps of a planned reboot, during which the instance is unavailable. */
 export interface DisruptionDurations {
@@ -15,7 +15,7 @@
   /** No rollout within the budgets is shorter. Infinite if some group exceeds a whole budget. */
   readonly lowerBoundMs: Millis;
   /** A reason for each budget that is smaller than what some group needs of it. */
-  readonly impossible: readonly WaitReason[];
+  readonly impossible: readonly FleetWaitReason[];
 }
 
 const MINUTE_MS = 60_000;
@@ -76,7 +76,7 @@
   return groups.map((group) => group.instances.filter(counts).length).filter((need) => need > 0);
 }
 
-function impossibleReasons({ pool, zone, limit, needs }: BudgetLimit): readonly WaitReason[] {
+function impossibleReasons({ pool, zone, limit, needs }: BudgetLimit): readonly FleetWaitReason[] {
   const needed = Math.max(0, ...needs);
   const place = zone === undefined ? { pool } : { pool, zone };
   return needed > limit ? [{ type: 'impossible', ...place, needed, limit }] : [];
--- a/packages/core/src/fleet/pool-moves.ts
+++ b/packages/core/src/fleet/pool-moves.ts
@@ -3,7 +3,7 @@
 import type { PoolDemand } from './messages.js';
 import type { PoolLoad, PoolPlanner } from './pool-planner.js';
 import type { RoundContext } from './round-context.js';
-import type { WaitReason } from './wait-reasons.js';
+import type { FleetWaitReason } from './wait-reasons.js';
 
 /** Demand reports older than this are ignored, since the pool may have changed meanwhile. */
 const DEMAND_STALE_MS = 60_000;
@@ -58,7 +58,7 @@
     const { view, role, waits, now } = context;
     const lenders = view.pools().filter((pool) => view.pool(pool)?.spare === true);
     const candidates = lenders.flatMap((pool) => this.#movableInstances(pool, context));
-    let reason: WaitReason | undefined = { type: 'no-spare' };
+    let reason: FleetWaitReason | undefined = { type: 'no-spare' };
     let moved = 0;
     for (const instance of candidates) {
       if (moved === wanted) {
@@ -95,7 +95,7 @@
     instance: FleetInstance,
     to: PoolName,
     { batch, role }: RoundContext,
-  ): WaitReason | undefined {
+  ): FleetWaitReason | undefined {
     return batch.tryAcquire({ instances: [instance], cause: `move/${role}`, to });
   }
 
--- a/packages/core/src/fleet/row-batch.ts
+++ b/packages/core/src/fleet/row-batch.ts
@@ -5,7 +5,7 @@
   type BudgetEntry,
   type BudgetRow,
   type Cause,
-  type Fence,
+  type OwnerFence,
   type FleetTransaction,
   type PlanRow,
   type PoolChange,
@@ -13,7 +13,7 @@
   type RowKey,
   type RowWrite,
 } from './rows.js';
-import type { WaitReason } from './wait-reasons.js';
+import type { FleetWaitReason } from './wait-reasons.js';
 
 export interface BudgetRequest {
   readonly instances: readonly FleetInstance[];
@@ -26,14 +26,14 @@
 
 /** Collects changes of rows under one fence and builds a single transaction from them. */
 export class RowBatch {
-  readonly fence: Fence;
+  readonly fence: OwnerFence;
   readonly #view: FleetView;
   readonly #ledger: BudgetLedger;
   readonly #budgets = new Map<PoolName, BudgetRow>();
   readonly #plans = new Map<PlanName, PlanRow | null>();
   readonly #poolChanges: PoolChange[] = [];
 
-  constructor(view: FleetView, ledger: BudgetLedger, fence: Fence) {
+  constructor(view: FleetView, ledger: BudgetLedger, fence: OwnerFence) {
     this.#view = view;
     this.#ledger = ledger;
     this.fence = fence;
@@ -83,7 +83,7 @@
   }
 
   /** Acquires all units that the request needs, or acquires none and returns the reason. */
-  tryAcquire(request: BudgetRequest): WaitReason | undefined {
+  tryAcquire(request: BudgetRequest): FleetWaitReason | undefined {
     const byPool = this.#instancesByPool(request);
     for (const [pool, names] of byPool) {
       const reason = this.#rejectionReason(pool, names, request);
@@ -158,7 +158,7 @@
     pool: PoolName,
     names: readonly InstanceName[],
     request: BudgetRequest,
-  ): WaitReason | undefined {
+  ): FleetWaitReason | undefined {
     if (!this.canEdit(`budget/${pool}`)) {
       return { type: 'transaction', pool };
     }
--- a/packages/core/src/fleet/rows.ts
+++ b/packages/core/src/fleet/rows.ts
@@ -8,13 +8,13 @@
   'failure' | 'operator' | `plan/${PlanName}` | `move/${PoolName}` | `zone/${ZoneName}`;
 
 /** Fencing token of a role's owner. Instances reject commands of an earlier epoch of the role. */
-export interface Fence {
+export interface OwnerFence {
   readonly role: PoolName;
   readonly epoch: number;
 }
 
 /** One unit of budget, held for one instance. */
-export interface BudgetEntry extends Fence {
+export interface BudgetEntry extends OwnerFence {
   readonly instance: InstanceName;
   readonly cause: Cause;
   /** Boot count of the instance when the unit was acquired. A higher one means it has rebooted. */
@@ -24,7 +24,7 @@
 }
 
 /** Keeps the units of a pool for one group that needs several at once, so that it can't starve. */
-export interface Reservation extends Fence {
+export interface Reservation extends OwnerFence {
   readonly cause: Cause;
   /** Name of the group within its plan. */
   readonly group: string;
@@ -117,7 +117,7 @@
 export interface FleetTransaction {
   /** Unique within one decider. */
   readonly id: number;
-  readonly fence: Fence;
+  readonly fence: OwnerFence;
   readonly conditions: readonly RowCondition[];
   readonly writes: readonly RowWrite[];
   readonly poolChanges: readonly PoolChange[];
--- a/packages/core/src/fleet/wait-reasons.ts
+++ b/packages/core/src/fleet/wait-reasons.ts
@@ -2,7 +2,7 @@
 import type { Cause } from './rows.js';
 
 /** Why a plan, an instance or a pool can't make progress now. */
-export type WaitReason =
+export type FleetWaitReason =
   | {
       readonly type: 'budget';
       readonly pool: PoolName;
@@ -44,7 +44,7 @@
 /** A wait reason of a subject, and the monotonic time since which it has applied. */
 export interface Wait {
   readonly subject: WaitSubject;
-  readonly reason: WaitReason;
+  readonly reason: FleetWaitReason;
   readonly since: Millis;
 }
 
@@ -54,7 +54,7 @@
   #next = new Map<string, Wait>();
 
   /** Records a reason in the current round. The first reason of each subject is kept. */
-  record(subject: WaitSubject, reason: WaitReason, now: Millis): void {
+  record(subject: WaitSubject, reason: FleetWaitReason, now: Millis): void {
     const key = subjectKey(subject);
     if (this.#next.has(key)) {
       return;
--- a/packages/core/src/fleet/zone-controller.ts
+++ b/packages/core/src/fleet/zone-controller.ts
@@ -3,7 +3,7 @@
 import type { ZoneProgress } from './messages.js';
 import type { RoundContext } from './round-context.js';
 import type { BudgetEntry, BudgetRow, ZoneRamp } from './rows.js';
-import type { WaitReason } from './wait-reasons.js';
+import type { FleetWaitReason } from './wait-reasons.js';
 
 /** Fraction of a pool's instances in a zone that may start work as soon as the zone returns. */
 const RAMP_FIRST_FRACTION = 1 / 8;
@@ -48,7 +48,7 @@
   }
 
   /** Returns why a drained instance must stay out of service because of its zone, if it must. */
-  holdReason(entry: BudgetEntry, context: RoundContext): WaitReason | undefined {
+  holdReason(entry: BudgetEntry, context: RoundContext): FleetWaitReason | undefined {
     const instance = context.view.instance(entry.instance);
     if (instance === undefined) {
       return undefined;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,5 +5,3 @@
 export * from './resources/index.js';
 export * from './tasks/index.js';
 export * from './types/index.js';
-export type { Fence as OwnerFence, WaitReason as FleetWaitReason } from './fleet/index.js';
-export type { Fence, WaitReason } from './tasks/index.js';
