feat(coordination): store calls of a member that the store turns away go through another member

When the store does not answer or refuses some members, each of them was on its own: the leader lost its lease after 1.5 s, and entries turned submissions away. RouteDecider sends the calls of such a member through another one over a link that is opened when it is needed. A relay sends calls straight to the store only, and refuses while it is not in touch by itself, so a call passes through one member at most. Reads are sent again when the route changes; a write that was handed over and not answered has an unknown outcome.

The test of the leader in store-relay fails without the relay for each of the four ways in which the store turns a member away.

--- a/packages/coordination/src/io/peers/peer-link.ts
+++ b/packages/coordination/src/io/peers/peer-link.ts
@@ -47,6 +47,8 @@
   readonly metrics: Metrics;
   readonly observer: LinkObserver;
   readonly silenceTimeoutMs?: Millis;
+  /** Maximum frame size once the peer is authenticated. Default `MAX_FRAME_BYTES`. */
+  readonly maxFrameBytes?: number;
 }
 
 /** Owns one socket to one peer, from the handshake to the close. */
@@ -207,7 +209,7 @@
           break;
         case 'ready':
           this.#peer = decision.peer;
-          this.#decoder.setMaxFrameBytes(MAX_FRAME_BYTES);
+          this.#decoder.setMaxFrameBytes(this.#options.maxFrameBytes ?? MAX_FRAME_BYTES);
           this.#options.observer.onReady(this, decision.peer);
           break;
         case 'close':
@@ -231,7 +233,7 @@
         return;
       }
       const version = this.#peer?.version ?? this.#options.identity.version;
-      const frame = encodeMessage(message, version);
+      const frame = encodeMessage(message, version, this.#options.maxFrameBytes);
       if (frame.isErr()) {
         this.log.error('message exceeds the maximum frame size', { type: message.type });
         continue;
--- a/packages/coordination/src/io/store/http-object-store.ts
+++ b/packages/coordination/src/io/store/http-object-store.ts
@@ -2,12 +2,8 @@
 import { Ok, fail, type AppError, type Result } from '@turmerichoist/core';
 import type { ObjectStore } from '../../store/index.js';
 import { decodeJson } from './decode.js';
-import {
-  StoreTransport,
-  type HttpResponse,
-  type HttpCall,
-  type TransportOptions,
-} from './transport.js';
+import type { HttpCall, HttpResponse } from './store-path.js';
+import { StoreTransport, type TransportOptions } from './transport.js';
 
 const NOT_FOUND = 404;
 const FIRST_ERROR_STATUS = 400;
--- a/packages/coordination/src/io/store/http-table-store.ts
+++ b/packages/coordination/src/io/store/http-table-store.ts
@@ -2,7 +2,8 @@
 import { Ok, fail, type AppError, type Result } from '@turmerichoist/core';
 import type { JsonValue, Row, TableStore, Transaction, TxnOutcome } from '../../store/index.js';
 import { decodeJson } from './decode.js';
-import { StoreTransport, type HttpCall, type TransportOptions } from './transport.js';
+import type { HttpCall } from './store-path.js';
+import { StoreTransport, type TransportOptions } from './transport.js';
 
 const CONFLICT = 409;
 const OK = 200;
--- a/packages/coordination/src/io/store/transport.ts
+++ b/packages/coordination/src/io/store/transport.ts
@@ -1,5 +1,4 @@
 import PQueue from 'p-queue';
-import { Pool, type Dispatcher } from 'undici';
 import {
   Ok,
   fail,
@@ -15,6 +14,15 @@
 import type { StoreContactObserver } from '../../state/store-contact.js';
 import type { StoreCallObserver, StoreCallOutcome } from './call-stats.js';
 import { callTimeout } from './call-timeout.js';
+import { DirectPath } from './direct-path.js';
+import {
+  TOO_MANY_REQUESTS,
+  UNAVAILABLE,
+  type Exchange,
+  type HttpCall,
+  type HttpResponse,
+} from './store-path.js';
+import { DIRECT_ONLY, type StoreRoutes } from './store-routes.js';
 
 /**
  * Rate budgets of one member. The table service handles about 300 writes and 2,000 reads per second
@@ -28,23 +36,11 @@
 export const READ_CONCURRENCY = 8;
 /** Four consecutive calls may time out within the lifetime of a session (8,000 ms). */
 export const CALL_TIMEOUT_MS = 2_000;
-export const CONNECT_TIMEOUT_MS = 1_000;
 export const BACKOFF_BASE_MS = 50;
 export const BACKOFF_CAP_MS = 5_000;
 /** Maximum number of calls waiting for a connection; further ones are refused. */
 export const MAX_QUEUED_CALLS = 256;
 
-/** Codes of errors that occur before any byte of the request is sent. */
-export const NOT_SENT_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
-const TOO_MANY_REQUESTS = 429;
-const UNAVAILABLE = 503;
-
 export interface TransportOptions {
   /** Base URL, `http://host:port`. */
   readonly url: string;
@@ -66,23 +62,8 @@
   readonly observer?: StoreCallObserver;
   /** Told when calls are sent and answered. */
   readonly contact?: StoreContactObserver;
-}
-
-export interface HttpCall {
-  readonly kind: 'read' | 'write';
-  readonly method: Dispatcher.HttpMethod;
-  readonly path: string;
-  readonly body?: string | Uint8Array;
-  readonly contentType?: string;
-  /** Part of the service whose own rate limit the call is subject to. */
-  readonly part?: string;
-  /** Time that the service may wait before it responds (long polling); extends the time-out. */
-  readonly waitMs?: Millis;
-}
-
-export interface HttpResponse {
-  readonly status: number;
-  readonly bytes: Uint8Array;
+  /** Chooses the way of each call. Default: straight to the service. */
+  readonly routes?: StoreRoutes;
 }
 
 interface LimitedQueue {
@@ -102,8 +83,10 @@
   readonly #timeoutMs: Millis;
   readonly #concurrency: Readonly<Record<HttpCall['kind'], number>>;
   readonly #queues: Readonly<Record<HttpCall['kind'], LimitedQueue>>;
-  #pool: Pool;
-  #generation = 1;
+  readonly #routes: StoreRoutes;
+  readonly #direct: DirectPath;
+  /** Number of the route under which the limiters have recorded failures. */
+  #limitedRoute: number;
 
   constructor(options: TransportOptions) {
     this.#options = options;
@@ -112,21 +95,25 @@
       write: options.writeConcurrency ?? WRITE_CONCURRENCY,
       read: options.readConcurrency ?? READ_CONCURRENCY,
     };
-    this.#pool = this.#newPool();
+    const { url, signal } = options;
+    const connections = this.#concurrency.write + this.#concurrency.read;
+    this.#direct = new DirectPath({ url, connections, signal });
+    this.#routes = options.routes ?? DIRECT_ONLY;
+    this.#limitedRoute = this.#routes.number;
     const { writeBudgetPerS = WRITE_BUDGET_PER_S, readBudgetPerS = READ_BUDGET_PER_S } = options;
     this.#queues = {
       write: this.#newQueue(writeBudgetPerS, WRITE_BURST, this.#concurrency.write),
       read: this.#newQueue(readBudgetPerS, READ_BURST, this.#concurrency.read),
     };
-    options.signal.addEventListener('abort', () => void this.#pool.destroy(), { once: true });
   }
 
   /** Number of the current connection generation, starting at 1. */
   get generation(): number {
-    return this.#generation;
+    return this.#direct.generation;
   }
 
   async call(call: HttpCall, signal: AbortSignal): Promise<Result<HttpResponse, AppError>> {
+    this.#forgetFailuresOfFormerRoute();
     const { limiter, queue } = this.#queues[call.kind];
     const startedAt = this.#options.clock.now();
     if (queue.size >= MAX_QUEUED_CALLS) {
@@ -136,6 +123,15 @@
     return queue.add(() => this.#admit(call, limiter, signal, startedAt));
   }
 
+  /** Failures on one way say nothing about another. */
+  #forgetFailuresOfFormerRoute(): void {
+    if (this.#limitedRoute !== this.#routes.number) {
+      this.#limitedRoute = this.#routes.number;
+      this.#queues.read.limiter.forgetFailures();
+      this.#queues.write.limiter.forgetFailures();
+    }
+  }
+
   #observe({ kind, waitMs }: HttpCall, outcome: StoreCallOutcome, startedAt: Millis): void {
     if (waitMs === undefined) {
       const ms = this.#options.clock.now() - startedAt;
@@ -172,57 +168,43 @@
       return fail('store-unavailable', 'given up before sending');
     }
     const startedAt = this.#options.clock.now();
-    const generation = this.#generation;
+    const { generation } = this.#direct;
+    const route = this.#routes.number;
     const timeout = callTimeout(signal, this.#timeoutMs + (call.waitMs ?? 0));
-    try {
-      const response = await this.#exchangeObserved(call, timeout.signal);
-      this.#observe(call, outcomeOf(response), calledAt);
-      return this.#recordResponse(call, response, limiter, startedAt);
-    } catch (err) {
-      this.#observe(call, 'unanswered', calledAt);
-      return this.#toFailure(call, err, timeout.expired() ? 'timeout' : 'error', () => {
-        if (signal.aborted) {
-          limiter.abandoned(call.part);
-          return;
-        }
-        limiter.failed(call.part, startedAt, this.#options.clock.now());
-        if (timeout.expired()) {
-          this.#retireGeneration(generation);
-        }
-      });
-    } finally {
-      timeout.clear();
+    const exchange = await this.#exchangeObserved(call, timeout.signal);
+    timeout.clear();
+    if (exchange.isOk()) {
+      this.#observe(call, outcomeOf(exchange.value), calledAt);
+      return this.#recordResponse(call, exchange.value, limiter, startedAt);
     }
+    this.#observe(call, 'unanswered', calledAt);
+    const { sent, detail } = exchange.error;
+    if (isAborted(signal) || route !== this.#routes.number) {
+      limiter.abandoned(call.part);
+    } else {
+      limiter.failed(call.part, startedAt, this.#options.clock.now());
+      if (timeout.expired()) {
+        this.#direct.retire(generation);
+      }
+    }
+    const kind = sent && call.kind === 'write' ? 'outcome-unknown' : 'store-unavailable';
+    return fail(kind, `${timeout.expired() ? 'timeout' : 'error'}: ${detail}`);
   }
 
   /** Tells the observer of contact. A long poll says nothing about the store until it is answered. */
-  async #exchangeObserved(call: HttpCall, signal: AbortSignal): Promise<HttpResponse> {
+  async #exchangeObserved(call: HttpCall, signal: AbortSignal): Promise<Exchange> {
     const { contact, clock } = this.#options;
     const longPoll = call.waitMs !== undefined;
     if (!longPoll) {
       contact?.onSent(clock.now());
     }
-    try {
-      const response = await this.#exchange(call, signal);
+    const exchange = await this.#routes.exchange(call, this.#direct, signal);
+    if (exchange.isOk()) {
       contact?.onAnswered(clock.now(), longPoll);
-      return response;
-    } catch (err) {
-      if (!longPoll) {
-        contact?.onUnanswered(clock.now());
-      }
-      throw err;
+    } else if (!longPoll) {
+      contact?.onUnanswered(clock.now());
     }
-  }
-
-  async #exchange(call: HttpCall, signal: AbortSignal): Promise<HttpResponse> {
-    const { statusCode, body } = await this.#pool.request({
-      method: call.method,
-      path: call.path,
-      signal,
-      ...(call.body === undefined ? {} : { body: call.body }),
-      ...(call.contentType === undefined ? {} : { headers: { 'content-type': call.contentType } }),
-    });
-    return { status: statusCode, bytes: await body.bytes() };
+    return exchange;
   }
 
   #recordResponse(
@@ -245,38 +227,6 @@
     }
   }
 
-  #toFailure(
-    call: HttpCall,
-    err: unknown,
-    reason: string,
-    record: () => void,
-  ): Result<HttpResponse, AppError> {
-    record();
-    const code = (err as { code?: unknown }).code;
-    const sent = typeof code !== 'string' || !NOT_SENT_CODES.has(code);
-    const detail = `${reason}: ${typeof code === 'string' ? code : String(err)}`;
-    return fail(sent && call.kind === 'write' ? 'outcome-unknown' : 'store-unavailable', detail);
-  }
-
-  #retireGeneration(generation: number): void {
-    if (generation !== this.#generation || this.#options.signal.aborted) {
-      return;
-    }
-    this.#generation += 1;
-    const old = this.#pool;
-    this.#pool = this.#newPool();
-    // Calls in flight on the old connections end by their own time-out at the latest.
-    old.close().catch(() => undefined);
-  }
-
-  #newPool(): Pool {
-    return new Pool(this.#options.url, {
-      connections: this.#concurrency.write + this.#concurrency.read,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-    });
-  }
-
   #newQueue(budgetPerS: number, burst: number, concurrency: number): LimitedQueue {
     const settings: CallLimiterSettings = {
       budgetPerS,
@@ -298,3 +248,7 @@
   }
   return status === UNAVAILABLE ? 'unavailable' : 'answered';
 }
+
+function isAborted(signal: AbortSignal): boolean {
+  return signal.aborted;
+}
--- a/packages/coordination/src/state/index.ts
+++ b/packages/coordination/src/state/index.ts
@@ -13,3 +13,4 @@
 export * from './leader-candidacy.js';
 export * from './leader-capacity.js';
 export * from './leader-lease.js';
+export * from './relay/index.js';
--- a/packages/coordination/src/state/parted-limiter.ts
+++ b/packages/coordination/src/state/parted-limiter.ts
@@ -61,6 +61,12 @@
     this.#partLimiter(part)?.abandoned();
   }
 
+  /** Forgets all failures, which no longer tell how the next call will end. */
+  forgetFailures(): void {
+    this.#service.succeeded();
+    this.#parts.clear();
+  }
+
   #partLimiter(part: string | undefined): CallLimiter | undefined {
     if (part === undefined) {
       return undefined;
--- a/packages/coordination/src/state/peers/codec.ts
+++ b/packages/coordination/src/state/peers/codec.ts
@@ -41,9 +41,13 @@
 }
 
 /** Encodes a message as a frame. Errors: `frame-invalid` when it is too long. */
-export function encodeMessage(message: PeerMessage, version: number): Result<Uint8Array, AppError> {
+export function encodeMessage(
+  message: PeerMessage,
+  version: number,
+  maxFrameBytes?: number,
+): Result<Uint8Array, AppError> {
   const format = HANDSHAKE_TYPES.has(message.type) ? namedFields : payloadFormatOf(version);
-  return encodeFrame(version, cbor.encode(format.pack(message)));
+  return encodeFrame(version, cbor.encode(format.pack(message)), maxFrameBytes);
 }
 
 function decodePayload(payload: Uint8Array): Result<unknown, AppError> {
--- a/packages/coordination/src/state/peers/constants.ts
+++ b/packages/coordination/src/state/peers/constants.ts
@@ -16,3 +16,7 @@
 export const LINKS_PER_OTHER_ZONE = 2;
 /** Capacity of the send queue of one link, in messages. */
 export const SEND_QUEUE_MESSAGES = 256;
+/** Maximum size in bytes of the body of a relayed store call or of its answer. */
+export const MAX_RELAYED_BODY_BYTES = 1_572_864;
+/** Maximum size in bytes of a frame on a link that relays store calls. */
+export const MAX_RELAY_FRAME_BYTES = MAX_RELAYED_BODY_BYTES + 16_384;
--- a/packages/coordination/src/state/peers/frames.ts
+++ b/packages/coordination/src/state/peers/frames.ts
@@ -11,10 +11,14 @@
 }
 
 /** Encodes a frame. Errors: `frame-invalid` when the payload is too long. */
-export function encodeFrame(version: number, payload: Uint8Array): Result<Uint8Array, AppError> {
+export function encodeFrame(
+  version: number,
+  payload: Uint8Array,
+  maxBytes: number = MAX_FRAME_BYTES,
+): Result<Uint8Array, AppError> {
   const length = VERSION_BYTES + payload.length;
-  if (length > MAX_FRAME_BYTES) {
-    return fail('frame-invalid', `frame of ${length} bytes exceeds ${MAX_FRAME_BYTES}`);
+  if (length > maxBytes) {
+    return fail('frame-invalid', `frame of ${length} bytes exceeds ${maxBytes}`);
   }
   const bytes = new Uint8Array(LENGTH_BYTES + length);
   new DataView(bytes.buffer).setUint32(0, length);
--- a/packages/coordination/src/state/peers/messages.ts
+++ b/packages/coordination/src/state/peers/messages.ts
@@ -1,5 +1,6 @@
 import { ERROR_TABLE, appError, type AppError, type ErrorKind } from '@turmerichoist/core';
 import { z } from 'zod';
+import { MAX_RELAYED_BODY_BYTES } from './constants.js';
 
 /** Length of the handshake nonce in bytes. */
 export const NONCE_BYTES = 16;
@@ -7,6 +8,9 @@
 
 const bytes = (length: number) =>
   z.custom<Uint8Array>((value) => value instanceof Uint8Array && value.length === length);
+const body = z.custom<Uint8Array>(
+  (value) => value instanceof Uint8Array && value.length <= MAX_RELAYED_BODY_BYTES,
+);
 const id = z.string().min(1).max(128);
 const count = z.int().min(0);
 const units = z.int().min(0).max(1_000_000_000);
@@ -82,6 +86,29 @@
     seq: count,
     content: z.unknown(),
   }),
+  /** A call that the receiver is to send to the store for the sender. */
+  'store-call': z.object({
+    type: z.literal('store-call'),
+    id: count,
+    kind: z.enum(['read', 'write']),
+    method: z.enum(['GET', 'POST', 'PUT', 'DELETE']),
+    path: z.string().max(4_096),
+    body: body.nullable(),
+    contentType: z.string().max(128).nullable(),
+    /** Time that the store may wait before it responds, in milliseconds. */
+    waitMs: count.nullable(),
+  }),
+  'store-answer': z.object({
+    type: z.literal('store-answer'),
+    id: count,
+    /** `refused`: the call was not sent; `unanswered`: it may have reached the store. */
+    outcome: z.enum(['answered', 'refused', 'unanswered']),
+    /** Status of the response; 0 without one. */
+    status: count,
+    body,
+  }),
+  /** The sender no longer waits for the answer to a call. */
+  'store-cancel': z.object({ type: z.literal('store-cancel'), id: count }),
 } as const;
 
 export type MessageType = keyof typeof MESSAGE_SCHEMAS;
--- a/packages/coordination/src/state/peers/payload-formats.ts
+++ b/packages/coordination/src/state/peers/payload-formats.ts
@@ -53,6 +53,12 @@
   { type: 'request', fields: ['id', 'topic', 'body'] },
   { type: 'response', fields: ['id', 'ok', 'body'] },
   { type: 'relay', fields: ['origin', 'seq', 'content'] },
+  {
+    type: 'store-call',
+    fields: ['id', 'kind', 'method', 'path', 'body', 'contentType', 'waitMs'],
+  },
+  { type: 'store-answer', fields: ['id', 'outcome', 'status', 'body'] },
+  { type: 'store-cancel', fields: ['id'] },
 ];
 
 const TYPE_CODES: ReadonlyMap<MessageType, number> = new Map(
--- a/packages/coordination/src/state/store-contact.ts
+++ b/packages/coordination/src/state/store-contact.ts
@@ -47,6 +47,11 @@
     return this.#state;
   }
 
+  /** Whether no call is pending and the last ones have ended without an answer. */
+  get refusedAll(): boolean {
+    return this.#pending === 0 && this.#unansweredSince !== undefined;
+  }
+
   onSent(now: Millis): void {
     this.#pending += 1;
     this.#unansweredSince ??= now;
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -20,6 +20,7 @@
   type LeaderPublication,
   type LeaderResources,
   type LeaderTerm,
+  type RouteChange,
   type StoreCallStats,
   type StoreContactEvent,
   type TableStore,
@@ -74,6 +75,7 @@
 export type CellMessage =
   | LeaderEvent
   | StoreContactEvent
+  | RouteChange
   | { readonly type: 'view'; readonly view: OperatorView }
   | { readonly type: 'superseded'; readonly term: LeaderTerm };
 
@@ -166,6 +168,11 @@
         this.#contact = message.state;
         this.#service.setReachable(message.state === 'in-touch');
         return;
+      case 'route':
+        // What was under way on the former route has failed; the lease must not end meanwhile.
+        this.#elector.post({ type: 'renew' });
+        this.#elector.post({ type: 'poll' });
+        return;
       case 'view':
         this.#setView(message.view);
         return;
