--- a/packages/coordination/src/io/relay/relay-links.ts
+++ b/packages/coordination/src/io/relay/relay-links.ts
@@ -31,6 +31,7 @@
 import { PeerLink, type LinkObserver } from '../peers/peer-link.js';
 import type { StorePath } from '../store/store-path.js';
 import { RelayClient } from './relay-client.js';
+import { relayHeartbeat, type ServingStatus } from './relay-heartbeat.js';
 import type { RelayServer } from './relay-server.js';
 
 /** Members that are asked to relay at the same time; the first one that agrees is taken. */
@@ -44,14 +45,6 @@
 /** Links of other members that are accepted at the same time. */
 const MAX_ACCEPTED_LINKS = 32;
 
-/** What this member says of itself to those that ask it to relay. */
-export interface ServingStatus {
-  /** Whether it relays calls of others. */
-  readonly serving: boolean;
-  /** Time for which it has been in touch with the store by itself. */
-  readonly inTouchForMs: Millis;
-}
-
 export type RelayEvent =
   | { readonly type: 'relay-found'; readonly member: MemberId; readonly path: StorePath }
   | { readonly type: 'relay-not-found'; readonly asked: readonly MemberId[] }
@@ -81,6 +74,12 @@
   readonly listener: Recipient<RelayEvent>;
 }
 
+/** A search for a relay. */
+interface Search {
+  readonly asked: readonly MemberId[];
+  readonly until: Millis;
+}
+
 /** A member that was asked to relay and has not answered. */
 interface AskedMember {
   readonly member: MemberId;
@@ -104,8 +103,10 @@
   readonly #choice: RelayChoice;
   /** Links of members that relay through this one, with their calls in flight. */
   readonly #accepted = new Map<PeerLink, Map<number, AbortController>>();
+  /** Links that have completed the handshake and the check whether this member relays. */
+  readonly #greeted = new WeakSet<PeerLink>();
   #asked: readonly AskedMember[] = [];
-  #askedUntil: Millis = 0;
+  #search: Search = { asked: [], until: 0 };
   #relay: RelayInUse | undefined;
   /** Links with former relays that still have calls in flight. */
   readonly #released = new Map<PeerLink, RelayClient>();
@@ -153,7 +154,7 @@
         this.#accept(message.socket);
         break;
       case 'link-ready':
-        this.#sendHeartbeat(message.link);
+        void this.#onReady(message.link);
         break;
       case 'link-message':
         this.#onMessage(message.link, message.message);
@@ -169,16 +170,21 @@
   #seek(members: readonly RelayCandidate[]): void {
     const now = this.#options.clock.now();
     this.#endSearch('replaced by another search');
-    this.#askedUntil = now + SEEK_TIMEOUT_MS;
-    this.#asked = this.#choice.choose(members, ASKED_AT_ONCE, now).map(({ member, address }) => {
+    const chosen = this.#choice.choose(members, ASKED_AT_ONCE, now);
+    this.#search = { asked: chosen.map(({ member }) => member), until: now + SEEK_TIMEOUT_MS };
+    this.#asked = chosen.map(({ member, address }) => {
       const [host = '', port = ''] = address.split(':');
       return { member, link: this.#open(connect({ host, port: Number(port) }), 'dialer') };
     });
-    if (this.#asked.length === 0) {
-      this.#options.listener.post({ type: 'relay-not-found', asked: [] });
+    if (chosen.length === 0) {
+      this.#reportNotFound();
     }
   }
 
+  #reportNotFound(): void {
+    this.#options.listener.post({ type: 'relay-not-found', asked: this.#search.asked });
+  }
+
   #accept(socket: Socket): void {
     if (this.#accepted.size >= MAX_ACCEPTED_LINKS) {
       socket.destroy();
@@ -201,6 +207,19 @@
     return new PeerLink(socket, options, { log: this.log, signal: this.signal });
   }
 
+  /** Answers the question of the member that opened the link, whether this one relays. */
+  async #onReady(link: PeerLink): Promise<void> {
+    if (this.#accepted.has(link)) {
+      const serving = await this.#options.server.check();
+      if (!serving) {
+        close(link, 'not in touch');
+        return;
+      }
+    }
+    this.#greeted.add(link);
+    this.#sendHeartbeat(link);
+  }
+
   #onMessage(link: PeerLink, message: PeerMessage): void {
     switch (message.type) {
       case 'heartbeat':
@@ -310,7 +329,7 @@
     this.#choice.onFailed(asked.member, this.#options.clock.now());
     this.#asked = this.#asked.filter((one) => one !== asked);
     if (this.#asked.length === 0) {
-      this.#options.listener.post({ type: 'relay-not-found', asked: [asked.member] });
+      this.#reportNotFound();
     }
   }
 
@@ -323,7 +342,7 @@
   }
 
   #beat(): void {
-    if (this.#asked.length > 0 && this.#options.clock.now() >= this.#askedUntil) {
+    if (this.#asked.length > 0 && this.#options.clock.now() >= this.#search.until) {
       for (const { link } of this.#asked) {
         close(link, 'no answer in time');
       }
@@ -350,24 +369,11 @@
   }
 
   #sendHeartbeat(link: PeerLink): void {
-    if (link.peer === undefined) {
+    if (!this.#greeted.has(link)) {
       return;
     }
     const { self, clock, status } = this.#options;
-    const { serving, inTouchForMs } = status();
-    const message: Heartbeat = {
-      type: 'heartbeat',
-      member: self.member,
-      incarnation: self.incarnation,
-      revision: 0,
-      storeReachable: serving,
-      storeForMs: Math.floor(inTouchForMs),
-      freshMs: 0,
-      stopping: false,
-      sentAt: Math.floor(clock.now()),
-      echo: link.peerSentAt,
-      vouched: [],
-    };
+    const message = relayHeartbeat(self, status(), clock.now(), link.peerSentAt);
     link.post({ type: 'send', message });
   }
 }
--- a/packages/coordination/src/io/relay/relay-server.ts
+++ b/packages/coordination/src/io/relay/relay-server.ts
@@ -17,6 +17,8 @@
   readonly direct: StorePath;
   /** Whether this member is in touch with the store by itself. */
   readonly mayServe: () => boolean;
+  /** Sends one cheap call straight to the store; tells whether it was carried out. */
+  readonly probe: () => Promise<boolean>;
 }
 
 export type StoreAnswer = MessageOf<'store-answer'>;
@@ -39,6 +41,14 @@
     return this.#served;
   }
 
+  /**
+   * Checks whether this member can relay now. The store may have begun to turn it away at the same
+   * time as the member that asks.
+   */
+  async check(): Promise<boolean> {
+    return this.#options.mayServe() && (await this.#options.probe()) && this.#options.mayServe();
+  }
+
   /** Sends one call; when the signal is aborted, the answer is no longer awaited. */
   async serve(message: MessageOf<'store-call'>, signal: AbortSignal): Promise<StoreAnswer> {
     const { id, body, waitMs } = message;
--- a/packages/coordination/src/io/relay/store-router.ts
+++ b/packages/coordination/src/io/relay/store-router.ts
@@ -13,12 +13,15 @@
 import { isRefusal, type Exchange, type HttpCall, type StorePath } from '../store/store-path.js';
 import type { StoreRoutes } from '../store/store-routes.js';
 import { MAX_RELAYED_CALLS } from './relay-client.js';
-import type { RelayEvent, RelayLinksMessage, ServingStatus } from './relay-links.js';
+import type { ServingStatus } from './relay-heartbeat.js';
+import type { RelayEvent, RelayLinksMessage } from './relay-links.js';
 import { RelayServer } from './relay-server.js';
 
 /** Well above the time in which the store answers reads; the next probe uses new connections. */
 const PROBE_TIMEOUT_MS: Millis = 500;
-/** Connections for calls of other members, and for probes. */
+/** Several members may ask this one to relay at the same time. */
+const PROBE_CONNECTIONS = 4;
+/** Connections for calls of other members. */
 const SERVING_CONNECTIONS = 2 * MAX_RELAYED_CALLS;
 
 /** The calls of this member have begun to take another route. */
@@ -84,7 +87,7 @@
     const { url, signal, clock } = options;
     this.#log = options.log.child('route');
     this.#route = { number: 0, relay: undefined, since: clock.now() };
-    this.#probePath = new DirectPath({ url, connections: 1, signal });
+    this.#probePath = new DirectPath({ url, connections: PROBE_CONNECTIONS, signal });
     const serving = new DirectPath({ url, connections: SERVING_CONNECTIONS, signal });
     this.server = new RelayServer({
       direct: {
@@ -94,6 +97,7 @@
         },
       },
       mayServe: () => this.#decider.mayServe(clock.now()),
+      probe: () => this.#probeDirect(),
     });
   }
 
@@ -243,6 +247,11 @@
   }
 
   async #probe(): Promise<void> {
+    this.#handle({ type: 'probed', answered: await this.#probeDirect() });
+  }
+
+  /** Sends the probe straight to the store; tells whether it was carried out. */
+  async #probeDirect(): Promise<boolean> {
     const { probe, signal } = this.#options;
     const { generation } = this.#probePath;
     const timeout = callTimeout(signal, PROBE_TIMEOUT_MS);
@@ -251,6 +260,6 @@
     if (timeout.expired()) {
       this.#probePath.retire(generation);
     }
-    this.#handle({ type: 'probed', answered: exchange.isOk() && !isRefusal(exchange.value) });
+    return exchange.isOk() && !isRefusal(exchange.value);
   }
 }
--- a/packages/coordination/test/peers-codec.test.ts
+++ b/packages/coordination/test/peers-codec.test.ts
@@ -23,6 +23,8 @@
 
 const name = fc.stringMatching(/^[a-z0-9-]{1,20}$/);
 const nat = fc.nat({ max: 2 ** 40 });
+/** As the decoder returns them. */
+const bytes = fc.uint8Array().map((value) => Buffer.from(value));
 const broadcast = fc.oneof(
   fc.record({
     type: fc.constant('demand' as const),
@@ -47,6 +49,19 @@
     ...{ type: fc.constant('response' as const), id: nat, ok: fc.boolean() },
     body: fc.json().map((text) => JSON.parse(text) as never),
   }),
+  fc.record({
+    ...{ type: fc.constant('store-call' as const), id: nat, path: name },
+    kind: fc.constantFrom('read' as const, 'write' as const),
+    method: fc.constantFrom('GET' as const, 'POST' as const),
+    body: fc.option(bytes),
+    contentType: fc.option(name),
+    waitMs: fc.option(nat),
+  }),
+  fc.record({
+    ...{ type: fc.constant('store-answer' as const), id: nat, status: nat, body: bytes },
+    outcome: fc.constantFrom('answered' as const, 'refused' as const, 'unanswered' as const),
+  }),
+  fc.record({ type: fc.constant('store-cancel' as const), id: nat }),
 );
 
 function decodeAll(
--- a/packages/coordination/test/store-relay.test.ts
+++ b/packages/coordination/test/store-relay.test.ts
@@ -130,6 +130,19 @@
   expect((await cut.put('jobs/2')).isOk()).toBe(true);
 });
 
+test('a relay is taken that the store has begun to turn away, too', async () => {
+  const opened = await openPolling(['a', 'b', 'c']);
+  const [cut, also, served] = opened as [RelayMember, RelayMember, RelayMember];
+  also.front.mode = 'silent';
+  expect(also.router.status.serving).toBe(true);
+  expect(await also.router.server.check()).toBe(false);
+  cut.front.mode = 'silent';
+  await waitUntil(() => cut.routes.at(-1) === 'relayed', 1_500);
+  expect((await cut.put('jobs/1')).isOk()).toBe(true);
+  expect(served.router.server.served).toBeGreaterThan(0);
+  expect(also.router.server.served).toBe(0);
+});
+
 test('a refusal of the store at the relay is repeated through other members', async () => {
   const [cut, relay, third] = (await openPolling(['a', 'b', 'c'])) as [
     RelayMember,
