--- a/packages/daemon/test/job-cell-contact.test.ts
+++ b/packages/daemon/test/job-cell-contact.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, expect, test } from '@jest/globals';
-import type { ContactState } from '@turmerichoist/coordination';
+import { CELL_LEASE_KEY, type ContactState } from '@turmerichoist/coordination';
+import { sleep } from '@turmerichoist/runtime';
 import type { JobCell } from '../src/jobs/job-cell.js';
 import { startMember } from './support/job-cell-fixture.js';
 import { PartedTables } from './support/parted-tables.js';
@@ -7,11 +8,13 @@
 // Each test is named after the failure that it guards against.
 
 let controller: AbortController;
+let tables: PartedTables;
 let cell: JobCell;
 
 beforeEach(async () => {
   controller = new AbortController();
-  cell = startMember('a', new PartedTables(), controller.signal);
+  tables = new PartedTables();
+  cell = startMember('a', tables, controller.signal);
   await cell.idle();
 });
 
@@ -44,3 +47,19 @@
   expect(cell.ready).toBe(true);
   expect(cell.keepsCallers).toBe(true);
 });
+
+test('the lease of a leader waits for its next renewal although the former route failed', async () => {
+  const renewals = () =>
+    tables.commits.filter(({ txn }) => txn.writes.some(({ key }) => key === CELL_LEASE_KEY)).length;
+  while (renewals() === 0) {
+    await sleep(5, controller.signal);
+  }
+  // Within this time, the timer adds one renewal at most.
+  const before = renewals();
+  for (let changes = 0; changes < 3; changes += 1) {
+    cell.post({ type: 'route', route: 'relayed' });
+    await cell.idle();
+    await sleep(20, controller.signal);
+  }
+  expect(renewals() - before).toBeGreaterThanOrEqual(3);
+});
