fix(coordination): a relay whose link is silent is left after 0.75 s

By calculation: with 1 s, the check interval of 250 ms and a renewal that was sent up to 350 ms before, the leader's lease of 1.5 s would end first.

--- a/packages/coordination/src/io/relay/relay-links.ts
+++ b/packages/coordination/src/io/relay/relay-links.ts
@@ -41,7 +41,7 @@
 /** Interval of heartbeats on open links, well below the lifetime of the leader's lease. */
 const RELAY_HEARTBEAT_MS: Millis = 250;
 /** A link that delivers no frame for this time has ended. */
-const RELAY_LINK_SILENT_MS: Millis = 1_000;
+const RELAY_LINK_SILENT_MS: Millis = 750;
 /** Links of other members that are accepted at the same time. */
 const MAX_ACCEPTED_LINKS = 32;
 
--- a/packages/coordination/test/store-relay.test.ts
+++ b/packages/coordination/test/store-relay.test.ts
@@ -3,7 +3,7 @@
 import { TableState } from '../src/store/index.js';
 import type { StoreMode } from './support/member-store.js';
 import { RelayMember } from './support/relay-member.js';
-import { waitUntil } from './peers-support.js';
+import { SilencingProxy, waitUntil } from './peers-support.js';
 
 // Each test is named after the failure that it guards against. Members have their own ways to a
 // shared store, over real sockets.
@@ -130,6 +130,25 @@
   expect((await cut.put('jobs/2')).isOk()).toBe(true);
 });
 
+test('a member waits for a relay whose link has gone silent', async () => {
+  const opened = await open(['a', 'b', 'c']);
+  const [cut, relay, other] = opened as [RelayMember, RelayMember, RelayMember];
+  const proxy = new SilencingProxy();
+  relay.candidate = { ...relay.candidate, address: await proxy.start(relay.candidate.address) };
+  opened.forEach((member) => void poll(member));
+  opened.forEach((member) => {
+    member.relayThrough(member === cut ? [relay] : []);
+  });
+  await sleep(SERVING_AFTER_MS, signal);
+  cut.front.mode = 'silent';
+  await waitUntil(() => cut.routes.at(-1) === 'relayed', 1_500);
+  cut.relays = [other];
+  proxy.silence('both');
+  await waitUntil(() => cut.routes.length >= 3 && cut.routes.at(-1) === 'relayed', 1_500);
+  expect((await cut.put('jobs/1')).isOk()).toBe(true);
+  proxy.stop();
+});
+
 test('a relay is taken that the store has begun to turn away, too', async () => {
   const opened = await openPolling(['a', 'b', 'c']);
   const [cut, also, served] = opened as [RelayMember, RelayMember, RelayMember];
--- a/packages/coordination/test/support/relay-member.ts
+++ b/packages/coordination/test/support/relay-member.ts
@@ -29,6 +29,8 @@
   router!: StoreRouter;
   links!: RelayLinks;
   candidate!: RelayCandidate;
+  /** Members that this one may ask to relay. */
+  relays: readonly RelayMember[] = [];
   term: LeaderTerm | undefined;
   #elector: LeaderElector | undefined;
   readonly #controller = new AbortController();
@@ -77,8 +79,9 @@
 
   /** Lets the calls of this member be relayed by others. */
   relayThrough(members: readonly RelayMember[]): void {
-    const candidates = members.map(({ candidate }) => candidate);
-    this.router.start({ links: this.links, members: () => candidates, listener: this });
+    this.relays = members;
+    const candidates = () => this.relays.map(({ candidate }) => candidate);
+    this.router.start({ links: this.links, members: candidates, listener: this });
   }
 
   startElector(): void {
