feat(jobs): a new leader waits only with instances that its predecessor ordered about

What callers saw: after a change of leader a pool at its peak got no lent instances for 3 s. Cause: orders of two holders to one instance conflict within leaseMs, and a new leader did not know about which instances the former one had ordered, so it left all alone. Change: the leader names each instance in a row of its own, on its epoch, before it orders about it; the next one reads the row after its claim and leaves these instances alone. The row is apart from the lease, of which several renewals are under way at once and can be carried out in any order, and which all members read. A predecessor of a version without announcements is waited for as before.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -1,3 +1,9 @@
+export {
+  AnnouncedOrders,
+  ORDER_SETTLE_MS,
+  type AnnouncedOrdersOptions,
+  type OrdersRecord,
+} from './announced-orders.js';
 export type { ExecutorState } from './executor-table.js';
 export { Job } from './job.js';
 export { JobDecider, type JobDeciderOptions } from './job-decider.js';
@@ -5,6 +11,7 @@
 export type { WaitingInstance } from './maintenance.js';
 export * from './messages.js';
 export * from './model.js';
+export { OrderHandover, type HeldInstance } from './order-handover.js';
 export {
   LeastWorkFirst,
   remainingWork,
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -1,16 +1,10 @@
 import type { Clock, Decider, Millis, PoolName, ZoneName } from '../types/index.js';
 import { ExecutorTable, type ExecutorState } from './executor-table.js';
+import { InstanceOrders, type InstanceOrdersOptions } from './instance-orders.js';
 import { JobTable } from './job-table.js';
 import { LeadershipGate } from './leadership-gate.js';
-import { PoolLender } from './lending.js';
-import { MaintenancePlanner, type WaitingInstance } from './maintenance.js';
-import type {
-  InstanceOrder,
-  InstanceOrderOutcome,
-  JobDecision,
-  JobEvent,
-  PoolInstance,
-} from './messages.js';
+import type { WaitingInstance } from './maintenance.js';
+import type { JobDecision, JobEvent } from './messages.js';
 import type { ExecutorId, ExecutorInfo, JobId, SchedulingConfig } from './model.js';
 import { LeastWorkFirst, type JobOrdering } from './ordering.js';
 import { PaceController } from './pace-controller.js';
@@ -24,14 +18,10 @@
 import { ProcessPauseDetector } from './process-pause-detector.js';
 import { TaskDurations } from './task-durations.js';
 
-export interface JobDeciderOptions extends RecoveryOptions {
+export interface JobDeciderOptions extends RecoveryOptions, InstanceOrdersOptions {
   readonly clock: Clock;
   /** Lowest attempt number that this owner uses. */
   readonly firstAttempt: number;
-  /** Number of instances of each pool as the first owner saw it, before any was lent. */
-  readonly poolSizes?: ReadonlyMap<PoolName, number>;
-  /** Monotonic time from which orders to instances may be sent. */
-  readonly ordersAllowedAt: Millis;
   /** How long ended jobs are retained, so that late reports find them. */
   readonly endedJobRetentionMs: Millis;
   readonly order?: JobOrdering;
@@ -52,16 +42,10 @@
   readonly #jobs: JobTable;
   readonly #reconciler: RunReconciler;
   readonly #scheduler: Scheduler;
-  readonly #maintenance: MaintenancePlanner;
+  readonly #instanceOrders: InstanceOrders;
   readonly #paceController: PaceController;
-  readonly #lender: PoolLender;
   #config: SchedulingConfig = { queues: new Map(), pools: new Map(), teams: new Map() };
   #zonesOut: ReadonlySet<ZoneName> = new Set();
-  /** Instances with an accepted order to maintain or move, until a later list shows the effect. */
-  readonly #acceptedOrders = new Map<
-    string,
-    { readonly executor: ExecutorId; readonly answeredAt: Millis }
-  >();
   /** Start times of executors that were shut down with their instance. */
   readonly #retired = new Map<ExecutorId, Millis>();
   readonly #pauseDetector = new ProcessPauseDetector();
@@ -87,13 +71,9 @@
     };
     this.#reconciler = new RunReconciler(parts, () => options.clock.wall());
     this.#scheduler = new Scheduler(parts);
-    this.#maintenance = new MaintenancePlanner(
-      { ...parts, reconciler: this.#reconciler },
-      options.ordersAllowedAt,
-    );
+    this.#instanceOrders = new InstanceOrders({ ...parts, reconciler: this.#reconciler }, options);
     this.#paceController = new PaceController(this.#runs);
-    this.#lender = new PoolLender(parts, options.ordersAllowedAt, options.poolSizes);
-    this.poolLoad = new CellPoolLoadView(parts, this.#lender);
+    this.poolLoad = new CellPoolLoadView(parts, this.#instanceOrders.lender);
   }
 
   /** Number of jobs by queue of which no executor is known to have begun a task. */
@@ -103,12 +83,12 @@
 
   /** Whether a maintenance wave is unfinished, so that instances should be listed more often. */
   get maintaining(): boolean {
-    return this.#maintenance.active;
+    return this.#instanceOrders.maintenance.active;
   }
 
   /** Number of instances of each pool before any was lent, to hand over to the next owner. */
   get poolSizes(): ReadonlyMap<PoolName, number> | undefined {
-    return this.#lender.initialSizes;
+    return this.#instanceOrders.lender.initialSizes;
   }
 
   /** Executors that may have runs, to hand over to the next owner. */
@@ -119,7 +99,7 @@
 
   /** Instances that can't be maintained yet, with the reason. */
   get waitingInstances(): readonly WaitingInstance[] {
-    return this.#maintenance.waiting;
+    return this.#instanceOrders.maintenance.waiting;
   }
 
   /** Number of executors whose runs under earlier owners are not known, so that tasks wait. */
@@ -202,15 +182,20 @@
         return [];
       case 'instances':
         this.#recovery.instancesListed(event.instances.filter((one) => !this.#isStandby(one.pool)));
-        this.#resolveOrders(event.instances, event.requestedAt);
-        this.#maintenance.setInstances(event.instances, event.requestedAt);
-        this.#lender.setInstances(event.instances, event.requestedAt);
+        this.#instanceOrders
+          .setInstances(event.instances, event.requestedAt)
+          .forEach((executor) => {
+            this.#retire(executor);
+          });
+        return [];
+      case 'former-orders':
+        this.#instanceOrders.setHeld(event.held);
         return [];
       case 'waves':
-        this.#maintenance.setWaves(event.waves);
+        this.#instanceOrders.maintenance.setWaves(event.waves);
         return [];
       case 'order-answer':
-        return this.#orderAnswered(event.order, event.outcome, now);
+        return this.#instanceOrders.answered(event.order, event.outcome, now);
       case 'schedule':
         return this.#schedule(now);
       case 'tick':
@@ -295,41 +280,6 @@
     return this.#leadership.held ? this.#paceController.onReport(report.executor, now) : [];
   }
 
-  #orderAnswered(
-    order: InstanceOrder,
-    outcome: InstanceOrderOutcome,
-    now: Millis,
-  ): readonly JobDecision[] {
-    const orderedBy = order.type === 'move' ? this.#lender : this.#maintenance;
-    const executor = orderedBy.orderedExecutor(order.instance);
-    if (outcome === 'done' && executor !== undefined) {
-      this.#executors.update(executor, { shutdownPending: true });
-      this.#acceptedOrders.set(order.instance, { executor, answeredAt: now });
-    }
-    this.#lender.answered(order, outcome);
-    return this.#maintenance.answered(order, outcome, now);
-  }
-
-  /**
-   * Clears or retires the executors of instances with an accepted order. An order that an earlier
-   * owner had already carried out is answered like one that takes effect now, so only a list
-   * requested after the answer tells whether the executor has ended.
-   */
-  #resolveOrders(instances: readonly PoolInstance[], requestedAt: Millis): void {
-    for (const [name, { executor, answeredAt }] of [...this.#acceptedOrders]) {
-      if (requestedAt <= answeredAt) {
-        continue;
-      }
-      this.#acceptedOrders.delete(name);
-      const instance = instances.find((one) => one.name === name);
-      if (instance?.state === 'up' && instance.executor === executor) {
-        this.#executors.update(executor, { shutdownPending: false, cordoned: false });
-      } else {
-        this.#retire(executor);
-      }
-    }
-  }
-
   /** Removes an executor that was shut down with its instance, and all its runs. */
   #retire(id: ExecutorId): void {
     const state = this.#executors.get(id);
@@ -354,11 +304,8 @@
     // What can start now must not count as waiting when instances are lent.
     const starts = this.#schedule(now);
     this.#reconciler.retryStops(now);
-    // The disruption budgets of maintenance depend on runs that may not be known yet. Lending does
-    // not: it takes only instances whose executors have reported that they run nothing.
-    const maintained = this.#recovery.isPending(now) ? [] : this.#maintenance.plan(now);
-    const reserved = (instance: string): boolean => this.#maintenance.isReserved(instance);
-    return [...starts, ...maintained, ...this.#lender.plan(this.#config.pools, reserved, now)];
+    const recovering = this.#recovery.isPending(now);
+    return [...starts, ...this.#instanceOrders.plan(this.#config.pools, recovering, now)];
   }
 
   /** Drops the runs of an executor whose lease has ended, since it has stopped them by itself. */
--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -3,6 +3,7 @@
 import type { CellTables } from './cell-tables.js';
 import type { InstanceOrder, InstanceOrderOutcome, JobDecision, PoolInstance } from './messages.js';
 import type { ExecutorId, PoolPolicy } from './model.js';
+import type { OrderHandover } from './order-handover.js';
 
 /** Time without runs after which an instance may be lent to another pool. */
 const IDLE_BEFORE_LENDING_MS: Millis = 1_000;
@@ -27,7 +28,7 @@
  */
 export class PoolLender {
   readonly #tables: CellTables;
-  readonly #ordersAllowedAt: Millis;
+  readonly #handover: OrderHandover;
   #instances: readonly PoolInstance[] = [];
   readonly #pendingMoves = new Map<string, PendingMove>();
   readonly #idleSince = new Map<ExecutorId, Millis>();
@@ -39,11 +40,11 @@
   /** `initialSizes`: pool sizes as the first owner saw them; undefined for the first owner. */
   constructor(
     parts: CellTables,
-    ordersAllowedAt: Millis,
+    handover: OrderHandover,
     initialSizes: ReadonlyMap<PoolName, number> | undefined,
   ) {
     this.#tables = parts;
-    this.#ordersAllowedAt = ordersAllowedAt;
+    this.#handover = handover;
     this.#initialSizes = initialSizes;
   }
 
@@ -101,11 +102,15 @@
   ): readonly JobDecision[] {
     this.#trackIdle(now);
     this.#waiting.clear();
-    if (now < this.#ordersAllowedAt) {
+    if (this.#handover.holdsAll(now)) {
       return [];
     }
     const free = this.#instances.filter(
-      ({ name, state }) => state === 'up' && !this.#pendingMoves.has(name) && !reserved(name),
+      ({ name, state }) =>
+        state === 'up' &&
+        !this.#pendingMoves.has(name) &&
+        !this.#handover.isHeld(name, now) &&
+        !reserved(name),
     );
     const decisions: JobDecision[] = [];
     const taken = new Set<string>();
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -8,6 +8,7 @@
   MaintenanceWave,
 } from './messages.js';
 import type { ExecutorId } from './model.js';
+import type { OrderHandover } from './order-handover.js';
 import type { RunReconciler } from './run-reconciler.js';
 import type { Run } from './run-table.js';
 
@@ -29,7 +30,7 @@
 /** An instance that can't be maintained yet. */
 export interface WaitingInstance {
   readonly instance: string;
-  readonly reason: 'not-up' | 'executor-unseen' | 'budget' | 'finite-tasks';
+  readonly reason: 'not-up' | 'order-handover' | 'executor-unseen' | 'budget' | 'finite-tasks';
   /** The lasting step whose `maxUnavailable` budget is used up. */
   readonly step?: string;
 }
@@ -57,10 +58,11 @@
  */
 export class MaintenancePlanner {
   readonly #dependencies: MaintenanceDependencies;
-  /** Monotonic time from which orders may be sent, since those of earlier owners have expired. */
-  readonly #ordersAllowedAt: Millis;
+  readonly #handover: OrderHandover;
   readonly #waves = new Map<number, WaveState>();
   #instances = new Map<string, PoolInstance>();
+  /** Names of the instances by the executor that runs on them. */
+  #instanceOf = new Map<ExecutorId, string>();
   /** Orders that are in flight or whose outcome is unknown, by instance. */
   readonly #pendingOrders = new Map<string, PendingOrder>();
   /** Time of the accepted order for instances that have not been listed as up since. */
@@ -68,9 +70,9 @@
   /** Instances that can't be maintained yet, for the log. */
   #waiting: readonly WaitingInstance[] = [];
 
-  constructor(parts: MaintenanceDependencies, ordersAllowedAt: Millis) {
+  constructor(parts: MaintenanceDependencies, handover: OrderHandover) {
     this.#dependencies = parts;
-    this.#ordersAllowedAt = ordersAllowedAt;
+    this.#handover = handover;
   }
 
   get active(): boolean {
@@ -98,6 +100,9 @@
   /** `requestedAt`: when the list was requested; if before an order, the list does not show it. */
   setInstances(instances: readonly PoolInstance[], requestedAt: Millis): void {
     this.#instances = new Map(instances.map((one) => [one.name, one]));
+    this.#instanceOf = new Map(
+      instances.flatMap(({ name, executor }) => (executor === undefined ? [] : [[executor, name]])),
+    );
     for (const [name, orderedAt] of [...this.#downSince]) {
       const state = this.#instances.get(name)?.state;
       if (requestedAt > orderedAt && (state === 'up' || state === undefined)) {
@@ -153,7 +158,7 @@
   }
 
   plan(now: Millis): readonly JobDecision[] {
-    if (now < this.#ordersAllowedAt || this.#instances.size === 0) {
+    if (this.#handover.holdsAll(now) || this.#instances.size === 0) {
       return [];
     }
     const waiting: WaitingInstance[] = [];
@@ -179,7 +184,7 @@
       }
     }
     const decisions: JobDecision[] = [];
-    let slots = wave.wave.maxParallel - this.#inFlightCount(wave);
+    let slots = wave.wave.maxParallel - this.#inFlightCount(wave, now);
     for (const name of this.#inDrainOrder(wave, remaining)) {
       if (slots <= 0) {
         break;
@@ -214,6 +219,10 @@
     if (instance?.state !== 'up') {
       return wait({ instance: name, reason: 'not-up' }, false);
     }
+    if (this.#handover.isHeld(name, now)) {
+      // Already counted as in flight.
+      return wait({ instance: name, reason: 'order-handover' }, false);
+    }
     const { executor } = instance;
     if (
       executor !== undefined &&
@@ -268,8 +277,9 @@
   }
 
   /** Number of the wave's instances that are or may be down, also by order of an earlier owner. */
-  #inFlightCount({ wave }: WaveState): number {
+  #inFlightCount({ wave }: WaveState, now: Millis): number {
     const down = (name: string): boolean =>
+      this.#handover.isHeld(name, now) ||
       this.#downSince.has(name) ||
       this.#pendingOrders.has(name) ||
       this.#instances.get(name)?.state === 'maintenance';
@@ -327,7 +337,7 @@
     return taskCount - runs.length - available.length;
   }
 
-  /** Whether the executor is responsive and no order to shut its instance down is sent. */
+  /** Whether the executor is responsive and no order that ends it is or may be on its way. */
   #isHealthy(executor: ExecutorId, now: Millis): boolean {
     const state = this.#dependencies.executors.get(executor);
     const ordered = [...this.#pendingOrders.values()].some((order) => order.executor === executor);
@@ -335,6 +345,7 @@
       state !== undefined &&
       !state.shutdownPending &&
       !ordered &&
+      !this.#handover.isHeld(this.#instanceOf.get(executor) ?? '', now) &&
       this.#dependencies.executors.isResponsive(state, now)
     );
   }
--- a/packages/core/src/jobs/messages.ts
+++ b/packages/core/src/jobs/messages.ts
@@ -11,6 +11,7 @@
   StartOutcome,
   TaskRef,
 } from './model.js';
+import type { HeldInstance } from './order-handover.js';
 
 /** A job and its progress as read from the store. */
 export interface StoredJob {
@@ -90,6 +91,8 @@
       readonly instances: readonly PoolInstance[];
       readonly requestedAt: Millis;
     }
+  /** The instances about which former owners may have ordered lately, complete. */
+  | { readonly type: 'former-orders'; readonly held: readonly HeldInstance[] }
   | { readonly type: 'waves'; readonly waves: readonly MaintenanceWave[] }
   | {
       readonly type: 'order-answer';
--- a/packages/daemon/src/jobs/bulletin.ts
+++ b/packages/daemon/src/jobs/bulletin.ts
@@ -20,6 +20,11 @@
   readonly poolSizes: Readonly<Record<string, number>>;
   /** Whether the leader may send orders to instances, as its predecessors' no longer conflict. */
   readonly mayOrder: boolean;
+  /**
+   * Whether the announced orders name every instance about which orders may have been sent lately.
+   * Absent in bulletins of versions that announce none.
+   */
+  readonly announcesOrders?: boolean;
 }
 
 export const EMPTY_BULLETIN: Bulletin = {
@@ -29,6 +34,7 @@
 };
 
 /** Returns a bulletin without its counts, whose age is known only at their first publication. */
-export function withoutCounts({ executors, poolSizes, mayOrder }: Bulletin): Bulletin {
-  return { executors, poolSizes, mayOrder };
+export function withoutCounts(bulletin: Bulletin): Bulletin {
+  const { executors, poolSizes, mayOrder, announcesOrders = false } = bulletin;
+  return { executors, poolSizes, mayOrder, announcesOrders };
 }
--- a/packages/daemon/src/jobs/instance-control.ts
+++ b/packages/daemon/src/jobs/instance-control.ts
@@ -1,18 +1,39 @@
-import type { Clock, InstanceOrder, JobEvent, Millis, WaitingInstance } from '@turmerichoist/core';
+import {
+  ORDER_SETTLE_MS,
+  type Clock,
+  type InstanceOrder,
+  type InstanceOrderOutcome,
+  type JobEvent,
+  type Millis,
+  type WaitingInstance,
+} from '@turmerichoist/core';
+import type { LeaderTerm, TableStore } from '@turmerichoist/coordination';
 import type { ActorContext, Recipient } from '@turmerichoist/runtime';
+import type { Bulletin } from './bulletin.js';
+import { OrderAnnouncer } from './order-announcer.js';
 import type { InstanceFleet } from './ports.js';
 
 /** Polling periods of the list of instances, while maintenance is in progress and otherwise. */
 const POLL_MS: Millis = 500;
 const IDLE_POLL_MS: Millis = 1_000;
+/** Age of a decision after which its order is not sent, as what it rests on may have changed. */
+const MAX_ORDER_AGE_MS: Millis = 1_000;
 
 export interface InstanceControlOptions {
   readonly fleet: InstanceFleet;
-  /** Sent with each order. */
-  readonly epoch: number;
+  readonly term: LeaderTerm;
+  /** Name of this member, the lease holder of its orders. */
+  readonly holder: string;
+  /** Store for announced orders, with a transaction log of its own. */
+  readonly store: TableStore;
+  /** Last bulletin of the previous leader. */
+  readonly inheritedBulletin: Bulletin;
+  /** Time for which orders of two holders to one instance conflict. */
+  readonly orderHandoverMs: Millis;
   /** Whether the owner holds its lease now; checked directly before each order. */
   readonly mayAct: () => boolean;
   readonly clock: Clock;
+  readonly newId: () => string;
   readonly owner: Recipient<JobEvent>;
 }
 
@@ -24,26 +45,64 @@
 
 /** Lists the platform's instances for one owner and carries its orders to them. */
 export class InstanceControl {
+  /** Monotonic time from which no order of a former owner conflicts, whatever it concerns. */
+  readonly ordersAllowedAt: Millis;
   readonly #options: InstanceControlOptions;
   readonly #context: ActorContext;
+  readonly #announcer: OrderAnnouncer;
   #polledAt: Millis = -Infinity;
   #polling = false;
 
   constructor(options: InstanceControlOptions, context: ActorContext) {
     this.#options = options;
     this.#context = context;
+    const { term, clock } = options;
+    const electedAt = clock.now();
+    this.ordersAllowedAt = electedAt + this.#handoverMs();
+    this.#announcer = new OrderAnnouncer({ ...options, epoch: term.epoch, electedAt }, context);
+  }
+
+  /** Whether instances that the announced orders don't name can be ordered about at once. */
+  get announcesOrders(): boolean {
+    return this.#formerAnnounced || !this.#mayConflict;
+  }
+
+  /** Whether no order of a former owner can conflict any more. */
+  get mayOrder(): boolean {
+    return !this.#mayConflict;
+  }
+
+  /** Reads which instances former owners have ordered about, if all of them announced it. */
+  async start(): Promise<void> {
+    if (this.#options.term.generation > 0 && this.#formerAnnounced) {
+      await this.#announcer.loadFormer();
+    }
   }
 
   /** Sends an order and posts the answer to the owner. The next poll shows its effect. */
   async order(order: InstanceOrder): Promise<void> {
-    const { fleet, epoch, mayAct, owner } = this.#options;
-    const { log, signal } = this.#context;
-    const outcome = mayAct() ? await fleet.order(order, epoch, signal) : 'busy';
-    log.info('instance ordered', { ...order, outcome, epoch });
+    const { term, owner, clock } = this.#options;
+    const decidedAt = clock.now();
+    const announced = await this.#announcer.announce(order.instance);
+    const announcedMs = clock.now() - decidedAt;
+    const outcome = announced && announcedMs <= MAX_ORDER_AGE_MS ? await this.#send(order) : 'busy';
+    this.#announcer.ended(order.instance, outcome !== 'unknown');
+    const { epoch } = term;
+    this.#context.log.info('instance ordered', {
+      ...order,
+      outcome,
+      epoch,
+      announcedMs: Math.round(announcedMs),
+    });
     owner.post({ type: 'order-answer', order, outcome });
     this.#polledAt = -Infinity;
   }
 
+  /** Removes announced instances that the next owner need not know any more. */
+  removeExpired(): void {
+    this.#announcer.removeExpired();
+  }
+
   /** Lists the instances if the latest list is older than the polling period. */
   pollIfDue(status: MaintenanceStatus): void {
     const now = this.#options.clock.now();
@@ -53,6 +112,33 @@
     }
   }
 
+  get #formerAnnounced(): boolean {
+    return this.#options.inheritedBulletin.announcesOrders === true;
+  }
+
+  get #mayConflict(): boolean {
+    return this.#options.clock.now() < this.ordersAllowedAt;
+  }
+
+  /** Time after the election in which orders of former owners may conflict. */
+  #handoverMs(): Millis {
+    const { term, inheritedBulletin, orderHandoverMs } = this.#options;
+    if (term.generation === 0) {
+      return 0;
+    }
+    if (this.#formerAnnounced) {
+      return orderHandoverMs + ORDER_SETTLE_MS;
+    }
+    // Orders of an earlier process of this member have the same holder: no handover time.
+    const sameHolder = term.succeedsSelf && inheritedBulletin.mayOrder;
+    return sameHolder ? ORDER_SETTLE_MS : orderHandoverMs;
+  }
+
+  async #send(order: InstanceOrder): Promise<InstanceOrderOutcome> {
+    const { fleet, term, mayAct } = this.#options;
+    return mayAct() ? fleet.order(order, term.epoch, this.#context.signal) : 'busy';
+  }
+
   async #poll(now: Millis, status: MaintenanceStatus): Promise<void> {
     const { fleet, owner } = this.#options;
     this.#polling = true;
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -214,12 +214,14 @@
     const signal = AbortSignal.any([this.signal, controller.signal]);
     const owner = new JobOwner(
       {
+        member,
         term,
         mayAct: () => this.#elector.isLeaderOf(term),
         cell,
         intake: openIntakeFeed(INTAKE_PART_NAMES),
         progress: this.#createResolvingStore(`${member}/owner`, 1),
         waves: this.#createResolvingStore(`${member}/waves`, 1),
+        orders: this.#createResolvingStore(`${member}/orders`, 1),
         shared,
         connector,
         fleet,
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -4,6 +4,7 @@
   type Clock,
   type JobDecision,
   type JobEvent,
+  type MemberId,
   type Millis,
 } from '@turmerichoist/core';
 import {
@@ -42,8 +43,6 @@
 export const RUN_LEASE_MS: Millis = 4_500;
 /** Longest time for which tasks started by an earlier owner may run without being reported. */
 const RECOVERY_MS: Millis = 5_200;
-/** Covers orders to instances that were in flight when an earlier process of this member ended. */
-const ORDER_SETTLE_MS: Millis = 1_500;
 /** Attempt numbers reserved for each owner; the next owner starts with the next block. */
 const ATTEMPTS_PER_TERM = 1_000;
 const FEED_WAIT_MS: Millis = 10_000;
@@ -55,6 +54,8 @@
 const ENDED_JOB_RETENTION_MS: Millis = 60_000;
 
 export interface JobOwnerOptions {
+  /** Name of this member. */
+  readonly member: MemberId;
   readonly term: LeaderTerm;
   /** Whether this member holds the leader lease now; checked directly before each action. */
   readonly mayAct: () => boolean;
@@ -65,6 +66,8 @@
   readonly progress: TableStore;
   /** Store for the progress of waves, with a transaction log of its own. */
   readonly waves: TableStore;
+  /** Store for announced orders, with a transaction log of its own. */
+  readonly orders: TableStore;
   /** Tables that the platform and its operators share. */
   readonly shared: TableStore & ChangeFeed;
   readonly connector: ExecutorConnector;
@@ -91,8 +94,6 @@
   readonly #waveStatus: WaveStatusWriter;
   readonly #instances: InstanceControl;
   readonly #load: OwnerLoad;
-  /** Monotonic time from which orders to instances may be sent. */
-  readonly #ordersAllowedAt: Millis;
   readonly #registry: ExecutorRegistry;
   readonly #stored: StoredProgress;
   readonly #reportGate = new ReportGate();
@@ -108,36 +109,33 @@
     super('owner', context);
     this.#options = options;
     this.#registry = new ExecutorRegistry(options.rowCodec);
-    const { clock, term, orderHandoverMs } = options;
+    const { clock, term, mayAct, member, orders, inheritedBulletin } = options;
     this.#load = new OwnerLoad(clock);
     this.#takeoverTimes = new TakeoverTimes(clock);
     this.#stored = new StoredProgress(this.log);
     const now = clock.now();
     const first = term.generation === 0;
-    // Orders of an earlier process of this member have the same holder: no handover time.
-    const sameHolder = term.succeedsSelf && options.inheritedBulletin.mayOrder;
-    this.#ordersAllowedAt = first ? now : now + (sameHolder ? ORDER_SETTLE_MS : orderHandoverMs);
-    const sizes = Object.entries(options.inheritedBulletin.poolSizes);
+    this.#instances = new InstanceControl(
+      { ...options, holder: member, store: orders, owner: this },
+      { ...context, log: this.log },
+    );
+    const sizes = Object.entries(inheritedBulletin.poolSizes);
     this.#decider = new JobDecider({
       clock,
       firstAttempt: term.generation * ATTEMPTS_PER_TERM + 1,
       recoveryEndsAt: first ? now : now + RECOVERY_MS,
-      inheritedExecutors: options.inheritedBulletin.executors,
+      inheritedExecutors: inheritedBulletin.executors,
       ...(sizes.length === 0 ? {} : { poolSizes: new Map(sizes) }),
-      ordersAllowedAt: this.#ordersAllowedAt,
+      ordersAllowedAt: this.#instances.ordersAllowedAt,
       endedJobRetentionMs: ENDED_JOB_RETENTION_MS,
     });
-    const { connector, mayAct, maxLeaseMs } = options;
+    const { connector, maxLeaseMs } = options;
     const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
     this.#links = new ExecutorLinks(
       { connector, fencingToken: term.epoch, clock, leaseMs, mayAct, owner: this },
       context,
     );
-    const { fleet, shared, rowCodec, newId } = options;
-    this.#instances = new InstanceControl(
-      { fleet, epoch: term.epoch, mayAct, clock, owner: this },
-      { ...context, log: this.log },
-    );
+    const { shared, rowCodec, newId } = options;
     this.#waveStatus = new WaveStatusWriter(
       { cell: options.waves, shared, rowCodec, newId, epoch: term.epoch },
       context,
@@ -166,7 +164,8 @@
       ...(waiting && { waiting }),
       executors: this.#decider.executorIds,
       poolSizes: Object.fromEntries(this.#decider.poolSizes ?? []),
-      mayOrder: now >= this.#ordersAllowedAt,
+      mayOrder: this.#instances.mayOrder,
+      announcesOrders: this.#instances.announcesOrders,
     };
   }
 
@@ -187,6 +186,7 @@
     const { cell, intake, term } = this.#options;
     const startedAt = this.#options.clock.now();
     this.#watchExecutors();
+    void this.#instances.start();
     await this.#stored.load(cell, this.signal);
     if (this.signal.aborted) {
       return;
@@ -329,6 +329,7 @@
       this.#load.onTickQueued();
       this.post({ type: 'tick' });
       if (this.#leading) {
+        this.#instances.removeExpired();
         this.#instances.pollIfDue(this.#decider);
       }
     });
--- a/packages/daemon/test/job-owner-rounds.test.ts
+++ b/packages/daemon/test/job-owner-rounds.test.ts
@@ -22,12 +22,14 @@
   const table = tables.open('c0');
   return new JobOwner(
     {
+      member: 'a',
       term: { epoch: 1, generation: 0, succeedsSelf: false },
       mayAct: () => true,
       cell: table,
       intake: tables.feed(['c0']),
       progress: table,
       waves: table,
+      orders: table,
       shared: tables.open(''),
       connector: {
         connect: () => {
--- a/packages/daemon/test/lapsed-leader.test.ts
+++ b/packages/daemon/test/lapsed-leader.test.ts
@@ -63,12 +63,14 @@
   const ids = Array.from({ length: 1_000 }, (_, n) => `txn-${n}`).values();
   return new JobOwner(
     {
+      member: 'a',
       term: { epoch: 1, generation: 0, succeedsSelf: false },
       mayAct: () => leading,
       cell: tables.open('c0'),
       intake: tables.feed(INTAKE_PART_NAMES),
       progress: tables.open('c0'),
       waves: tables.open('c0'),
+      orders: tables.open('c0'),
       shared: tables.open(''),
       connector: { connect: () => client },
       fleet: {
