fix(jobs): a new leader lends instances that were idle before it took over

What callers saw: a pool at its peak got instances of other pools more than a second after the new leader's first decision. Cause: idle time was counted from the new owner's first look, so no instance could be lent for a second. Change: inherited executors that first report neither runs nor ended ones count as idle for a second. Pools keep what adopted tasks need that wait for the end of the recovery. Instances that the former leader has sent to a pool, which are listed there as moving, count as on their way, so that they aren't ordered again.

--- a/packages/core/src/jobs/instance-orders.ts
+++ b/packages/core/src/jobs/instance-orders.ts
@@ -1,16 +1,14 @@
 import type { Millis, PoolName } from '../types/index.js';
 import type { CellTables } from './cell-tables.js';
-import { PoolLender } from './lending.js';
+import { PoolLender, type PoolLenderOptions } from './lending.js';
 import { MaintenancePlanner, type MaintenanceDependencies } from './maintenance.js';
 import type { InstanceOrder, InstanceOrderOutcome, JobDecision, PoolInstance } from './messages.js';
 import type { ExecutorId, PoolPolicy } from './model.js';
 import { OrderHandover, type HeldInstance } from './order-handover.js';
 
-export interface InstanceOrdersOptions {
+export interface InstanceOrdersOptions extends PoolLenderOptions {
   /** Monotonic time from which no order of a former owner conflicts. */
   readonly ordersAllowedAt: Millis;
-  /** Number of instances of each pool as the first owner saw it, before any was lent. */
-  readonly poolSizes?: ReadonlyMap<PoolName, number>;
 }
 
 interface AcceptedOrder {
@@ -31,7 +29,7 @@
     this.#executors = parts.executors;
     this.#handover = new OrderHandover(options.ordersAllowedAt);
     this.maintenance = new MaintenancePlanner(parts, this.#handover);
-    this.lender = new PoolLender(parts, this.#handover, options.poolSizes);
+    this.lender = new PoolLender(parts, this.#handover, options);
   }
 
   /** Takes the instances that orders of former owners concern; all others are free at once. */
--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -1,6 +1,7 @@
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName } from '../types/index.js';
 import type { CellTables } from './cell-tables.js';
+import { IdleTimes } from './idle-times.js';
 import type { InstanceOrder, InstanceOrderOutcome, JobDecision, PoolInstance } from './messages.js';
 import type { ExecutorId, PoolPolicy } from './model.js';
 import type { OrderHandover } from './order-handover.js';
@@ -22,6 +23,13 @@
   readonly executor: ExecutorId | undefined;
 }
 
+export interface PoolLenderOptions {
+  /** Pool sizes as the first owner saw them, before any instance was lent; undefined for that one. */
+  readonly poolSizes?: ReadonlyMap<PoolName, number>;
+  /** Executors of the former owner. */
+  readonly inheritedExecutors?: readonly ExecutorId[];
+}
+
 /**
  * Lends idle instances to pools whose tasks wait for capacity, those of standby pools first, and
  * moves surplus instances to the standby pool.
@@ -31,21 +39,20 @@
   readonly #handover: OrderHandover;
   #instances: readonly PoolInstance[] = [];
   readonly #pendingMoves = new Map<string, PendingMove>();
-  readonly #idleSince = new Map<ExecutorId, Millis>();
+  readonly #idleTimes: IdleTimes;
   /** Processors that pending tasks lack, by pool, as of the present plan. */
   readonly #waiting = new Map<PoolName, number>();
+  /** Processors that pools can lend beside what their held tasks need, as of the present plan. */
+  readonly #spare = new Map<PoolName, number>();
   /** Number of instances of each pool before any was lent. */
   #initialSizes: ReadonlyMap<PoolName, number> | undefined;
 
-  /** `initialSizes`: pool sizes as the first owner saw them; undefined for the first owner. */
-  constructor(
-    parts: CellTables,
-    handover: OrderHandover,
-    initialSizes: ReadonlyMap<PoolName, number> | undefined,
-  ) {
+  constructor(parts: CellTables, handover: OrderHandover, options: PoolLenderOptions) {
     this.#tables = parts;
     this.#handover = handover;
-    this.#initialSizes = initialSizes;
+    this.#initialSizes = options.poolSizes;
+    const { inheritedExecutors = [] } = options;
+    this.#idleTimes = new IdleTimes(parts, inheritedExecutors, IDLE_BEFORE_LENDING_MS);
   }
 
   get initialSizes(): ReadonlyMap<PoolName, number> | undefined {
@@ -73,9 +80,13 @@
     return this.#instances;
   }
 
-  /** Number of instances on their way to a pool. */
+  /** Number of instances on their way to a pool, also by order of an earlier owner. */
   incomingCount(pool: PoolName): number {
-    return [...this.#pendingMoves.values()].filter(({ to }) => to === pool).length;
+    const ordered = [...this.#pendingMoves.values()].filter(({ to }) => to === pool);
+    const inherited = this.#instances.filter(
+      (one) => one.state === 'moving' && one.pool === pool && !this.#pendingMoves.has(one.name),
+    );
+    return ordered.length + inherited.length;
   }
 
   /** The executor that ran on an instance when the order to move it was sent. */
@@ -100,8 +111,9 @@
     reserved: (instance: string) => boolean,
     now: Millis,
   ): readonly JobDecision[] {
-    this.#trackIdle(now);
+    this.#idleTimes.track(now);
     this.#waiting.clear();
+    this.#spare.clear();
     if (this.#handover.holdsAll(now)) {
       return [];
     }
@@ -119,7 +131,7 @@
       for (const donor of this.#donors(free, pool, pools, now)) {
         // Each move reduces what the donor's pool can still lend.
         const isStandby = pools.get(donor.pool)?.standby === true;
-        if (missing > 0 && !taken.has(donor.name) && (isStandby || this.#canLend(donor.pool))) {
+        if (missing > 0 && !taken.has(donor.name) && (isStandby || this.#canLend(donor, now))) {
           taken.add(donor.name);
           missing -= 1;
           decisions.push(this.#move(donor, pool, now));
@@ -185,7 +197,7 @@
         pool !== to &&
         pools.get(pool)?.standby !== true &&
         this.#waitingProcessors(pool, now) === 0 &&
-        this.#idleFor(executor, now) >= IDLE_BEFORE_LENDING_MS,
+        this.#idleTimes.idleFor(executor, now) >= IDLE_BEFORE_LENDING_MS,
     );
     return [...standbyInstances, ...idle];
   }
@@ -196,8 +208,24 @@
       .length;
   }
 
-  #canLend(pool: PoolName): boolean {
-    return this.#remainingCount(pool) > (this.#initialSizes?.get(pool) ?? 0) * MIN_POOL_SHARE + 1;
+  /** Whether an idle instance's pool can do without it. If so, it counts as lent. */
+  #canLend({ pool, capacity }: PoolInstance, now: Millis): boolean {
+    const least = (this.#initialSizes?.get(pool) ?? 0) * MIN_POOL_SHARE + 1;
+    const spare = this.#spareProcessors(pool, now) - capacity.processors;
+    if (spare < 0 || this.#remainingCount(pool) <= least) {
+      return false;
+    }
+    this.#spare.set(pool, spare);
+    return true;
+  }
+
+  #spareProcessors(pool: PoolName, now: Millis): number {
+    const known = this.#spare.get(pool);
+    if (known !== undefined) {
+      return known;
+    }
+    const { held } = this.#tables.jobs.waitingProcessors(pool, now);
+    return held === 0 ? Infinity : this.#freeProcessors(pool, now) - held;
   }
 
   /** Moves idle instances that exceed their pool's initial size to the standby pool. */
@@ -217,7 +245,7 @@
       const { pool, executor, name } = instance;
       const size = sizes.get(pool) ?? 0;
       const surplus = size > (this.#initialSizes?.get(pool) ?? 0);
-      const idle = this.#idleFor(executor, now) >= IDLE_BEFORE_STANDBY_MS;
+      const idle = this.#idleTimes.idleFor(executor, now) >= IDLE_BEFORE_STANDBY_MS;
       if (pool !== standby && surplus && idle && !taken.has(name)) {
         sizes.set(pool, size - 1);
         decisions.push(this.#move(instance, standby, now));
@@ -237,21 +265,6 @@
       this.#tables.executors.update(executor, { cordoned });
     }
   }
-
-  #trackIdle(now: Millis): void {
-    for (const { info, hasReported } of this.#tables.executors.all()) {
-      if (!hasReported || this.#tables.runs.countAt(info.id) > 0) {
-        this.#idleSince.delete(info.id);
-      } else if (!this.#idleSince.has(info.id)) {
-        this.#idleSince.set(info.id, now);
-      }
-    }
-  }
-
-  #idleFor(executor: ExecutorId | undefined, now: Millis): Millis {
-    const since = executor === undefined ? undefined : this.#idleSince.get(executor);
-    return since === undefined ? 0 : now - since;
-  }
 }
 
 function countByPool(instances: readonly PoolInstance[]): ReadonlyMap<PoolName, number> {
