perf(jobs): a new leader reads progress, waves, jobs and instances at the same time

What callers saw: after a change of leader nothing started for up to a second after the claim. Cause: the tables were read one after another, and the instances were listed only after the first tick. Change: all four are read at once; the jobs are passed on when the progress is known, as before. Orders log how long the platform took to answer them.

--- a/packages/daemon/src/jobs/instance-control.ts
+++ b/packages/daemon/src/jobs/instance-control.ts
@@ -84,7 +84,8 @@
     const { term, owner, clock } = this.#options;
     const decidedAt = clock.now();
     const announced = await this.#announcer.announce(order.instance);
-    const announcedMs = clock.now() - decidedAt;
+    const announcedAt = clock.now();
+    const announcedMs = announcedAt - decidedAt;
     const outcome = announced && announcedMs <= MAX_ORDER_AGE_MS ? await this.#send(order) : 'busy';
     this.#announcer.ended(order.instance, outcome !== 'unknown');
     const { epoch } = term;
@@ -93,6 +94,7 @@
       outcome,
       epoch,
       announcedMs: Math.round(announcedMs),
+      answeredMs: Math.round(clock.now() - announcedAt),
     });
     owner.post({ type: 'order-answer', order, outcome });
     this.#polledAt = -Infinity;
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -1,11 +1,11 @@
-import {
+import type {
+  AcceptedJob,
+  Clock,
   JobDecider,
-  type AcceptedJob,
-  type Clock,
-  type JobDecision,
-  type JobEvent,
-  type MemberId,
-  type Millis,
+  JobDecision,
+  JobEvent,
+  MemberId,
+  Millis,
 } from '@turmerichoist/core';
 import {
   CELL_OWNER_KEY,
@@ -28,7 +28,9 @@
 import { CountInputs, type CountInput } from './count-inputs.js';
 import { ExecutorLinks } from './executor-links.js';
 import { ExecutorRegistry } from './executor-registry.js';
+import { GatedFeed } from './gated-feed.js';
 import { InstanceControl } from './instance-control.js';
+import { createOwnerDecider } from './owner-decider.js';
 import { OwnerLoad } from './owner-load.js';
 import type { ExecutorConnector, InstanceFleet, OperatorView, RowCodec } from './ports.js';
 import type { PendingAcknowledgement } from './progress-queue.js';
@@ -41,17 +43,11 @@
 const TICK_MS: Millis = 100;
 /** Term of the leases under which executors run tasks, extended with each poll. */
 export const RUN_LEASE_MS: Millis = 4_500;
-/** Longest time for which tasks started by an earlier owner may run without being reported. */
-const RECOVERY_MS: Millis = 5_200;
-/** Attempt numbers reserved for each owner; the next owner starts with the next block. */
-const ATTEMPTS_PER_TERM = 1_000;
 const FEED_WAIT_MS: Millis = 10_000;
 /** Short, as the published counts of waiting jobs are as old as the latest read of the jobs. */
 const JOBS_WAIT_MS: Millis = 500;
 const JOBS_PAUSE_MS: Millis = 4;
 const EXECUTORS_PAUSE_MS: Millis = 200;
-/** Ended jobs are retained so that late reports find them. */
-const ENDED_JOB_RETENTION_MS: Millis = 60_000;
 
 export interface JobOwnerOptions {
   /** Name of this member. */
@@ -113,22 +109,12 @@
     this.#load = new OwnerLoad(clock);
     this.#takeoverTimes = new TakeoverTimes(clock);
     this.#stored = new StoredProgress(this.log);
-    const now = clock.now();
-    const first = term.generation === 0;
     this.#instances = new InstanceControl(
       { ...options, holder: member, store: orders, owner: this },
       { ...context, log: this.log },
     );
-    const sizes = Object.entries(inheritedBulletin.poolSizes);
-    this.#decider = new JobDecider({
-      clock,
-      firstAttempt: term.generation * ATTEMPTS_PER_TERM + 1,
-      recoveryEndsAt: first ? now : now + RECOVERY_MS,
-      inheritedExecutors: inheritedBulletin.executors,
-      ...(sizes.length === 0 ? {} : { poolSizes: new Map(sizes) }),
-      ordersAllowedAt: this.#instances.ordersAllowedAt,
-      endedJobRetentionMs: ENDED_JOB_RETENTION_MS,
-    });
+    const { ordersAllowedAt } = this.#instances;
+    this.#decider = createOwnerDecider({ term, clock, inheritedBulletin, ordersAllowedAt });
     const { connector, maxLeaseMs } = options;
     const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
     this.#links = new ExecutorLinks(
@@ -183,22 +169,18 @@
    * Decisions begin when the jobs are loaded.
    */
   async start(view: OperatorView): Promise<void> {
-    const { cell, intake, term } = this.#options;
+    const { intake, term } = this.#options;
     const startedAt = this.#options.clock.now();
     this.#watchExecutors();
     void this.#instances.start();
-    await this.#stored.load(cell, this.signal);
-    if (this.signal.aborted) {
-      return;
-    }
-    this.setView(this.#view ?? view);
-    const onJobs = (rows: readonly RowChange[], snapshot: boolean): void => {
-      this.#onJobs(rows, snapshot);
-    };
-    this.#watchTable(intake, 'jobs', JOBS_PAUSE_MS, onJobs, {
+    this.#instances.pollIfDue(this.#decider);
+    const loaded = this.#loadStored(view);
+    const onJobs = this.#onJobs.bind(this);
+    this.#watchTable(new GatedFeed(intake, loaded), 'jobs', JOBS_PAUSE_MS, onJobs, {
       waitMs: JOBS_WAIT_MS,
       onRead: (sentAt) => this.post({ type: 'jobs-applied', sentAt }),
     });
+    await loaded;
     this.log.info('owner started', {
       epoch: term.epoch,
       generation: term.generation,
@@ -206,6 +188,11 @@
     });
   }
 
+  async #loadStored(view: OperatorView): Promise<void> {
+    await this.#stored.load(this.#options.cell, this.signal);
+    this.setView(this.#view ?? view);
+  }
+
   /** Applies the operators' requests, or defers them until the stored rows are loaded. */
   setView(view: OperatorView): void {
     this.#view = view;
--- /dev/null
+++ b/packages/daemon/src/jobs/owner-decider.ts
@@ -0,0 +1,36 @@
+import { JobDecider, type Clock, type Millis } from '@turmerichoist/core';
+import type { LeaderTerm } from '@turmerichoist/coordination';
+import type { Bulletin } from './bulletin.js';
+
+/** Longest time for which tasks started by an earlier owner may run without being reported. */
+const RECOVERY_MS: Millis = 5_200;
+/** Attempt numbers reserved for each owner; the next owner starts with the next block. */
+const ATTEMPTS_PER_TERM = 1_000;
+/** Ended jobs are retained so that late reports find them. */
+const ENDED_JOB_RETENTION_MS: Millis = 60_000;
+
+export interface OwnerDeciderOptions {
+  readonly term: LeaderTerm;
+  readonly clock: Clock;
+  /** Last bulletin of the previous leader. */
+  readonly inheritedBulletin: Bulletin;
+  /** Monotonic time from which no order of a former owner conflicts, whatever it concerns. */
+  readonly ordersAllowedAt: Millis;
+}
+
+/** Creates the decider of an owner whose term begins now. */
+export function createOwnerDecider(options: OwnerDeciderOptions): JobDecider {
+  const { term, clock, inheritedBulletin, ordersAllowedAt } = options;
+  const { generation } = term;
+  const now = clock.now();
+  const sizes = Object.entries(inheritedBulletin.poolSizes);
+  return new JobDecider({
+    clock,
+    firstAttempt: generation * ATTEMPTS_PER_TERM + 1,
+    recoveryEndsAt: generation === 0 ? now : now + RECOVERY_MS,
+    inheritedExecutors: inheritedBulletin.executors,
+    ...(sizes.length === 0 ? {} : { poolSizes: new Map(sizes) }),
+    ordersAllowedAt,
+    endedJobRetentionMs: ENDED_JOB_RETENTION_MS,
+  });
+}
--- a/packages/daemon/src/jobs/stored-progress.ts
+++ b/packages/daemon/src/jobs/stored-progress.ts
@@ -26,10 +26,14 @@
 
   /** Reads all rows, and tries again until it succeeds or the signal is aborted. */
   async load(cell: ChangeFeed, signal: AbortSignal): Promise<void> {
-    for (const { key, value } of await this.#read(cell, 'progress', signal)) {
+    const [jobs, waves] = await Promise.all([
+      this.#read(cell, 'progress', signal),
+      this.#read(cell, 'waves', signal),
+    ]);
+    for (const { key, value } of jobs) {
       this.#jobs.set(nameOf(key), value as unknown as JobProgress);
     }
-    for (const { key, value } of await this.#read(cell, 'waves', signal)) {
+    for (const { key, value } of waves) {
       this.#waves.set(Number(nameOf(key)), value as unknown as StoredWave);
     }
     this.#loaded = !signal.aborted;
--- a/packages/daemon/test/job-takeover.test.ts
+++ b/packages/daemon/test/job-takeover.test.ts
@@ -101,3 +101,17 @@
     expect(executor.starts).toHaveLength(2);
   }, 30_000);
 });
+
+describe('a leader that takes 2 s to read each table', () => {
+  test('reads the jobs only when it has read their progress', async () => {
+    await killLeaderWithRuns();
+    ['jobs', 'progress', 'waves'].forEach((table) => tables.snapshotDelaysMs.set(table, 2_000));
+    startMember('b', tables, controller.signal, executor);
+    await eventually(() => claims() === 2);
+    const electedAt = Date.now();
+    await eventually(() => executor.polls.some((poll) => poll.acknowledgedThrough > 0));
+    expect(Date.now() - electedAt).toBeLessThan(3_500);
+    expect(executor.stops).toEqual([]);
+    expect(executor.starts).toHaveLength(2);
+  }, 30_000);
+});
