fix(jobs): orders to instances don't queue behind four connections

What callers saw: after a change of leader a pool at its peak got 95 instances over 2.4 s. While many orders waited, the instances were not listed, so instances that had arrived were not known as such. Cause: orders and lists shared four connections. Orders waited in the client, after the check of the lease, so one could even be sent up to 2.4 s after that check, by which time the lease may have lapsed. Change: up to 32 orders are on their way at once; the others wait before the checks of the lease and of the decision's age.

--- a/packages/daemon/src/jobs/instance-control.ts
+++ b/packages/daemon/src/jobs/instance-control.ts
@@ -1,3 +1,4 @@
+import PQueue from 'p-queue';
 import {
   ORDER_SETTLE_MS,
   type Clock,
@@ -16,6 +17,8 @@
 /** Polling periods of the list of instances, while maintenance is in progress and otherwise. */
 const POLL_MS: Millis = 500;
 const IDLE_POLL_MS: Millis = 1_000;
+/** Orders on their way at once. One that waits for others may find the lease lapsed when it is sent. */
+export const ORDER_CONCURRENCY = 32;
 /** Age of a decision after which its order is not sent, as what it rests on may have changed. */
 const MAX_ORDER_AGE_MS: Millis = 1_000;
 
@@ -50,6 +53,7 @@
   readonly #options: InstanceControlOptions;
   readonly #context: ActorContext;
   readonly #announcer: OrderAnnouncer;
+  readonly #queue = new PQueue({ concurrency: ORDER_CONCURRENCY });
   #polledAt: Millis = -Infinity;
   #polling = false;
 
@@ -85,15 +89,15 @@
     const decidedAt = clock.now();
     const announced = await this.#announcer.announce(order.instance);
     const announcedAt = clock.now();
-    const announcedMs = announcedAt - decidedAt;
-    const outcome = announced && announcedMs <= MAX_ORDER_AGE_MS ? await this.#send(order) : 'busy';
+    const outcome = announced
+      ? await this.#queue.add(() => this.#send(order, decidedAt))
+      : ('busy' as const);
     this.#announcer.ended(order.instance, outcome !== 'unknown');
-    const { epoch } = term;
     this.#context.log.info('instance ordered', {
       ...order,
       outcome,
-      epoch,
-      announcedMs: Math.round(announcedMs),
+      epoch: term.epoch,
+      announcedMs: Math.round(announcedAt - decidedAt),
       answeredMs: Math.round(clock.now() - announcedAt),
     });
     owner.post({ type: 'order-answer', order, outcome });
@@ -136,9 +140,10 @@
     return sameHolder ? ORDER_SETTLE_MS : orderHandoverMs;
   }
 
-  async #send(order: InstanceOrder): Promise<InstanceOrderOutcome> {
-    const { fleet, term, mayAct } = this.#options;
-    return mayAct() ? fleet.order(order, term.epoch, this.#context.signal) : 'busy';
+  async #send(order: InstanceOrder, decidedAt: Millis): Promise<InstanceOrderOutcome> {
+    const { fleet, term, mayAct, clock } = this.#options;
+    const stale = clock.now() - decidedAt > MAX_ORDER_AGE_MS;
+    return stale || !mayAct() ? 'busy' : fleet.order(order, term.epoch, this.#context.signal);
   }
 
   async #poll(now: Millis, status: MaintenanceStatus): Promise<void> {
--- a/packages/daemon/test/instance-control.test.ts
+++ b/packages/daemon/test/instance-control.test.ts
@@ -3,7 +3,11 @@
 import { ManualClock, type JobEvent } from '@turmerichoist/core';
 import { silentLogger, sleep } from '@turmerichoist/runtime';
 import { withoutCounts, type Bulletin } from '../src/jobs/bulletin.js';
-import { InstanceControl, type InstanceControlOptions } from '../src/jobs/instance-control.js';
+import {
+  InstanceControl,
+  ORDER_CONCURRENCY,
+  type InstanceControlOptions,
+} from '../src/jobs/instance-control.js';
 import { ANNOUNCED_ORDERS_KEY } from '../src/jobs/order-announcer.js';
 
 // Each test is named after the failure that it guards against.
@@ -158,6 +162,34 @@
   });
 });
 
+// Ninety orders waited for four connections for up to 2.4 s after the lease had been checked.
+test('an order that waits for others is sent after the lease has lapsed', async () => {
+  const answers: (() => void)[] = [];
+  const control = newControl({
+    fleet: {
+      list: () => Promise.reject(new Error('not listed')),
+      order: ({ instance }) => {
+        sent.push({ instance, announced: announced() });
+        return new Promise((resolve) => {
+          answers.push(() => {
+            resolve('done');
+          });
+        });
+      },
+    },
+  });
+  const names = Array.from({ length: ORDER_CONCURRENCY + 10 }, (_, index) => `i${index}`);
+  const ended = Promise.all(names.map((name) => control.order(move(name))));
+  await sleep(5, controller.signal);
+  expect(sent).toHaveLength(ORDER_CONCURRENCY);
+  leading = false;
+  answers.forEach((answer) => {
+    answer();
+  });
+  await ended;
+  expect(sent).toHaveLength(ORDER_CONCURRENCY);
+});
+
 describe('a new leader', () => {
   test('waits with all instances, or with none, after one that announces its orders', async () => {
     const former = { holder: 'a', own: ['i1'], former: ['i2'] };
