--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -1,10 +1,11 @@
-import {
+import type {
+  AcceptedJob,
+  Clock,
   JobDecider,
-  type AcceptedJob,
-  type Clock,
-  type JobDecision,
-  type JobEvent,
-  type Millis,
+  JobDecision,
+  JobEvent,
+  MemberId,
+  Millis,
 } from '@turmerichoist/core';
 import {
   CELL_OWNER_KEY,
@@ -29,7 +30,9 @@
 import { CountInputs, type CountInput } from './count-inputs.js';
 import { ExecutorLinks } from './executor-links.js';
 import { ExecutorRegistry } from './executor-registry.js';
+import { GatedFeed } from './gated-feed.js';
 import { InstanceControl } from './instance-control.js';
+import { createOwnerDecider } from './owner-decider.js';
 import { OwnerLoad } from './owner-load.js';
 import type { ExecutorConnector, InstanceFleet, OperatorView, RowCodec } from './ports.js';
 import type { PendingAcknowledgement } from './progress-queue.js';
@@ -42,20 +45,14 @@
 const TICK_MS: Millis = 100;
 /** Term of the leases under which executors run tasks, extended with each poll. */
 export const RUN_LEASE_MS: Millis = 4_500;
-/** Longest time for which tasks started by an earlier owner may run without being reported. */
-const RECOVERY_MS: Millis = 5_200;
-/** Covers orders to instances that were in flight when an earlier process of this member ended. */
-const ORDER_SETTLE_MS: Millis = 1_500;
-/** Attempt numbers reserved for each owner; the next owner starts with the next block. */
-const ATTEMPTS_PER_TERM = 1_000;
 /** Short, as the published counts of waiting jobs are as old as the latest read of the jobs. */
 const JOBS_WAIT_MS: Millis = 500;
 const JOBS_PAUSE_MS: Millis = 4;
 const EXECUTORS_PAUSE_MS: Millis = 200;
-/** Ended jobs are retained so that late reports find them. */
-const ENDED_JOB_RETENTION_MS: Millis = 60_000;
 
 export interface JobOwnerOptions {
+  /** Name of this member. */
+  readonly member: MemberId;
   readonly term: LeaderTerm;
   /** Whether this member holds the leader lease now; checked directly before each action. */
   readonly mayAct: () => boolean;
@@ -66,6 +63,8 @@
   readonly progress: TableStore;
   /** Store for the progress of waves, with a transaction log of its own. */
   readonly waves: TableStore;
+  /** Store for announced orders, with a transaction log of its own. */
+  readonly orders: TableStore;
   /** Tables that the platform and its operators share. */
   readonly shared: TableStore & ChangeFeed;
   readonly connector: ExecutorConnector;
@@ -92,8 +91,6 @@
   readonly #waveStatus: WaveStatusWriter;
   readonly #instances: InstanceControl;
   readonly #load: OwnerLoad;
-  /** Monotonic time from which orders to instances may be sent. */
-  readonly #ordersAllowedAt: Millis;
   readonly #registry: ExecutorRegistry;
   readonly #stored: StoredProgress;
   readonly #reportGate = new ReportGate();
@@ -109,36 +106,23 @@
     super('owner', context);
     this.#options = options;
     this.#registry = new ExecutorRegistry(options.rowCodec);
-    const { clock, term, orderHandoverMs } = options;
+    const { clock, term, mayAct, member, orders, inheritedBulletin } = options;
     this.#load = new OwnerLoad(clock);
     this.#takeoverTimes = new TakeoverTimes(clock);
     this.#stored = new StoredProgress(this.log);
-    const now = clock.now();
-    const first = term.generation === 0;
-    // Orders of an earlier process of this member have the same holder: no handover time.
-    const sameHolder = term.succeedsSelf && options.inheritedBulletin.mayOrder;
-    this.#ordersAllowedAt = first ? now : now + (sameHolder ? ORDER_SETTLE_MS : orderHandoverMs);
-    const sizes = Object.entries(options.inheritedBulletin.poolSizes);
-    this.#decider = new JobDecider({
-      clock,
-      firstAttempt: term.generation * ATTEMPTS_PER_TERM + 1,
-      recoveryEndsAt: first ? now : now + RECOVERY_MS,
-      inheritedExecutors: options.inheritedBulletin.executors,
-      ...(sizes.length === 0 ? {} : { poolSizes: new Map(sizes) }),
-      ordersAllowedAt: this.#ordersAllowedAt,
-      endedJobRetentionMs: ENDED_JOB_RETENTION_MS,
-    });
-    const { connector, mayAct, maxLeaseMs } = options;
+    this.#instances = new InstanceControl(
+      { ...options, holder: member, store: orders, owner: this },
+      { ...context, log: this.log },
+    );
+    const { ordersAllowedAt } = this.#instances;
+    this.#decider = createOwnerDecider({ term, clock, inheritedBulletin, ordersAllowedAt });
+    const { connector, maxLeaseMs } = options;
     const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
     this.#links = new ExecutorLinks(
       { connector, fencingToken: term.epoch, clock, leaseMs, mayAct, owner: this },
       context,
     );
-    const { fleet, shared, rowCodec, newId } = options;
-    this.#instances = new InstanceControl(
-      { fleet, epoch: term.epoch, mayAct, clock, owner: this },
-      { ...context, log: this.log },
-    );
+    const { shared, rowCodec, newId } = options;
     this.#waveStatus = new WaveStatusWriter(
       { cell: options.waves, shared, rowCodec, newId, epoch: term.epoch },
       context,
@@ -167,7 +151,8 @@
       ...(waiting && { waiting }),
       executors: this.#decider.executorIds,
       poolSizes: Object.fromEntries(this.#decider.poolSizes ?? []),
-      mayOrder: now >= this.#ordersAllowedAt,
+      mayOrder: this.#instances.mayOrder,
+      announcesOrders: this.#instances.announcesOrders,
     };
   }
 
@@ -182,35 +167,37 @@
 
   /**
    * Polls the executors, so that leases are extended at once, and loads progress, waves,
-   * cancellations and then jobs.
-   * Decisions begin when the jobs are loaded.
+   * cancellations and jobs. Decisions begin when all of them are loaded.
    */
   async start(view: OperatorView): Promise<void> {
-    const { cell, intake, term, clock } = this.#options;
-    const { log, signal } = this;
-    const startedAt = clock.now();
+    const { intake, term } = this.#options;
+    const startedAt = this.#options.clock.now();
     this.#watchExecutors();
-    // Tasks of a job start as soon as it is loaded, so its cancellation must be known by then.
-    const cancellations = watchCancellations({ intake, clock, log, owner: this, signal });
-    await Promise.all([this.#stored.load(cell, signal), cancellations]);
-    if (this.signal.aborted) {
-      return;
-    }
-    this.setView(this.#view ?? view);
-    const onJobs = (rows: readonly RowChange[], snapshot: boolean): void => {
-      this.#onJobs(rows, snapshot);
-    };
-    this.#watchTable(intake, 'jobs', JOBS_PAUSE_MS, onJobs, {
+    void this.#instances.start();
+    this.#instances.pollIfDue(this.#decider);
+    const loaded = this.#loadStored(view);
+    const onJobs = this.#onJobs.bind(this);
+    this.#watchTable(new GatedFeed(intake, loaded), 'jobs', JOBS_PAUSE_MS, onJobs, {
       waitMs: JOBS_WAIT_MS,
       onRead: (sentAt) => this.post({ type: 'jobs-applied', sentAt }),
     });
+    await loaded;
     this.log.info('owner started', {
       epoch: term.epoch,
       generation: term.generation,
-      loadMs: Math.round(clock.now() - startedAt),
+      loadMs: Math.round(this.#options.clock.now() - startedAt),
     });
   }
 
+  /** Loads all that must be known before the jobs, as their tasks start when they are loaded. */
+  async #loadStored(view: OperatorView): Promise<void> {
+    const { cell, intake, clock } = this.#options;
+    const { log, signal } = this;
+    const cancellations = watchCancellations({ intake, clock, log, owner: this, signal });
+    await Promise.all([this.#stored.load(cell, signal), cancellations]);
+    this.setView(this.#view ?? view);
+  }
+
   /** Applies the operators' requests, or defers them until the stored rows are loaded. */
   setView(view: OperatorView): void {
     this.#view = view;
@@ -330,6 +317,7 @@
       this.#load.onTickQueued();
       this.post({ type: 'tick' });
       if (this.#leading) {
+        this.#instances.removeExpired();
         this.#instances.pollIfDue(this.#decider);
       }
     });
