test(jobs): each table is read once before a new leader pauses

A new leader reads progress and waves at the same time now, so two reads come before the pause. The test names them: one read of each table, as strict as the single read before.

--- a/packages/daemon/test/stored-progress.test.ts
+++ b/packages/daemon/test/stored-progress.test.ts
@@ -10,11 +10,11 @@
 const REFUSALS = 1_000;
 
 let controller: AbortController;
-let reads: number;
+let reads: string[];
 
 beforeEach(() => {
   controller = new AbortController();
-  reads = 0;
+  reads = [];
 });
 
 afterEach(() => {
@@ -23,10 +23,12 @@
 
 /** Refuses snapshots at once, as the store client does while it backs off. */
 const refusing: ChangeFeed = {
-  snapshot: () => {
-    reads += 1;
+  snapshot: (table) => {
+    reads.push(table);
     return Promise.resolve(
-      reads > REFUSALS ? Ok({ rows: [], position: 0 }) : fail('store-unavailable', 'backing off'),
+      reads.length > REFUSALS
+        ? Ok({ rows: [], position: 0 })
+        : fail('store-unavailable', 'backing off'),
     );
   },
   changes: () => Promise.resolve(fail('store-unavailable')),
@@ -39,5 +41,5 @@
   await new Promise((resolve) => {
     setImmediate(resolve);
   });
-  expect(reads).toBe(1);
+  expect(reads).toEqual(['progress', 'waves']);
 });
