--- a/packages/coordination/src/io/relay/store-router.ts
+++ b/packages/coordination/src/io/relay/store-router.ts
@@ -144,13 +144,20 @@
         this.#execute(this.#decider.handle({ type: 'relay-lost' }, now), undefined, event.reason);
         break;
       case 'relay-not-found':
-        this.#options.metrics.count('relay.not_found');
-        this.#log.info('no relay found', { asked: event.asked });
-        this.#handle({ type: 'relay-not-found' });
+        this.#onNotFound(event.asked);
     }
     return true;
   }
 
+  /** Logs the first failed search since a relay was found or the store answered. */
+  #onNotFound(asked: readonly MemberId[]): void {
+    this.#options.metrics.count('relay.not_found');
+    if (this.#decider.failedSeeks === 0) {
+      this.#log.info('no relay found', { asked, direct: this.#decider.directState });
+    }
+    this.#handle({ type: 'relay-not-found' });
+  }
+
   /** Sends a call on a route, from which it is taken back when the route changes. */
   async #exchangeOn(
     { relay }: PresentRoute,
--- a/packages/coordination/src/state/relay/route-decider.ts
+++ b/packages/coordination/src/state/relay/route-decider.ts
@@ -70,6 +70,11 @@
     return this.#directState;
   }
 
+  /** Number of searches without a relay since one was found or the store answered. */
+  get failedSeeks(): number {
+    return this.#failedSeeks;
+  }
+
   /** Time for which this member has been in touch by itself; undefined if it is not. */
   inTouchForMs(now: Millis): Millis | undefined {
     return this.#inTouchSince === undefined ? undefined : now - this.#inTouchSince;
@@ -113,6 +118,7 @@
       this.#direct.onAnswered(now, longPoll);
       this.#directState = 'in-touch';
       this.#inTouchSince ??= now;
+      this.#failedSeeks = 0;
     } else if (!longPoll) {
       this.#direct.onUnanswered(now);
     }
