fix(jobs): instances that are to be maintained are not lent while maintenance waits for the recovery

Cause: since a new leader lends at once, it lent idle instances of the wave before the recovery ended. When maintenance went on, they were busy. Change: while maintenance waits for the recovery, instances of unfinished waves that have not begun are not lent.

--- a/packages/core/src/jobs/instance-orders.ts
+++ b/packages/core/src/jobs/instance-orders.ts
@@ -67,7 +67,8 @@
   /**
    * `recovering`: whether runs of earlier owners may not be known yet. The disruption budgets of
    * maintenance depend on them. Lending does not: it takes only instances whose executors have
-   * reported that they run nothing.
+   * reported that they run nothing. It leaves those that are to be maintained, as they would be
+   * busy when maintenance goes on.
    */
   plan(
     pools: ReadonlyMap<PoolName, PoolPolicy>,
@@ -75,7 +76,8 @@
     now: Millis,
   ): readonly JobDecision[] {
     const maintained = recovering ? [] : this.maintenance.plan(now);
-    const reserved = (instance: string): boolean => this.maintenance.isReserved(instance);
+    const reserved = (instance: string): boolean =>
+      this.maintenance.isReserved(instance) || (recovering && this.maintenance.isDue(instance));
     return [...maintained, ...this.lender.plan(pools, reserved, now)];
   }
 
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -92,6 +92,14 @@
     );
   }
 
+  /** Whether an instance is in an unfinished wave and its maintenance has not begun. */
+  isDue(instance: string): boolean {
+    return [...this.#waves.values()].some(
+      ({ wave, begun, completed }) =>
+        !completed && !begun.has(instance) && wave.instances.includes(instance),
+    );
+  }
+
   /** The executor that ran on an instance when the order to maintain it was sent. */
   orderedExecutor(instance: string): ExecutorId | undefined {
     return this.#pendingOrders.get(instance)?.executor;
--- a/packages/core/test/jobs-lending-takeover.test.ts
+++ b/packages/core/test/jobs-lending-takeover.test.ts
@@ -119,6 +119,17 @@
     expect(owner.tick()).toEqual(['m-b1']);
   });
 
+  // Four of 102 instances were then maintained too late.
+  test('instances that are to be maintained are lent while maintenance waits', () => {
+    const owner = new NewOwner(ELECTED_AT + 5_000);
+    const instances = ['m-b1', 'm-b2'];
+    const wave = { number: 1, instances, maxParallel: 2, begun: ['m-b2'], completed: false };
+    owner.handle({ type: 'waves', waves: [wave] });
+    owner.submit('j', 8 + 16);
+    owner.report();
+    expect(owner.tick()).toEqual(['m-b2', 'm-b3']);
+  });
+
   test('instances are lent in place of those that the former leader has sent on their way', () => {
     const owner = new NewOwner();
     owner.submit('j', 8 + 16);
