perf(jobs): a new owner builds no state for jobs that have ended long ago

The time and memory of a takeover grew with all jobs that ever were, since their rows are not removed.

Cause: an owner built the steps and tasks of each ended job of the store, only to drop them at its first tick, and kept the stored progress of all jobs for its whole term.

"a new leader takes as long for a job that has ended long ago as for one that is open" (jobs-ended) fails before.

Of a job that has ended before the retention time, only the id is kept. What remains grows with the rows that are read; they would have to be removed from the store.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -347,7 +347,7 @@
         this.#expireLease(state, now);
       });
     }
-    this.#jobs.removeEndedBefore(this.#options.clock.wall() - this.#options.endedJobRetentionMs);
+    this.#jobs.removeOutdated();
     if (!this.#leadership.held) {
       return [];
     }
--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -9,6 +9,8 @@
 
 export interface JobTableOptions {
   readonly clock: Clock;
+  /** How long ended jobs are retained, so that late reports find them. */
+  readonly endedJobRetentionMs: Millis;
   /** Lowest attempt number that this owner uses; earlier owners have used lower ones. */
   readonly firstAttempt: number;
 }
@@ -103,12 +105,20 @@
     return counts;
   }
 
-  /** Adds a job from the store. Returns undefined if the table has it already, or has had it. */
+  /**
+   * Adds a job from the store. Returns undefined if the table has it already, has had it or would not
+   * retain it.
+   */
   add({ accepted, progress }: StoredJob, adopted: boolean, now: Millis): Job | undefined {
     if (this.#jobs.has(accepted.id) || this.#removed.has(accepted.id)) {
       return undefined;
     }
     const wallNow = this.#options.clock.wall();
+    // A new owner finds all jobs that ever were: most of them have ended long ago.
+    if (progress !== undefined && this.#isOutdated(progress.endedWallMs, wallNow)) {
+      this.#removed.add(accepted.id);
+      return undefined;
+    }
     const acceptedAt = Math.min(now, now - (wallNow - accepted.acceptedWallMs));
     const { firstAtWallMs } = accepted.spec;
     const firstDueAt = firstAtWallMs === 0 ? acceptedAt : now + (firstAtWallMs - wallNow);
@@ -134,16 +144,22 @@
     this.#adopted.delete(job.id);
   }
 
-  /** Removes jobs that ended before a wall-clock time. */
-  removeEndedBefore(wallMs: Millis): void {
-    for (const [id, job] of this.#jobs) {
-      if (!job.open && job.endedWallMs < wallMs) {
+  /** Removes ended jobs that are retained no longer. */
+  removeOutdated(): void {
+    const wallNow = this.#options.clock.wall();
+    for (const [id, { endedWallMs }] of this.#jobs) {
+      if (this.#isOutdated(endedWallMs, wallNow)) {
         this.#jobs.delete(id);
         this.#removed.add(id);
       }
     }
   }
 
+  /** `endedWallMs` is 0 for a job that has not ended. */
+  #isOutdated(endedWallMs: Millis, wallNow: Millis): boolean {
+    return endedWallMs > 0 && endedWallMs < wallNow - this.#options.endedJobRetentionMs;
+  }
+
   configure(config: SchedulingConfig): void {
     this.#config = config;
     for (const jobs of [...this.#openByPool.values()]) {
--- a/packages/core/test/jobs-ended.test.ts
+++ b/packages/core/test/jobs-ended.test.ts
@@ -1,5 +1,11 @@
 import { expect, test } from '@jest/globals';
-import { ManualClock, type EndedRun, type JobDecision, type JobEvent } from '../src/index.js';
+import {
+  ManualClock,
+  type EndedRun,
+  type JobDecision,
+  type JobEvent,
+  type JobProgress,
+} from '../src/index.js';
 import { executor, job, newDecider, step } from './support/job-fixtures.js';
 
 // Each test is named after the failure that it guards against.
@@ -36,3 +42,28 @@
   // The store's history was dropped, so the table is read anew.
   expect(starts(listJob())).toBe(0);
 });
+
+// Load pattern: rows of ended jobs are not removed from the store, so each new leader finds all jobs
+// that ever were.
+test('a new leader takes as long for a job that has ended long ago as for one that is open', () => {
+  const timeOf = (endedAgoMs: number | undefined): number => {
+    const clock = new ManualClock(10 * RETENTION_MS);
+    const decider = newDecider(clock, { endedJobRetentionMs: RETENTION_MS });
+    const endedWallMs = endedAgoMs === undefined ? 0 : clock.wall() - endedAgoMs;
+    const progress: JobProgress = {
+      state: endedAgoMs === undefined ? 'running' : 'completed',
+      endedWallMs,
+      done: endedAgoMs === undefined ? {} : { '0.0': 'all' },
+      failures: {},
+    };
+    const jobs = Array.from({ length: 20_000 }, (_, n) => ({
+      accepted: job(`j${n}`, [step({ taskCount: 8 })]),
+      progress,
+    }));
+    const startedAt = performance.now();
+    decider.handle({ type: 'jobs', jobs, adopted: true }, clock.now());
+    return performance.now() - startedAt;
+  };
+  timeOf(undefined);
+  expect(timeOf(2 * RETENTION_MS)).toBeLessThan(timeOf(undefined) / 4);
+});
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -321,6 +321,7 @@
       this.log.error('jobs not taken in, too many events are waiting', { jobs: jobs.length });
     }
     if (first) {
+      this.#stored.forgetJobs();
       this.#startTicks();
     }
   }
--- a/packages/daemon/src/jobs/stored-progress.ts
+++ b/packages/daemon/src/jobs/stored-progress.ts
@@ -45,6 +45,11 @@
     return this.#jobs.get(id);
   }
 
+  /** Called once the jobs are loaded: no job that comes later has progress of an earlier owner. */
+  forgetJobs(): void {
+    this.#jobs.clear();
+  }
+
   /** Adds to a requested wave what has been stored of it. */
   withStatus(wave: OperatorView['waves'][number]): MaintenanceWave {
     return { ...wave, ...(this.#waves.get(wave.number) ?? { begun: [], completed: false }) };
