--- a/packages/cli/src/client/api-client.ts
+++ b/packages/cli/src/client/api-client.ts
@@ -12,11 +12,6 @@
   readonly nextStep: string;
 }
 
-export interface ApplyBody {
-  readonly documents: readonly unknown[];
-  readonly dryRun: boolean;
-}
-
 interface ApiRequest {
   readonly method: Dispatcher.HttpMethod;
   readonly path: string;
--- a/packages/core/src/fleet/budget-ledger.ts
+++ b/packages/core/src/fleet/budget-ledger.ts
@@ -258,7 +258,7 @@
   return [...unavailable.values()].filter((each) => each === zone).length;
 }
 
-export function isPlanned(entry: BudgetEntry): boolean {
+function isPlanned(entry: BudgetEntry): boolean {
   return entry.cause !== 'failure';
 }
 
--- a/packages/core/src/fleet/disruptions.ts
+++ b/packages/core/src/fleet/disruptions.ts
@@ -7,7 +7,7 @@
 /** A drain or reboot command is sent again after this time, because it may have been lost. */
 const COMMAND_RESEND_MS = 30_000;
 /** A planned reboot that takes longer counts as a failure of the instance. */
-export const REBOOT_OVERDUE_MS = 900_000;
+const REBOOT_OVERDUE_MS = 900_000;
 
 /** Progress of one entry under this owner. Not stored: a new owner sends the commands again. */
 interface EntryProgress {
@@ -204,7 +204,7 @@
   return sentAt === undefined || now - sentAt >= COMMAND_RESEND_MS;
 }
 
-export function endsWithReboot(cause: Cause): boolean {
+function endsWithReboot(cause: Cause): boolean {
   return cause.startsWith('plan/') || cause.startsWith('move/');
 }
 
--- a/packages/core/src/fleet/plan-definition.ts
+++ b/packages/core/src/fleet/plan-definition.ts
@@ -26,7 +26,7 @@
 const CYCLE_START_FRACTION = 0.9;
 
 /** Contains a character that names of declared plans can't have, so the two never collide. */
-export function cyclePlanName(pool: PoolName): PlanName {
+function cyclePlanName(pool: PoolName): PlanName {
   return `cycle:${pool}`;
 }
 
--- a/packages/core/src/fleet/proportional-borrowing.ts
+++ b/packages/core/src/fleet/proportional-borrowing.ts
@@ -8,7 +8,7 @@
   readonly returnAfterMs: Millis;
 }
 
-export const BORROWING_DEFAULTS: BorrowingOptions = {
+const BORROWING_DEFAULTS: BorrowingOptions = {
   slack: 0.25,
   // Every move costs a drain and a reboot, so returning instances sooner than that only adds moves.
   returnAfterMs: 600_000,
--- a/packages/core/src/fleet/recent-demand.ts
+++ b/packages/core/src/fleet/recent-demand.ts
@@ -14,7 +14,7 @@
   readonly maxBursts: number;
 }
 
-export const RECENT_DEMAND_DEFAULTS: RecentDemandOptions = {
+const RECENT_DEMAND_DEFAULTS: RecentDemandOptions = {
   burstMargin: 0.25,
   leadMs: 600_000,
   spreadMs: 300_000,
--- a/packages/core/src/fleet/zone-controller.ts
+++ b/packages/core/src/fleet/zone-controller.ts
@@ -131,7 +131,7 @@
 }
 
 /** True unless a ramp of the instance's zone keeps it from starting work. */
-export function isOpened(
+function isOpened(
   instance: FleetInstance,
   row: BudgetRow,
   poolInstances: readonly FleetInstance[],
--- a/packages/core/src/requests/choosers.ts
+++ b/packages/core/src/requests/choosers.ts
@@ -6,7 +6,7 @@
  * Maximum age of a load report. With 8 slots and requests of 100 ms, a slot becomes free every 12
  * ms: using reports for 250 ms left slots idle and quadrupled the median wait at 90% of capacity.
  */
-export const REPORT_FRESH_MS = 50;
+const REPORT_FRESH_MS = 50;
 
 /** Input to the choice of an executor besides the candidates. */
 export interface ChoiceContext {
--- a/packages/core/src/requests/executor-health.ts
+++ b/packages/core/src/requests/executor-health.ts
@@ -1,13 +1,13 @@
 import type { Millis } from '../types/index.js';
 
 /** Backoff after the first refusal. It doubles with each consecutive refusal. */
-export const INITIAL_REFUSAL_BACKOFF_MS = 5;
-export const MAX_REFUSAL_BACKOFF_MS = 80;
+const INITIAL_REFUSAL_BACKOFF_MS = 5;
+const MAX_REFUSAL_BACKOFF_MS = 80;
 /**
  * Duration of the first ejection. It doubles with each further ejection until an attempt succeeds.
  */
-export const INITIAL_EJECTION_MS = 1_000;
-export const MAX_EJECTION_MS = 30_000;
+const INITIAL_EJECTION_MS = 1_000;
+const MAX_EJECTION_MS = 30_000;
 /**
  * Weight of the newest attempt in the moving failure ratio: four consecutive failures exceed the
  * limit.
--- a/packages/core/src/requests/executor-table.ts
+++ b/packages/core/src/requests/executor-table.ts
@@ -6,7 +6,7 @@
 /**
  * Maximum fraction of a pool that may be ejected, so that a burst of bad requests cannot empty it.
  */
-export const MAX_EJECTED_RATIO = 0.5;
+const MAX_EJECTED_RATIO = 0.5;
 
 /** The known executors, grouped by pool. */
 export class ExecutorTable {
--- a/packages/core/src/requests/fair-queue.ts
+++ b/packages/core/src/requests/fair-queue.ts
@@ -3,7 +3,7 @@
 import type { QueuePosition, QueueItem } from './flow.js';
 
 /** Minimum share of starts that archive items get while any of them wait. */
-export const ARCHIVE_MIN_SHARE = 0.05;
+const ARCHIVE_MIN_SHARE = 0.05;
 const STARTS_PER_ARCHIVE_START = Math.round(1 / ARCHIVE_MIN_SHARE);
 
 /**
--- a/packages/core/src/requests/idempotency-table.ts
+++ b/packages/core/src/requests/idempotency-table.ts
@@ -5,7 +5,7 @@
 /** Time for which a key is retained after its request ended. */
 export const IDEMPOTENCY_WINDOW_MS = 600_000;
 /** Maximum number of keys. At 100 bytes each, the table stays below 10 MB. */
-export const IDEMPOTENCY_CAPACITY = 100_000;
+const IDEMPOTENCY_CAPACITY = 100_000;
 /** A claim not settled within this time counts as done, since requests end within `MAX_WORK_MS`. */
 const MAX_CLAIM_MS = 2 * MAX_WORK_MS;
 
--- a/packages/core/src/requests/request-decider.ts
+++ b/packages/core/src/requests/request-decider.ts
@@ -18,7 +18,7 @@
 import { waitingReasons } from './waiting-reasons.js';
 
 /** Maximum number of waiting requests per queue at one entry. */
-export const DEFAULT_QUEUE_CAPACITY = 10_000;
+const DEFAULT_QUEUE_CAPACITY = 10_000;
 /**
  * Retry-After of a full queue is the time until this fraction of its waiting requests has started.
  */
--- a/packages/core/src/requests/retry-policy.ts
+++ b/packages/core/src/requests/retry-policy.ts
@@ -3,9 +3,9 @@
 import { SlidingWindowCounter } from './sliding-window-counter.js';
 
 /** Retry budget for requests that may have run, as a fraction of recent requests. */
-export const RETRY_RATIO = 0.1;
+const RETRY_RATIO = 0.1;
 /** Minimum retry budget per second, regardless of the number of requests. */
-export const MIN_RETRIES_PER_S = 3;
+const MIN_RETRIES_PER_S = 3;
 
 /** An attempt that ended without a response. */
 export interface FailedAttempt {
--- a/packages/daemon/src/fleet/fleet-rows.ts
+++ b/packages/daemon/src/fleet/fleet-rows.ts
@@ -28,7 +28,7 @@
 const READ_PAGE_SIZE = 200;
 
 /** Actor in the audit records of instance moves by pool owners. */
-export const FLEET_ACTOR = 'system/fleet';
+const FLEET_ACTOR = 'system/fleet';
 
 export interface FleetRowsOptions {
   readonly store: TableStore;
--- a/packages/daemon/src/tasks/messages.ts
+++ b/packages/daemon/src/tasks/messages.ts
@@ -3,16 +3,12 @@
   PoolName,
   Resources,
   Result,
-  TaskAnswer,
   TaskEvent,
   TaskId,
-  TaskRecord,
   TaskSpec,
   TeamName,
 } from '@turmerichoist/core';
 
-export type AnswerReply = (answer: Result<TaskAnswer, AppError>) => void;
-
 /** A command of a caller to the owner of a pool. */
 export type TaskCommand =
   | { readonly type: 'submit'; readonly pool: PoolName; readonly task: TaskSpec }
@@ -30,15 +26,6 @@
       readonly team?: TeamName;
     };
 
-/** The state of a task and the reason why it waits. */
-export interface TaskView {
-  readonly id: TaskId;
-  readonly team: TeamName;
-  readonly state: TaskRecord['state'];
-  readonly detail: string;
-  readonly why?: unknown;
-}
-
 export type TaskOwnerMessage =
   | TaskEvent
   | {
--- a/packages/daemon/src/upstreams/upstream-connections.ts
+++ b/packages/daemon/src/upstreams/upstream-connections.ts
@@ -6,7 +6,7 @@
 /**
  * Connections with open attempts but no progress for this long are probed over a new connection.
  */
-export const SILENT_AFTER_MS = 2_000;
+const SILENT_AFTER_MS = 2_000;
 
 /** Upper bound of the silence time-out, which doubles for an upstream that is slow, not silent. */
 const MAX_SILENT_AFTER_MS = 30_000;
--- a/packages/daemon/src/workers/wire.ts
+++ b/packages/daemon/src/workers/wire.ts
@@ -91,9 +91,3 @@
     }),
   ),
 });
-
-export type LeasesBody = Readonly<z.output<typeof leasesBody>>;
-export type RenewBody = Readonly<z.output<typeof renewBody>>;
-export type StopBody = Readonly<z.output<typeof stopBody>>;
-export type ResultsBody = Readonly<z.output<typeof resultsBody>>;
-export type ReportBody = Readonly<z.output<typeof reportBody>>;
--- a/packages/stand-ins/src/platform/faults.ts
+++ b/packages/stand-ins/src/platform/faults.ts
@@ -21,7 +21,7 @@
   readonly truncateUploads: number;
 }
 
-export const NO_PLATFORM_FAULTS: PlatformFaults = {
+const NO_PLATFORM_FAULTS: PlatformFaults = {
   down: false,
   slowMs: 0,
   writesPerSecond: 0,
