--- a/packages/stand-ins/test/failures.test.ts
+++ b/packages/stand-ins/test/failures.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, expect, test } from '@jest/globals';
+import type { Millis } from '@turmerichoist/core';
 import { TestFleet, waitUntil, type FleetEntry } from './test-fleet.js';
 import { pause } from './support.js';
 
@@ -32,6 +33,36 @@
   return entries as unknown as readonly [FleetEntry, FleetEntry];
 }
 
+/** Calls an entry until it refuses, which must happen in time. */
+async function callUntilRefused(
+  system: TestFleet,
+  at: FleetEntry,
+): Promise<{ readonly status: number; readonly outcome: string }> {
+  let last = { status: 0, outcome: '' };
+  await waitUntil('a refusal', IN_FORCE_TARGET_MS, async () => {
+    last = await system.call(at);
+    return last.status !== 200;
+  });
+  return last;
+}
+
+/** The distinct status codes of the answers of the entries, which are called in turn. */
+async function statusesDuring(
+  ms: Millis,
+  system: TestFleet,
+  entries: readonly FleetEntry[],
+): Promise<readonly number[]> {
+  const end = performance.now() + ms;
+  const statuses = new Set<number>();
+  while (performance.now() < end) {
+    for (const at of entries) {
+      statuses.add((await system.call(at)).status);
+    }
+    await pause(100);
+  }
+  return [...statuses];
+}
+
 test('a withdrawn key is refused at every entry within 10 s', async () => {
   const [system, entries] = await startFleet(2);
   const [a, b] = pairOf(entries);
@@ -50,13 +81,9 @@
   const [a, b] = pairOf(entries);
   b.table.faults.set({ down: true });
   await system.apply(a, system.documents(64, true));
-  let last = { status: 0, outcome: '' };
-  await waitUntil('a refusal', IN_FORCE_TARGET_MS, async () => {
-    last = await system.call(b);
-    return last.status !== 200;
-  });
-  expect([503, 504]).toContain(last.status);
-  expect(last.outcome).toBe('not-run');
+  const refusal = await callUntilRefused(system, b);
+  expect([503, 504]).toContain(refusal.status);
+  expect(refusal.outcome).toBe('not-run');
 }, 60_000);
 
 test('while no entry reaches the store, requests are served and changes are refused', async () => {
@@ -67,16 +94,9 @@
   for (const { table } of entries) {
     table.faults.set({ down: true });
   }
-  const end = performance.now() + 14_000;
-  const statuses = new Set<number>();
-  while (performance.now() < end) {
-    for (const at of [a, b]) {
-      statuses.add((await system.call(at)).status);
-    }
-    await pause(100);
-  }
+  const statuses = await statusesDuring(14_000, system, [a, b]);
   const change = await system.apply(a, system.documents(32));
-  expect([...statuses]).toEqual([200]);
+  expect(statuses).toEqual([200]);
   expect(change.status).toBe(503);
   for (const { table } of entries) {
     table.faults.clear();
@@ -96,15 +116,8 @@
   await pause(3_000);
   await c.entry.abort();
   system.removeFromInstanceList(c.name);
-  const end = performance.now() + 12_000;
-  const statuses = new Set<number>();
-  while (performance.now() < end) {
-    for (const at of [a, b]) {
-      statuses.add((await system.call(at)).status);
-    }
-    await pause(100);
-  }
-  expect([...statuses]).toEqual([200]);
+  const statuses = await statusesDuring(12_000, system, [a, b]);
+  expect(statuses).toEqual([200]);
 }, 90_000);
 
 test('an entry without the store and without peers refuses requests with a key as not run', async () => {
@@ -112,15 +125,11 @@
   const [a, b] = pairOf(entries);
   b.table.faults.set({ down: true });
   await a.entry.abort();
-  let last = { status: 0, outcome: '' };
-  await waitUntil('a refusal', IN_FORCE_TARGET_MS, async () => {
-    last = await system.call(b);
-    return last.status !== 200;
-  });
+  const refusal = await callUntilRefused(system, b);
   // Quota grants can expire before the configuration does. A request that arrives in between waits
   // until its deadline (504), a later one is refused at once (503). Neither may run.
-  expect([503, 504]).toContain(last.status);
-  expect(last.outcome).toBe('not-run');
+  expect([503, 504]).toContain(refusal.status);
+  expect(refusal.outcome).toBe('not-run');
   expect(b.entry.ready).toBe(false);
 }, 60_000);
 
