--- a/packages/core/src/requests/admission.ts
+++ b/packages/core/src/requests/admission.ts
@@ -1,6 +1,6 @@
 import { type AppError, Err, Ok, type Result, fail } from '../errors/index.js';
 import { Configuration, MAX_WORK_MS } from '../resources/index.js';
-import type { Millis, TeamName } from '../types/index.js';
+import { NEVER, type Millis, type TeamName } from '../types/index.js';
 import { TeamKeyIndex } from './team-key-index.js';
 import type { Arrival } from './messages.js';
 
@@ -16,7 +16,7 @@
 export class Admission {
   #cfg = Configuration.empty;
   #keys = new TeamKeyIndex(Configuration.empty);
-  #freshUntil: Millis = Number.NEGATIVE_INFINITY;
+  #freshUntil: Millis = NEVER;
 
   get cfg(): Configuration {
     return this.#cfg;
--- a/packages/core/src/requests/executor-health.ts
+++ b/packages/core/src/requests/executor-health.ts
@@ -1,4 +1,4 @@
-import type { Millis } from '../types/index.js';
+import { NEVER, type Millis } from '../types/index.js';
 
 /** Backoff after the first refusal. It doubles with each consecutive refusal. */
 const INITIAL_REFUSAL_BACKOFF_MS = 5;
@@ -20,8 +20,8 @@
   #failureRatio = 0;
   #consecutiveRefusals = 0;
   #consecutiveEjections = 0;
-  #backoffUntil: Millis = Number.NEGATIVE_INFINITY;
-  #ejectedUntil: Millis = Number.NEGATIVE_INFINITY;
+  #backoffUntil: Millis = NEVER;
+  #ejectedUntil: Millis = NEVER;
   #onProbation = false;
 
   /**
--- a/packages/core/src/requests/queue-state.ts
+++ b/packages/core/src/requests/queue-state.ts
@@ -1,4 +1,11 @@
-import type { Millis, QueueName, RequestId, TeamName, WorkClass } from '../types/index.js';
+import {
+  NEVER,
+  type Millis,
+  type QueueName,
+  type RequestId,
+  type TeamName,
+  type WorkClass,
+} from '../types/index.js';
 import { FairQueue } from './fair-queue.js';
 import type { DemandRow } from './messages.js';
 import type { PendingRequest } from './pending-request.js';
@@ -10,7 +17,7 @@
   readonly name: QueueName;
   readonly fairQueue: FairQueue<PendingRequest>;
   /** Clock reading of the last update of the local weights. */
-  weightsUpdatedAt: Millis = Number.NEGATIVE_INFINITY;
+  weightsUpdatedAt: Millis = NEVER;
   /** Slots that this entry is limited to; `undefined` while slots are not scarce. */
   slotInterval: SlotInterval | undefined;
   readonly serviceRate = new ServiceRateEstimator();
--- a/packages/core/src/requests/team-limiter.ts
+++ b/packages/core/src/requests/team-limiter.ts
@@ -1,4 +1,4 @@
-import type { Millis, TeamName } from '../types/index.js';
+import { NEVER, type Millis, type TeamName } from '../types/index.js';
 
 /**
  * Limits the running requests of each team to the units granted to this entry.
@@ -7,7 +7,7 @@
 export class TeamLimiter {
   readonly #running = new Map<TeamName, number>();
   #units: ReadonlyMap<TeamName, number> = new Map();
-  #validUntil: Millis = Number.NEGATIVE_INFINITY;
+  #validUntil: Millis = NEVER;
 
   /** Replaces all grants. */
   setGrants(units: ReadonlyMap<TeamName, number>, validUntil: Millis): void {
--- a/packages/core/src/tasks/lease-timing.ts
+++ b/packages/core/src/tasks/lease-timing.ts
@@ -1,5 +1,5 @@
 import type { Millis } from '../types/index.js';
-import type { ClockAnchor } from './worker-table.js';
+import type { ClockAnchor } from './worker-view.js';
 
 /** Duration of a lease, from its receipt by the worker, unless renewed. */
 export const LEASE_TTL_MS = 10_000;
--- a/packages/core/src/tasks/worker-table.ts
+++ b/packages/core/src/tasks/worker-table.ts
@@ -1,42 +1,10 @@
 import type { Configuration, InstanceSpec } from '../resources/index.js';
-import type { InstanceName, Millis, PoolName, TaskId, ZoneName } from '../types/index.js';
-import { NO_RESOURCES, add, subtract } from './resource-arithmetic.js';
+import type { InstanceName, PoolName, TaskId, ZoneName } from '../types/index.js';
 import type { Resources } from './model.js';
 import { PlacementIndex } from './placement-index.js';
-
-/** Fractions of a worker that are left free, since expected sizes are only estimates. */
-const PROCESSOR_HEADROOM = 0.05;
-const MEMORY_HEADROOM = 0.1;
-/**
- * Fraction of processors and memory that tasks without accelerators leave unused while all
- * accelerators of the worker are free, in proportion if only some are, so that every free
- * accelerator stays usable.
- */
-const ACCELERATOR_RESERVE_FRACTION = 0.5;
-
-/** Relates the worker's clock to the owner's clock, from one report. */
-export interface ClockAnchor {
-  readonly incarnation: string;
-  readonly clockMs: Millis;
-  /** Owner's clock when the report arrived. The worker's clock read `clockMs` before that. */
-  readonly receivedAt: Millis;
-}
-
-/** One worker of the pool. */
-export interface WorkerView {
-  readonly name: InstanceName;
-  readonly zone: ZoneName;
-  readonly labels: Readonly<Record<string, string>>;
-  readonly capacity: Resources;
-  readonly cordoned: boolean;
-  readonly used: Resources;
-  readonly tasks: number;
-  readonly anchor: ClockAnchor | undefined;
-  readonly reservedFor: TaskId | undefined;
-}
-
-/** Reason why a worker gets no new tasks for now. A worker that is probing gets a single one. */
-export type Hold = 'unreachable' | 'paused' | 'draining' | 'quarantined' | 'probing';
+import { NO_RESOURCES, add, subtract } from './resource-arithmetic.js';
+import { availableOn, availableToCpuOnly } from './worker-availability.js';
+import type { ClockAnchor, Hold, WorkerView } from './worker-view.js';
 
 interface WorkerState extends WorkerView {
   zone: ZoneName;
@@ -264,30 +232,3 @@
     }
   }
 }
-
-function availableOn(worker: WorkerView): Resources {
-  const { capacity, used, tasks } = worker;
-  if (tasks === 0) {
-    return capacity;
-  }
-  return {
-    processors: capacity.processors * (1 - PROCESSOR_HEADROOM) - used.processors,
-    memoryMb: capacity.memoryMb * (1 - MEMORY_HEADROOM) - used.memoryMb,
-    accelerators: capacity.accelerators - used.accelerators,
-  };
-}
-
-/** Resources available to tasks without accelerators. */
-function availableToCpuOnly(worker: WorkerView): Resources {
-  const available = availableOn(worker);
-  const { capacity, tasks } = worker;
-  if (capacity.accelerators === 0 || tasks === 0) {
-    return available;
-  }
-  const kept = (available.accelerators / capacity.accelerators) * ACCELERATOR_RESERVE_FRACTION;
-  return {
-    processors: available.processors - capacity.processors * kept,
-    memoryMb: available.memoryMb - capacity.memoryMb * kept,
-    accelerators: 0,
-  };
-}
--- a/packages/daemon/src/entry/audit-trail.ts
+++ b/packages/daemon/src/entry/audit-trail.ts
@@ -8,6 +8,7 @@
   type OwnershipEvent,
 } from '@turmerichoist/coordination';
 import {
+  NEVER,
   RESOURCE_KINDS,
   type AppError,
   type Clock,
@@ -40,7 +41,7 @@
   readonly #refusals: RefusalRecorder;
   readonly #exporter: AuditExporter;
   #holding: Holding | undefined;
-  #sessionUntil: Millis = Number.NEGATIVE_INFINITY;
+  #sessionUntil: Millis = NEVER;
 
   constructor(options: AuditTrailOptions) {
     this.#options = options;
--- a/packages/daemon/src/upstreams/upstream-states.ts
+++ b/packages/daemon/src/upstreams/upstream-states.ts
@@ -1,4 +1,4 @@
-import type { Clock, Millis, UpstreamName } from '@turmerichoist/core';
+import { NEVER, type Clock, type Millis, type UpstreamName } from '@turmerichoist/core';
 
 export type UpstreamState = 'healthy' | 'suspect' | 'leaving';
 
@@ -10,7 +10,7 @@
   readonly leavingUntil: Millis;
 }
 
-const INITIAL_STATUS: UpstreamStatus = { suspect: false, leavingUntil: Number.NEGATIVE_INFINITY };
+const INITIAL_STATUS: UpstreamStatus = { suspect: false, leavingUntil: NEVER };
 
 /**
  * Combines probe results and leave announcements. `leaving` takes precedence over a successful
