refactor(requests): queues and the selection of executors out of the scheduler

The scheduler kept the queues, rotated them, selected executors and started requests. QueueTable and ExecutorSelector do the first three.

--- a/packages/core/src/requests/request-decider.ts
+++ b/packages/core/src/requests/request-decider.ts
@@ -86,7 +86,7 @@
 
   /** Waiting and running requests of this entry, to be sent to the other entries. */
   demand(): readonly DemandRow[] {
-    return this.#scheduler.demand();
+    return this.#scheduler.queues.demand();
   }
 
   /** Why requests of the team wait, for each queue in which some do. */
@@ -116,8 +116,7 @@
         this.#admission.confirmUntil(event.until);
         return;
       case 'peer-demand':
-        this.#scheduler.allocator.setPeerDemand(event.member, event.rows, this.#now);
-        this.#scheduler.updateWeights(this.#now);
+        this.#scheduler.setPeerDemand(event.member, event.rows, this.#now);
         return;
       case 'members-changed':
         this.#scheduler.membersChanged(event.members);
@@ -152,7 +151,7 @@
   }
 
   #accept(req: PendingRequest): void {
-    const queue = this.#scheduler.queueStateOf(req.arrival.queue);
+    const queue = this.#scheduler.queues.get(req.arrival.queue);
     const error = this.#admissionError(req, queue) ?? this.#claimIdempotencyKey(req);
     if (error !== undefined) {
       this.#rejectArrival(req.arrival, error);
@@ -193,7 +192,7 @@
     if (req?.arrival !== arrival || req.attempts > 0) {
       return;
     }
-    const queue = this.#scheduler.queueStateOf(arrival.queue);
+    const queue = this.#scheduler.queues.get(arrival.queue);
     const limit = this.#admission.limitOf(req.team);
     const wait = queue.estimatedWait(req.team, req.workClass, limit) ?? 0;
     const tooLateBy = this.#now + wait + queue.serviceRate.typicalMs - req.deadline;
@@ -222,7 +221,7 @@
     } else if (
       this.#retryPolicy.allows({ idempotent, result: type, deadline: req.deadline }, this.#now)
     ) {
-      this.#scheduler.queueStateOf(req.arrival.queue).addRetry(req);
+      this.#scheduler.queues.get(req.arrival.queue).addRetry(req);
       this.#trackDeadline(req);
     } else {
       this.#refuse(req, req.lastFailure ?? appError('deadline-passed'));
@@ -235,7 +234,7 @@
       return;
     }
     if (req.upstream === undefined) {
-      this.#scheduler.queueStateOf(req.arrival.queue).remove(id);
+      this.#scheduler.queues.get(req.arrival.queue).remove(id);
       this.#refuse(req, appError('caller-gone'));
     } else {
       req.cancelled = true;
@@ -268,7 +267,7 @@
   }
 
   #expireRequest(req: PendingRequest): void {
-    const queue = this.#scheduler.queueStateOf(req.arrival.queue);
+    const queue = this.#scheduler.queues.get(req.arrival.queue);
     queue.remove(req.id);
     const inService = this.#scheduler.executorsOf(queue).some((each) => each.inService);
     const kind = inService ? 'deadline-passed' : 'no-upstream';
--- a/packages/core/src/requests/scheduler.ts
+++ b/packages/core/src/requests/scheduler.ts
@@ -1,15 +1,16 @@
 import { type AppError, appError } from '../errors/index.js';
 import type { Configuration } from '../resources/index.js';
-import type { MemberId, Millis, QueueName, TeamName, UpstreamName } from '../types/index.js';
+import type { MemberId, Millis, TeamName, UpstreamName } from '../types/index.js';
 import { type Admission, OPEN_TEAM } from './admission.js';
-import type { ChoiceContext, ExecutorChooser } from './choosers.js';
+import type { ExecutorChooser } from './choosers.js';
 import type { Executor } from './executor.js';
+import { ExecutorSelector } from './executor-selector.js';
 import { ExecutorTable } from './executor-table.js';
 import { FleetAllocator } from './fleet-allocator.js';
-import { QueueState } from './queue-state.js';
+import type { QueueState } from './queue-state.js';
+import { QueueTable } from './queue-table.js';
 import type { AttemptResult, DemandRow, LoadReport } from './messages.js';
 import type { PendingRequest } from './pending-request.js';
-import { slotsWithin } from './slot-interval.js';
 import { TeamLimiter } from './team-limiter.js';
 
 /** Minimum time between two updates of the local weights of a queue. */
@@ -46,56 +47,44 @@
 export class Scheduler {
   readonly limiter = new TeamLimiter();
   readonly executors = new ExecutorTable();
-  readonly allocator: FleetAllocator;
+  readonly queues: QueueTable;
+  readonly #selector: ExecutorSelector;
+  readonly #allocator: FleetAllocator;
   readonly #options: SchedulerOptions;
-  readonly #queues = new Map<QueueName, QueueState>();
-  #members: readonly MemberId[] = [];
-  #firstQueue = 0;
 
   constructor(options: SchedulerOptions) {
     this.#options = options;
-    this.allocator = new FleetAllocator(options.self);
-  }
-
-  get queues(): readonly QueueState[] {
-    return [...this.#queues.values()];
+    this.queues = new QueueTable(options.queueCapacity, this.#teamShare);
+    this.#selector = new ExecutorSelector(options, this.executors);
+    this.#allocator = new FleetAllocator(options.self);
   }
 
   configure(cfg: Configuration, now: Millis): void {
     this.executors.configure(cfg);
-    for (const queue of this.#queues.values()) {
+    for (const queue of this.queues.all) {
       this.#updateQueueWeights(queue, now);
     }
-    this.#unthrottleAll();
+    this.queues.unthrottleAll();
   }
 
   setGrants(units: ReadonlyMap<TeamName, number>, validUntil: Millis): void {
     this.limiter.setGrants(units, validUntil);
-    this.#unthrottleAll();
+    this.queues.unthrottleAll();
   }
 
   membersChanged(members: readonly MemberId[]): void {
-    this.#members = [...members].sort();
+    this.#selector.membersChanged(members);
   }
 
-  queueStateOf(name: QueueName): QueueState {
-    const existing = this.#queues.get(name);
-    if (existing !== undefined) {
-      return existing;
-    }
-    const queue = new QueueState(name, this.#options.queueCapacity);
-    queue.fairQueue.setWeights(this.#teamShare);
-    this.#queues.set(name, queue);
-    return queue;
-  }
-
-  demand(): readonly DemandRow[] {
-    return this.queues.flatMap((queue) => queue.demand());
+  /** Replaces the demand of another entry and updates the weights of a queue that is due. */
+  setPeerDemand(member: MemberId, rows: readonly DemandRow[], now: Millis): void {
+    this.#allocator.setPeerDemand(member, rows, now);
+    this.updateWeights(now);
   }
 
   /** Records the outcome of an attempt and releases its unit. */
   attemptEnded(req: PendingRequest, end: AttemptReport, now: Millis): void {
-    const queue = this.queueStateOf(req.arrival.queue);
+    const queue = this.queues.get(req.arrival.queue);
     if (end.result.type === 'answered') {
       queue.serviceRate.recordDuration(now - req.attemptStartedAt);
     }
@@ -111,17 +100,12 @@
     req.upstream = undefined;
     queue.attemptEnded(req.team, now);
     this.limiter.release(req.team);
-    for (const each of this.#queues.values()) {
-      each.fairQueue.unthrottle(req.team);
-    }
+    this.queues.unthrottle(req.team);
   }
 
   /** Starts every request that can start. Queues take turns in going first (round robin). */
   dispatch(now: Millis): void {
-    const queues = this.queues;
-    this.#firstQueue = (this.#firstQueue + 1) % Math.max(1, queues.length);
-    const rotated = [...queues.slice(this.#firstQueue), ...queues.slice(0, this.#firstQueue)];
-    for (const queue of rotated) {
+    for (const queue of this.queues.nextRotation()) {
       if (queue.waiting > 0) {
         this.#dispatchQueue(queue, now);
       }
@@ -133,7 +117,7 @@
    * requests by several milliseconds with 300 teams in 5 queues at 8 entries.
    */
   updateWeights(now: Millis): void {
-    const due = this.queues.find(
+    const due = this.queues.all.find(
       (queue) => now - queue.weightsUpdatedAt >= WEIGHT_UPDATE_INTERVAL_MS,
     );
     if (due !== undefined) {
@@ -154,31 +138,21 @@
 
   /** Configured executors of the queue. */
   executorsOf(queue: QueueState): readonly Executor[] {
-    return this.executors.inPool(this.#poolName(queue));
+    return this.#selector.executorsOf(queue);
   }
 
   readonly #teamShare = (team: TeamName): number =>
     this.#options.admission.cfg.spec('team', team)?.share ?? 1;
 
-  #poolName(queue: QueueState): string {
-    return this.#options.admission.cfg.spec('queue', queue.name)?.pool ?? '';
-  }
-
   #updateQueueWeights(queue: QueueState, now: Millis): void {
-    const slots = this.executors.slotsInService(this.#poolName(queue));
+    const slots = this.#selector.slotsOf(queue);
     const input = { queue: queue.name, ownDemand: queue.demand(), shareOf: this.#teamShare, slots };
-    const allocation = this.allocator.allocate(input, now);
+    const allocation = this.#allocator.allocate(input, now);
     queue.fairQueue.setWeights(allocation.weightOf);
     queue.slotInterval = allocation.slotInterval;
     queue.weightsUpdatedAt = now;
   }
 
-  #unthrottleAll(): void {
-    for (const queue of this.#queues.values()) {
-      queue.fairQueue.unthrottleAll();
-    }
-  }
-
   #dispatchQueue(queue: QueueState, now: Millis): void {
     if (this.#options.admission.cfg.spec('queue', queue.name) === undefined) {
       this.#refuseAll(queue, now);
@@ -188,7 +162,7 @@
       // Each iteration starts or refuses one request.
     }
     while (queue.fairQueue.waiting > 0) {
-      const executor = this.#chooseExecutor(queue, now);
+      const executor = this.#selector.select(queue, now);
       const req = executor && queue.fairQueue.takeNext((team) => this.mayRun(team, now));
       if (executor === undefined || req === undefined) {
         return;
@@ -229,11 +203,11 @@
     if (req === undefined) {
       return false;
     }
-    if (!this.#canStillRun(queue, req)) {
+    if (!this.#selector.canStillRun(queue, req)) {
       this.#options.sink.refuse(req, { kind: 'no-upstream' });
       return true;
     }
-    const executor = this.#chooseExecutor(queue, now, req);
+    const executor = this.#selector.select(queue, now, req);
     if (executor === undefined || !this.mayRun(req.team, now)) {
       queue.addRetry(req);
       return false;
@@ -242,32 +216,6 @@
     return true;
   }
 
-  /**
-   * Whether the request can still run on some executor. A request that may have run needs an
-   * executor on which it has not failed. If no executor is left to try, those that refused the
-   * request become eligible again.
-   */
-  #canStillRun(queue: QueueState, req: PendingRequest): boolean {
-    const usable = this.executorsOf(queue).filter((each) => each.inService);
-    if (!usable.some((each) => req.canTry(each.name))) {
-      req.clearRefusals();
-    }
-    return !req.mayHaveRun || usable.some((each) => !req.failedOn(each.name));
-  }
-
-  #chooseExecutor(queue: QueueState, now: Millis, req?: PendingRequest): Executor | undefined {
-    const eligible = this.executorsOf(queue).filter(
-      (each) =>
-        each.acceptsAttempt(now) && hasSlotFor(queue, each) && (req?.canTry(each.name) ?? true),
-    );
-    return this.#options.chooser.choose(eligible, this.#choiceContext(now));
-  }
-
-  #choiceContext(now: Millis): ChoiceContext {
-    const rank = this.#members.indexOf(this.#options.self);
-    return { now, entries: Math.max(1, this.#members.length), rank: Math.max(0, rank) };
-  }
-
   #start(queue: QueueState, req: PendingRequest, executor: Executor, now: Millis): void {
     const team = this.#options.admission.recheck(req.arrival, req.team, now);
     if (team.isErr()) {
@@ -284,17 +232,6 @@
   }
 }
 
-/**
- * Whether the executor has a slot for this entry. An entry with nothing running always gets one.
- */
-function hasSlotFor(queue: QueueState, executor: Executor): boolean {
-  const { slotInterval: slots, running } = queue;
-  if (slots === undefined || running === 0) {
-    return true;
-  }
-  return executor.outstanding < slotsWithin(slots, executor.slots, executor.roundingPhase);
-}
-
 /**
  * Whether the result says nothing about the executor: the caller left or allowed too little time.
  */
--- a/packages/core/src/requests/waiting-reasons.ts
+++ b/packages/core/src/requests/waiting-reasons.ts
@@ -13,7 +13,7 @@
   now: Millis,
 ): readonly WaitingReason[] {
   const limit = admission.limitOf(team);
-  return scheduler.queues
+  return scheduler.queues.all
     .filter((queue) => queue.waitingOf(team) > 0)
     .map((queue) => ({
       queue: queue.name,
