--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -15,14 +15,8 @@
   type Result,
   type TeamName,
 } from '@turmerichoist/core';
-import type { JsonValue } from '@turmerichoist/coordination';
-import {
-  timeoutSignal,
-  WindowStats,
-  type LogFields,
-  type Logger,
-  type Metrics,
-} from '@turmerichoist/runtime';
+import { callTimeout, type JsonValue, type Row } from '@turmerichoist/coordination';
+import { WindowStats, type LogFields, type Logger, type Metrics } from '@turmerichoist/runtime';
 import type { JobIntake } from './intake.js';
 import type { CallerTables, JobCall, JobReply } from './ports.js';
 import { RetryAdvice } from './retry-advice.js';
@@ -46,6 +40,11 @@
   readonly signal: AbortSignal;
 }
 
+interface JobRows {
+  readonly progress: readonly Row[];
+  readonly jobs: readonly Row[];
+}
+
 /** Serves the calls of callers, on every member of a cell. Errors: as in `ERROR_TABLE`. */
 export class JobService {
   readonly #options: JobServiceOptions;
@@ -69,6 +68,9 @@
   constructor(options: JobServiceOptions) {
     this.#options = options;
     this.#counts = new WaitingCounts(options.clock);
+    options.signal.addEventListener('abort', () => {
+      this.#contact.abort();
+    });
   }
 
   get ready(): boolean {
@@ -213,18 +215,16 @@
     if (known !== undefined && isFinal(known)) {
       return Ok(known);
     }
-    const { cell, intake, signal, log } = this.#options;
     if (!this.#isReachable()) {
       return this.#stateWithoutStore(known);
     }
-    const limit = AbortSignal.any([timeoutSignal(signal, timeoutMs), this.#contact.signal]);
-    const [stored, accepted] = await Promise.all([
-      cell.read([`progress/${id}`], limit),
-      known === undefined ? intake.read('jobs', id, limit) : Ok([]),
-    ]);
-    const rows = stored.andThen((progress) => accepted.map((jobs) => ({ progress, jobs })));
+    const rows = await this.#readRows(id, known === undefined, timeoutMs);
     if (rows.isErr()) {
-      log.info('failed to read job state', { job: id, known, error: rows.error.kind });
+      this.#options.log.info('failed to read job state', {
+        job: id,
+        known,
+        error: rows.error.kind,
+      });
       if (!this.#isReachable()) {
         return this.#stateWithoutStore(known);
       }
@@ -233,14 +233,31 @@
     const [progress] = rows.value.progress;
     if (progress !== undefined) {
       const { state } = progress.value as unknown as JobProgress;
-      this.#cacheState(id, state);
-      return Ok(state);
+      return Ok(this.#cacheState(id, state));
     }
     if (known === undefined && rows.value.jobs.length === 0) {
       return fail('job-unknown', id);
     }
-    this.#cacheState(id, known ?? 'queued');
-    return Ok(known ?? 'queued');
+    return Ok(this.#cacheState(id, known ?? 'queued'));
+  }
+
+  /** Reads the progress of a job and, if asked to, the job itself. */
+  async #readRows(
+    id: JobId,
+    withJob: boolean,
+    timeoutMs: Millis,
+  ): Promise<Result<JobRows, AppError>> {
+    const { cell, intake } = this.#options;
+    const limit = callTimeout(this.#contact.signal, timeoutMs);
+    try {
+      const [stored, accepted] = await Promise.all([
+        cell.read([`progress/${id}`], limit.signal),
+        withJob ? intake.read('jobs', id, limit.signal) : Ok([]),
+      ]);
+      return stored.andThen((progress) => accepted.map((jobs) => ({ progress, jobs })));
+    } finally {
+      limit.clear();
+    }
   }
 
   #isReachable(): boolean {
@@ -285,7 +302,13 @@
     return fail('not-ready', `waiting count ${reason}`, RETRY_AFTER_MS);
   }
 
-  #cacheState(id: JobId, state: JobState): void {
+  /**
+   * Keeps a state that was read, unless a later one is known: reads overtake each other. Returns the
+   * later one.
+   */
+  #cacheState(id: JobId, read: JobState): JobState {
+    const known = this.#cachedStates.get(id);
+    const state = known !== undefined && stageOf(known) > stageOf(read) ? known : read;
     this.#cachedStates.set(id, state);
     if (this.#cachedStates.size > MAX_CACHED_STATES) {
       const [oldest] = this.#cachedStates.keys();
@@ -293,9 +316,15 @@
         this.#cachedStates.delete(oldest);
       }
     }
+    return state;
   }
 }
 
+/** States of a job follow each other in the order of their stages. */
+function stageOf(state: JobState): number {
+  return state === 'queued' ? 0 : isFinal(state) ? 2 : 1;
+}
+
 function isFinal(state: JobState): boolean {
   return state === 'completed' || state === 'failed' || state === 'cancelled';
 }
