--- a/packages/coordination/src/io/store/call-stats.ts
+++ b/packages/coordination/src/io/store/call-stats.ts
@@ -9,9 +9,12 @@
 export type StoreCallOutcome =
   'answered' | 'rate-limited' | 'unavailable' | 'held-back' | 'unanswered';
 
-/** One finished call to the store; `ms` includes the time it waited in this process. */
+/**
+ * One finished call to the store; `ms` includes the time it waited in this process and, of a `feed`
+ * (a long poll for changes), the time that the store waited for one.
+ */
 export interface StoreCallRecord {
-  readonly kind: 'read' | 'write';
+  readonly kind: 'read' | 'write' | 'feed';
   readonly outcome: StoreCallOutcome;
   readonly ms: Millis;
 }
@@ -59,9 +62,9 @@
   return { 'rate-limited': 0, unavailable: 0, 'held-back': 0, unanswered: 0 };
 }
 
-/** Counts and times the calls of one process to the store, by period. Long polls are left out. */
+/** Counts and times the calls of one process to the store, by period. */
 export class StoreCallStats implements StoreCallObserver {
-  readonly #kinds = { read: new KindStats(), write: new KindStats() };
+  readonly #kinds = { read: new KindStats(), write: new KindStats(), feed: new KindStats() };
 
   onCall(record: StoreCallRecord): void {
     this.#kinds[record.kind].add(record);
@@ -69,6 +72,7 @@
 
   /** Returns the calls since the last call of this method. */
   take(): Readonly<Record<StoreCallRecord['kind'], StoreCallSummary>> {
-    return { read: this.#kinds.read.take(), write: this.#kinds.write.take() };
+    const { read, write, feed } = this.#kinds;
+    return { read: read.take(), write: write.take(), feed: feed.take() };
   }
 }
--- a/packages/coordination/src/io/store/transport.ts
+++ b/packages/coordination/src/io/store/transport.ts
@@ -62,7 +62,7 @@
   readonly writeConcurrency?: number;
   /** Maximum number of concurrent reads, including those that wait. Default `READ_CONCURRENCY`. */
   readonly readConcurrency?: number;
-  /** Told of each finished call, except for long polls. */
+  /** Told of each finished call. */
   readonly observer?: StoreCallObserver;
   /** Told when calls are sent and answered. */
   readonly contact?: StoreContactObserver;
@@ -137,10 +137,8 @@
   }
 
   #observe({ kind, waitMs }: HttpCall, outcome: StoreCallOutcome, startedAt: Millis): void {
-    if (waitMs === undefined) {
-      const ms = this.#options.clock.now() - startedAt;
-      this.#options.observer?.onCall({ kind, outcome, ms });
-    }
+    const ms = this.#options.clock.now() - startedAt;
+    this.#options.observer?.onCall({ kind: waitMs === undefined ? kind : 'feed', outcome, ms });
   }
 
   /** Runs when a connection is free, so that queued calls are refused once a backoff has begun. */
--- a/packages/coordination/test/store-call-stats.test.ts
+++ b/packages/coordination/test/store-call-stats.test.ts
@@ -21,3 +21,12 @@
   expect(read.unanswered).toBe(1);
   expect(stats.take().write.ms.count).toBe(0);
 });
+
+test('long polls hide the time of short reads, or are not counted at all', () => {
+  const stats = new StoreCallStats();
+  stats.onCall({ kind: 'feed', outcome: 'answered', ms: 400 });
+  stats.onCall({ kind: 'read', outcome: 'answered', ms: 5 });
+  const { read, feed } = stats.take();
+  expect(read.ms).toEqual({ count: 1, mean: 5, max: 5 });
+  expect(feed.ms).toEqual({ count: 1, mean: 400, max: 400 });
+});
