--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -213,34 +213,44 @@
     if (known !== undefined && isFinal(known)) {
       return Ok(known);
     }
-    const { cell, intake, signal, log } = this.#options;
+    const { signal, log } = this.#options;
     if (!this.#isReachable()) {
       return this.#stateWithoutStore(known);
     }
     const limit = AbortSignal.any([timeoutSignal(signal, timeoutMs), this.#contact.signal]);
-    const [stored, accepted] = await Promise.all([
-      cell.read([`progress/${id}`], limit),
-      known === undefined ? intake.read('jobs', id, limit) : Ok([]),
-    ]);
-    const rows = stored.andThen((progress) => accepted.map((jobs) => ({ progress, jobs })));
-    if (rows.isErr()) {
-      log.info('failed to read job state', { job: id, known, error: rows.error.kind });
+    const found = await this.#readStoredState(id, known, limit);
+    if (found.isOk()) {
+      this.#cacheState(id, found.value);
+    } else if (found.error.kind !== 'job-unknown') {
+      log.info('failed to read job state', { job: id, known, error: found.error.kind });
       if (!this.#isReachable()) {
         return this.#stateWithoutStore(known);
       }
-      return known === undefined ? rows : Ok(known);
+      return known === undefined ? found : Ok(known);
     }
-    const [progress] = rows.value.progress;
-    if (progress !== undefined) {
-      const { state } = progress.value as unknown as JobProgress;
-      this.#cacheState(id, state);
-      return Ok(state);
+    return found;
+  }
+
+  /** Most jobs that callers ask for have progress, so the job itself is read only without any. */
+  async #readStoredState(
+    id: JobId,
+    known: JobState | undefined,
+    limit: AbortSignal,
+  ): Promise<Result<JobState, AppError>> {
+    const { cell, intake } = this.#options;
+    const progress = await cell.read([`progress/${id}`], limit);
+    if (progress.isErr()) {
+      return progress;
     }
-    if (known === undefined && rows.value.jobs.length === 0) {
-      return fail('job-unknown', id);
+    const [row] = progress.value;
+    if (row !== undefined) {
+      return Ok((row.value as unknown as JobProgress).state);
+    }
+    if (known !== undefined) {
+      return Ok(known);
     }
-    this.#cacheState(id, known ?? 'queued');
-    return Ok(known ?? 'queued');
+    const jobs = await intake.read('jobs', id, limit);
+    return jobs.andThen(({ length }) => (length === 0 ? fail('job-unknown', id) : Ok('queued')));
   }
 
   #isReachable(): boolean {
