--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -169,9 +169,8 @@
         this.#service.setReachable(message.state === 'in-touch');
         return;
       case 'route':
-        // What was under way on the former route has failed; the lease must not end meanwhile.
+        // Renewals under way on the former route have failed; the lease must not end meanwhile.
         this.#elector.post({ type: 'renew' });
-        this.#elector.post({ type: 'poll' });
         return;
       case 'view':
         this.#setView(message.view);
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -47,7 +47,8 @@
 export const RUN_LEASE_MS: Millis = 4_500;
 /** Short, as the published counts of waiting jobs are as old as the latest read of the jobs. */
 const JOBS_WAIT_MS: Millis = 500;
-const JOBS_PAUSE_MS: Millis = 4;
+/** Batches jobs that arrive close together, at up to a hundred a second, into fewer reads and events. */
+const JOBS_PAUSE_MS: Millis = 20;
 const EXECUTORS_PAUSE_MS: Millis = 200;
 
 export interface JobOwnerOptions {
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -15,7 +15,7 @@
   type Result,
   type TeamName,
 } from '@turmerichoist/core';
-import { callTimeout, type JsonValue, type Row } from '@turmerichoist/coordination';
+import { callTimeout, type JsonValue } from '@turmerichoist/coordination';
 import { WindowStats, type LogFields, type Logger, type Metrics } from '@turmerichoist/runtime';
 import type { JobIntake } from './intake.js';
 import type { CallerTables, JobCall, JobReply } from './ports.js';
@@ -40,11 +40,6 @@
   readonly signal: AbortSignal;
 }
 
-interface JobRows {
-  readonly progress: readonly Row[];
-  readonly jobs: readonly Row[];
-}
-
 /** Serves the calls of callers, on every member of a cell. Errors: as in `ERROR_TABLE`. */
 export class JobService {
   readonly #options: JobServiceOptions;
@@ -218,48 +213,59 @@
     if (!this.#isReachable()) {
       return this.#stateWithoutStore(known);
     }
-    const rows = await this.#readRows(id, known === undefined, timeoutMs);
-    if (rows.isErr()) {
+    const found = await this.#readStoredState(id, known, timeoutMs);
+    if (found.isOk()) {
+      return Ok(this.#cacheState(id, found.value));
+    }
+    if (found.error.kind !== 'job-unknown') {
       this.#options.log.info('failed to read job state', {
         job: id,
         known,
-        error: rows.error.kind,
+        error: found.error.kind,
       });
       if (!this.#isReachable()) {
         return this.#stateWithoutStore(known);
       }
-      return known === undefined ? rows : Ok(known);
-    }
-    const [progress] = rows.value.progress;
-    if (progress !== undefined) {
-      const { state } = progress.value as unknown as JobProgress;
-      return Ok(this.#cacheState(id, state));
+      return known === undefined ? found : Ok(known);
     }
-    if (known === undefined && rows.value.jobs.length === 0) {
-      return fail('job-unknown', id);
-    }
-    return Ok(this.#cacheState(id, known ?? 'queued'));
+    return found;
   }
 
-  /** Reads the progress of a job and, if asked to, the job itself. */
-  async #readRows(
+  async #readStoredState(
     id: JobId,
-    withJob: boolean,
+    known: JobState | undefined,
     timeoutMs: Millis,
-  ): Promise<Result<JobRows, AppError>> {
-    const { cell, intake } = this.#options;
+  ): Promise<Result<JobState, AppError>> {
     const limit = callTimeout(this.#contact.signal, timeoutMs);
     try {
-      const [stored, accepted] = await Promise.all([
-        cell.read([`progress/${id}`], limit.signal),
-        withJob ? intake.read('jobs', id, limit.signal) : Ok([]),
-      ]);
-      return stored.andThen((progress) => accepted.map((jobs) => ({ progress, jobs })));
+      return await this.#readRows(id, known, limit.signal);
     } finally {
       limit.clear();
     }
   }
 
+  /** Most jobs that callers ask for have progress, so the job itself is read only without any. */
+  async #readRows(
+    id: JobId,
+    known: JobState | undefined,
+    signal: AbortSignal,
+  ): Promise<Result<JobState, AppError>> {
+    const { cell, intake } = this.#options;
+    const progress = await cell.read([`progress/${id}`], signal);
+    if (progress.isErr()) {
+      return progress;
+    }
+    const [row] = progress.value;
+    if (row !== undefined) {
+      return Ok((row.value as unknown as JobProgress).state);
+    }
+    if (known !== undefined) {
+      return Ok(known);
+    }
+    const jobs = await intake.read('jobs', id, signal);
+    return jobs.andThen(({ length }) => (length === 0 ? fail('job-unknown', id) : Ok('queued')));
+  }
+
   #isReachable(): boolean {
     return !this.#contact.signal.aborted;
   }
--- a/packages/daemon/src/jobs/progress-writer.ts
+++ b/packages/daemon/src/jobs/progress-writer.ts
@@ -15,8 +15,11 @@
 const MAX_BYTES = 600_000;
 /** Largest value that the store takes. A transaction with a larger one is rejected as a whole. */
 const MAX_ROW_BYTES = 65_536;
-/** Delay before a write, so that changes that arrive close together share a transaction. */
-const BATCH_DELAY_MS: Millis = 6;
+/**
+ * Delay before a write, so that changes that arrive close together share a transaction. Ends that
+ * executors list during it are acknowledged together, too, which takes fewer polls.
+ */
+const BATCH_DELAY_MS: Millis = 20;
 const RETRY_MS: Millis = 100;
 
 /**
