--- a/packages/coordination/src/io/relay/store-router.ts
+++ b/packages/coordination/src/io/relay/store-router.ts
@@ -91,10 +91,7 @@
     const serving = new DirectPath({ url, connections: SERVING_CONNECTIONS, signal });
     this.server = new RelayServer({
       direct: {
-        exchange: (call, ended) => {
-          options.metrics.count('relay.served');
-          return this.#exchangeDirect(call, serving, ended);
-        },
+        exchange: (call, ended) => this.#exchangeServed(call, serving, ended),
       },
       mayServe: () => this.#decider.mayServe(clock.now()),
       probe: () => this.#probeDirect(),
@@ -183,6 +180,21 @@
     return exchange;
   }
 
+  /** Sends a call of another member; one without an answer replaces the connections. */
+  async #exchangeServed(
+    call: HttpCall,
+    serving: DirectPath,
+    ended: AbortSignal,
+  ): Promise<Exchange> {
+    this.#options.metrics.count('relay.served');
+    const { generation } = serving;
+    const exchange = await this.#exchangeDirect(call, serving, ended);
+    if (exchange.isErr() && call.waitMs === undefined) {
+      serving.retire(generation);
+    }
+    return exchange;
+  }
+
   async #exchangeDirect(call: HttpCall, path: StorePath, signal: AbortSignal): Promise<Exchange> {
     const longPoll = call.waitMs !== undefined;
     if (!longPoll) {
