perf(jobs): scheduling rounds are 8 ms apart at least

RoundPacer queues the next one 8 ms after the one before at the earliest, so a start waits 4 ms longer on average.

--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -17,7 +17,6 @@
 } from '@turmerichoist/coordination';
 import {
   Actor,
-  afterArrivedInput,
   every,
   type ActorContext,
   type LogFields,
@@ -33,6 +32,7 @@
 import type { PendingAcknowledgement } from './progress-queue.js';
 import { ProgressWriter } from './progress-writer.js';
 import { ReportGate } from './report-gate.js';
+import { RoundPacer } from './round-pacer.js';
 import { StoredProgress } from './stored-progress.js';
 import { TakeoverTimes } from './takeover-times.js';
 import { WaveStatusWriter } from './wave-status-writer.js';
@@ -95,6 +95,7 @@
   /** Monotonic time from which orders to instances may be sent. */
   readonly #ordersAllowedAt: Millis;
   readonly #registry: ExecutorRegistry;
+  readonly #rounds: RoundPacer;
   readonly #stored: StoredProgress;
   readonly #reportGate = new ReportGate();
   readonly #takeoverTimes: TakeoverTimes;
@@ -103,7 +104,6 @@
   #leading = true;
   #jobsLoaded = false;
   #view: OperatorView | undefined;
-  #roundQueued = false;
 
   constructor(options: JobOwnerOptions, context: ActorContext) {
     super('owner', context);
@@ -113,6 +113,8 @@
     this.#load = new OwnerLoad(clock);
     this.#takeoverTimes = new TakeoverTimes(clock);
     this.#stored = new StoredProgress(this.log);
+    const queue = (): boolean => this.post({ type: 'schedule' });
+    this.#rounds = new RoundPacer({ clock, signal: this.signal, queue });
     const now = clock.now();
     const first = term.generation === 0;
     // Orders of an earlier process of this member have the same holder: no handover time.
@@ -228,7 +230,7 @@
       return;
     }
     if (event.type === 'schedule') {
-      this.#roundQueued = false;
+      this.#rounds.onRound();
     }
     this.#load.onEvent(event);
     this.#takeoverTimes.onEvent(event);
@@ -250,18 +252,9 @@
     decisions.forEach((decision) => {
       this.#execute(decision);
     });
-    this.#queueRound();
-  }
-
-  /** Queues one round behind all events that have arrived, so that its cost does not add to theirs. */
-  #queueRound(): void {
-    if (this.#roundQueued || !this.#decider.needsRound(this.#options.clock.now())) {
-      return;
+    if (this.#decider.needsRound(this.#options.clock.now())) {
+      this.#rounds.request();
     }
-    this.#roundQueued = true;
-    afterArrivedInput(this.signal, () => {
-      this.#roundQueued = this.post({ type: 'schedule' });
-    });
   }
 
   /** Tells the decider when the leader lease has lapsed, and when it is valid again. */
--- a/packages/runtime/src/timers.ts
+++ b/packages/runtime/src/timers.ts
@@ -29,6 +29,15 @@
   });
 }
 
+/** Calls `action` once after `ms`, unless the signal is aborted. */
+export function after(ms: Millis, signal: AbortSignal, action: () => void): void {
+  setTimeout(() => {
+    if (!signal.aborted) {
+      action();
+    }
+  }, ms);
+}
+
 /** Waits for `ms`. Resolves early, without an error, when the signal is aborted. */
 export async function sleep(ms: Millis, signal: AbortSignal): Promise<void> {
   try {
