perf(jobs): percent and gauge of runs that decide nothing are not kept

The gauge of a run changes with nearly every report, and each change replaced the run in three maps. Decisions depend on it for tasks with a latency target only, and on the percent for lasting tasks only, so those of other runs are kept from their first report.

--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -233,7 +233,7 @@
       if (unconfirmed) {
         // Reports of polls that were sent before this time may predate the start.
         this.#runs.update(run, { percent, gauge, phase: 'running', confirmedAt: now });
-      } else if (run.percent !== percent || run.gauge !== gauge) {
+      } else if (isObserved(run) && (run.percent !== percent || run.gauge !== gauge)) {
         this.#runs.update(run, { percent, gauge });
       }
       return;
@@ -345,3 +345,11 @@
     (phase === 'starting' && polledAt >= orderedAt + START_ANSWER_LIMIT_MS)
   );
 }
+
+/**
+ * Whether decisions depend on the percent or the gauge of a confirmed run: on the readiness of lasting
+ * tasks, and on the latency of tasks with a target. Those of other runs change with nearly every report.
+ */
+function isObserved({ lasting, targetMs }: Run): boolean {
+  return lasting || targetMs > 0;
+}
--- a/packages/measure/src/jobs/fleet-recording.ts
+++ b/packages/measure/src/jobs/fleet-recording.ts
@@ -25,6 +25,9 @@
 /** Time in which the lasting tasks start before the first finite job arrives. */
 const WARM_UP_MS: Millis = 2_000;
 const READY_PERCENT = 100;
+/** The gauge of the runs differs from report to report, and crosses the target of lasting tasks. */
+const MIN_GAUGE = 30;
+const GAUGE_RANGE = 100;
 
 /** An event with the monotonic time at which the decider handles it. */
 export interface TimedEvent {
@@ -187,12 +190,13 @@
   /** Delivers a report and sends the next poll, which is answered at the next end or after 1 s. */
   #answerPoll(executor: SimulatedExecutor): void {
     const { info, runs, ended, pollSentAt } = executor;
+    const gauge = MIN_GAUGE + (this.#time.now() % GAUGE_RANGE);
     const running = [...runs.values()].map(({ task, attempt }) => ({
       task,
       attempt,
       checkpoint: '',
       percent: READY_PERCENT,
-      gauge: 0,
+      gauge,
     }));
     this.#deliver({
       type: 'report',
