--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -19,7 +19,6 @@
 } from '@turmerichoist/coordination';
 import {
   Actor,
-  afterArrivedInput,
   every,
   type ActorContext,
   type LogFields,
@@ -38,6 +37,7 @@
 import type { PendingAcknowledgement } from './progress-queue.js';
 import { ProgressWriter } from './progress-writer.js';
 import { ReportGate } from './report-gate.js';
+import { RoundPacer } from './round-pacer.js';
 import { StoredProgress } from './stored-progress.js';
 import { TakeoverTimes } from './takeover-times.js';
 import { WaveStatusWriter } from './wave-status-writer.js';
@@ -93,6 +93,7 @@
   readonly #instances: InstanceControl;
   readonly #load: OwnerLoad;
   readonly #registry: ExecutorRegistry;
+  readonly #rounds: RoundPacer;
   readonly #stored: StoredProgress;
   readonly #reportGate = new ReportGate();
   readonly #takeoverTimes: TakeoverTimes;
@@ -101,7 +102,6 @@
   #leading = true;
   #jobsLoaded = false;
   #view: OperatorView | undefined;
-  #roundQueued = false;
 
   constructor(options: JobOwnerOptions, context: ActorContext) {
     super('owner', context);
@@ -111,6 +111,8 @@
     this.#load = new OwnerLoad(clock);
     this.#takeoverTimes = new TakeoverTimes(clock);
     this.#stored = new StoredProgress(this.log);
+    const queue = (): boolean => this.post({ type: 'schedule' });
+    this.#rounds = new RoundPacer({ clock, signal: this.signal, queue });
     this.#instances = new InstanceControl(
       { ...options, holder: member, store: orders, owner: this },
       { ...context, log: this.log },
@@ -220,7 +222,7 @@
       return;
     }
     if (event.type === 'schedule') {
-      this.#roundQueued = false;
+      this.#rounds.onRound();
     }
     this.#load.onEvent(event);
     this.#takeoverTimes.onEvent(event);
@@ -242,18 +244,9 @@
     decisions.forEach((decision) => {
       this.#execute(decision);
     });
-    this.#queueRound();
-  }
-
-  /** Queues one round behind all events that have arrived, so that its cost does not add to theirs. */
-  #queueRound(): void {
-    if (this.#roundQueued || !this.#decider.needsRound(this.#options.clock.now())) {
-      return;
+    if (this.#decider.needsRound(this.#options.clock.now())) {
+      this.#rounds.request();
     }
-    this.#roundQueued = true;
-    afterArrivedInput(this.signal, () => {
-      this.#roundQueued = this.post({ type: 'schedule' });
-    });
   }
 
   /** Tells the decider when the leader lease has lapsed, and when it is valid again. */
