fix(jobs): advice to refused callers goes by what callers of their queue give

While the store was away for some entries, first tries were told to wait for a second although another entry would have served them.

Cause: a call counts as a first try if it has the longest time that any caller has given for its type, over all queues and for the life of the process. Callers of other queues may give less time, and a new configuration may lower it.

Found by reading. "a first try is told to wait as callers of another queue give more time" (job-states) fails before. The longest time is now kept by queue and type of call, until the next configuration.

--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -52,11 +52,8 @@
   /** Aborted while the store doesn't answer this process. */
   #contact = new AbortController();
   readonly #counts: WaitingCounts;
-  readonly #advice: Readonly<Record<JobCall['action']['type'], RetryAdvice>> = {
-    submit: new RetryAdvice(),
-    read: new RetryAdvice(),
-    cancel: new RetryAdvice(),
-  };
+  /** By queue and type of call, since how much time callers give depends on both. */
+  readonly #advice = new Map<string, RetryAdvice>();
   /** Latest known state of jobs. A final state never changes. */
   readonly #cachedStates = new Map<JobId, JobState>();
   readonly #calls = {
@@ -83,6 +80,8 @@
     const { revision } = directory.config;
     if (revision > present) {
       this.#directory = directory;
+      // Callers of a queue may give other times from now on.
+      this.#advice.clear();
       this.#counts.setDirectory(directory);
       this.#options.log.info('configuration applied', { revision, present });
     }
@@ -132,21 +131,29 @@
     if (!JOB_ID.test(rest)) {
       return fail('bad-request', 'the job id must be 16 hexadecimal digits');
     }
-    this.#advice[call.action.type].observe(call.timeoutMs);
+    const advice = this.#adviceFor(route.queue, call.action.type);
+    advice.observe(call.timeoutMs);
     const startedAt = this.#options.clock.now();
     const reply = await this.#dispatch(directory, route, team.value, rest, call);
     const elapsedMs = this.#options.clock.now() - startedAt;
     this.#options.metrics.timing(`calls.${call.action.type}`, elapsedMs);
     this.#calls[call.action.type].add(elapsedMs);
-    return reply.mapErr((err) => this.#advise(err, call));
+    return reply.mapErr((err) => this.#advise(err, advice, call.timeoutMs));
   }
 
   /** Tells a caller whom the store's silence kept from being served when to come back. */
-  #advise(err: AppError, { action, timeoutMs }: JobCall): AppError {
+  #advise(err: AppError, advice: RetryAdvice, timeoutMs: Millis): AppError {
     if (err.kind !== 'store-unavailable' || this.#isReachable()) {
       return err;
     }
-    return { ...err, retryAfterMs: this.#advice[action.type].retryAfterMs(timeoutMs) };
+    return { ...err, retryAfterMs: advice.retryAfterMs(timeoutMs) };
+  }
+
+  #adviceFor(queue: QueueName, action: JobCall['action']['type']): RetryAdvice {
+    const key = `${action}/${queue}`;
+    const advice = this.#advice.get(key) ?? new RetryAdvice();
+    this.#advice.set(key, advice);
+    return advice;
   }
 
   #dispatch(
--- a/packages/daemon/src/jobs/retry-advice.ts
+++ b/packages/daemon/src/jobs/retry-advice.ts
@@ -8,7 +8,7 @@
 const RETRY_LATER_MS: Millis = 1_000;
 
 /**
- * Advises callers that a member turns away because the store doesn't answer it. The first try is
+ * Advises callers of one kind of call that a member turns away because the store doesn't answer it. The first try is
  * sent elsewhere at once. A caller that has used part of its time has been turned away before;
  * if it kept trying at once, its tries would be used up before the store is back.
  */
--- a/packages/daemon/test/job-states.test.ts
+++ b/packages/daemon/test/job-states.test.ts
@@ -108,3 +108,24 @@
   expect(await answer).toEqual({ type: 'state', state: 'queued' });
   expect(combined).not.toHaveBeenCalled();
 });
+
+test('a first try is told to wait as callers of another queue give more time', async () => {
+  const service = openService();
+  const [route] = JOB_CONFIG.callers.routes;
+  const routes = ['q1', 'q2'].map((queue) => ({
+    queue,
+    host: 'jobs.example',
+    pathPrefix: `/${queue}/`,
+    open: route?.open === true,
+  }));
+  const callers = { ...JOB_CONFIG.callers, routes };
+  service.setDirectory(new JobDirectory({ ...JOB_CONFIG, revision: 2, callers }));
+  service.setReachable(false);
+  const read = async (path: string, timeoutMs: number): Promise<unknown> => {
+    const reply = await service.handle({ ...REQUEST, path, timeoutMs, action: { type: 'read' } });
+    return reply.unwrapErr().retryAfterMs;
+  };
+  expect(await read(`/q1/${JOB}`, 3_000)).toBe(0);
+  expect(await read(`/q2/${JOB}`, 2_000)).toBe(0);
+  expect(await read(`/q2/${JOB}`, 1_500)).toBe(1_000);
+});
