fix(jobs): orders of an earlier version's process of the same member are not taken as announced

Found by reading, not in a play: after a process of a version without announcements, a new one of the same member waits for 1.5 s only, as the holder is the same, but then told its successor that all orders of the last while were announced. It says so after the whole handover time now.

--- a/packages/daemon/src/jobs/instance-control.ts
+++ b/packages/daemon/src/jobs/instance-control.ts
@@ -54,26 +54,29 @@
   readonly #context: ActorContext;
   readonly #announcer: OrderAnnouncer;
   readonly #queue = new PQueue({ concurrency: ORDER_CONCURRENCY });
+  /** Monotonic time from which announced orders are complete whatever former owners announced. */
+  readonly #announcedFrom: Millis;
   #polledAt: Millis = -Infinity;
   #polling = false;
 
   constructor(options: InstanceControlOptions, context: ActorContext) {
     this.#options = options;
     this.#context = context;
-    const { term, clock } = options;
+    const { term, clock, orderHandoverMs } = options;
     const electedAt = clock.now();
     this.ordersAllowedAt = electedAt + this.#handoverMs();
+    this.#announcedFrom = term.generation === 0 ? electedAt : electedAt + orderHandoverMs;
     this.#announcer = new OrderAnnouncer({ ...options, epoch: term.epoch, electedAt }, context);
   }
 
   /** Whether instances that the announced orders don't name can be ordered about at once. */
   get announcesOrders(): boolean {
-    return this.#formerAnnounced || !this.#mayConflict;
+    return this.#formerAnnounced || this.#options.clock.now() >= this.#announcedFrom;
   }
 
   /** Whether no order of a former owner can conflict any more. */
   get mayOrder(): boolean {
-    return !this.#mayConflict;
+    return this.#options.clock.now() >= this.ordersAllowedAt;
   }
 
   /** Reads which instances former owners have ordered about, if all of them announced it. */
@@ -122,10 +125,6 @@
     return this.#options.inheritedBulletin.announcesOrders === true;
   }
 
-  get #mayConflict(): boolean {
-    return this.#options.clock.now() < this.ordersAllowedAt;
-  }
-
   /** Time after the election in which orders of former owners may conflict. */
   #handoverMs(): Millis {
     const { term, inheritedBulletin, orderHandoverMs } = this.#options;
--- a/packages/daemon/test/instance-control.test.ts
+++ b/packages/daemon/test/instance-control.test.ts
@@ -222,6 +222,17 @@
     expect(control.announcesOrders).toBe(true);
   });
 
+  // Its own member's orders need not be waited for by itself, but by another member.
+  test('tells its successor nothing of the orders of its own process of an earlier version', () => {
+    const term = { epoch: 1, generation: 4, succeedsSelf: true };
+    const control = newControl({ term, inheritedBulletin: EARLIER_VERSION });
+    expect(control.ordersAllowedAt).toBe(ELECTED_AT + SETTLE_MS);
+    clock.advance(SETTLE_MS);
+    expect([control.mayOrder, control.announcesOrders]).toEqual([true, false]);
+    clock.advance(HANDOVER_MS - SETTLE_MS);
+    expect(control.announcesOrders).toBe(true);
+  });
+
   test('waits for the whole time because the store did not answer its first read', async () => {
     const control = newControl();
     store.setFaults({ down: true });
