--- a/packages/coordination/src/io/leader-elector.ts
+++ b/packages/coordination/src/io/leader-elector.ts
@@ -47,7 +47,10 @@
 export const CELL_CANDIDATE_KEY = 'cell/candidate';
 
 export type LeaderMessage =
-  { readonly type: 'renew' } | { readonly type: 'stop'; readonly done: () => void };
+  /** Reads the rows at once, unless a read is under way. */
+  | { readonly type: 'poll' }
+  | { readonly type: 'renew' }
+  | { readonly type: 'stop'; readonly done: () => void };
 
 export type LeaderEvent =
   | { readonly type: 'elected'; readonly term: LeaderTerm }
@@ -100,6 +103,7 @@
   readonly #lateness = new LoopLateness(RENEW_INTERVAL_MS);
   #announcedTerm: LeaderTerm | undefined;
   #stopped = false;
+  #reading = false;
   /** Whether a claim or a release is under way. */
   #changingOwner = false;
   /** Monotonic time at which the last claim or release ended; earlier reads are out of date. */
@@ -130,6 +134,9 @@
 
   protected async receive(message: LeaderMessage): Promise<void> {
     switch (message.type) {
+      case 'poll':
+        void this.#read(this.#options.clock.now());
+        return;
       case 'renew':
         void this.#renew();
         return;
@@ -155,7 +162,12 @@
   }
 
   async #read(sentAt: Millis): Promise<void> {
+    if (this.#reading) {
+      return;
+    }
+    this.#reading = true;
     const read = await this.#options.store.range('cell/', '', 10, this.signal);
+    this.#reading = false;
     if (read.isErr()) {
       this.log.debug('cell rows not readable', { error: read.error.kind });
       return;
--- a/packages/daemon/src/jobs/acceptor.ts
+++ b/packages/daemon/src/jobs/acceptor.ts
@@ -7,13 +7,21 @@
   type Random,
   type Result,
 } from '@turmerichoist/core';
-import type { JsonValue, TableStore, Transaction, TxnOutcome } from '@turmerichoist/coordination';
+import {
+  callTimeout,
+  type JsonValue,
+  type TableStore,
+  type Transaction,
+  type TxnOutcome,
+} from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext } from '@turmerichoist/runtime';
 
 /** Delay before a write, so that submissions that arrive close together share a transaction. */
 const BATCH_DELAY_MS: Millis = 3;
 const MAX_ROWS = 40;
 const MAX_BYTES = 400_000;
+/** Largest value that the store takes. A transaction with a larger one is rejected as a whole. */
+const MAX_ROW_BYTES = 65_536;
 /** Upper bound of the delay before the first retry; doubles with each failure. */
 const RETRY_BASE_MS: Millis = 25;
 /** Upper bound of the delay before any retry, well below the time for which callers wait. */
@@ -30,6 +38,8 @@
 interface Submission {
   readonly key: string;
   readonly value: JsonValue;
+  /** Size of the encoded value. */
+  readonly bytes: number;
   readonly deadline: Millis;
   readonly reply: (result: Result<void, AppError>) => void;
 }
@@ -55,7 +65,7 @@
  * same reason an insert that failed or whose outcome is unknown is repeated until the deadline.
  * Errors: `store-unavailable` or `deadline-passed` if none of the attempts for this call wrote the
  * row and none ever will, `outcome-unknown` if one may have written it or the process stops,
- * `not-ready` on shutdown. While the store doesn't answer, submissions of which no attempt may have
+ * `body-too-large` if the store takes no such row, `not-ready` on shutdown. While the store doesn't answer, submissions of which no attempt may have
  * been stored fail at once, and no attempts are sent.
  */
 export class Acceptor extends Actor<AcceptMessage> {
@@ -74,24 +84,30 @@
 
   /** Inserts a row if it does not exist. A retry must pass an equivalent value; the first stays. */
   accept(key: string, value: JsonValue, deadline: Millis): Promise<Result<void, AppError>> {
+    const bytes = Buffer.byteLength(JSON.stringify(value));
+    if (bytes > MAX_ROW_BYTES) {
+      return Promise.resolve(fail('body-too-large', `a row holds ${MAX_ROW_BYTES} bytes`));
+    }
     return new Promise((resolve) => {
-      const answered = new AbortController();
+      const expiry = callTimeout(this.signal, Math.max(0, deadline - this.#options.clock.now()));
       const reply = (result: Result<void, AppError>): void => {
-        answered.abort();
+        expiry.clear();
         resolve(result);
       };
-      const submission: Submission = { key, value, deadline, reply };
+      const submission: Submission = { key, value, bytes, deadline, reply };
       if (!this.post({ type: 'accept', submission })) {
         reply(fail('not-ready', 'stopping'));
+        return;
       }
-      void this.#expireAtDeadline(submission, answered.signal);
+      expiry.signal.addEventListener('abort', () => {
+        this.#expire(submission);
+      });
     });
   }
 
-  async #expireAtDeadline(submission: Submission, answered: AbortSignal): Promise<void> {
-    const remainingMs = Math.max(0, submission.deadline - this.#options.clock.now());
-    await sleep(remainingMs, AbortSignal.any([this.signal, answered]));
-    if (!answered.aborted && !this.post({ type: 'expired', submission })) {
+  /** Called at the deadline or when the process stops. */
+  #expire(submission: Submission): void {
+    if (!this.post({ type: 'expired', submission })) {
       // Whether a write is in flight is not known here.
       this.#answer(submission, fail('outcome-unknown', 'stopping'));
     }
@@ -175,12 +191,12 @@
   }
 
   #takeBatch(): readonly Submission[] {
-    let bytes = 0;
+    let batchBytes = 0;
     let count = 0;
     const keys = new Set<string>();
-    for (const { key, value } of this.#waiting) {
-      bytes += JSON.stringify(value).length;
-      if (count >= MAX_ROWS || (count > 0 && bytes > MAX_BYTES) || keys.has(key)) {
+    for (const { key, bytes } of this.#waiting) {
+      batchBytes += bytes;
+      if (count >= MAX_ROWS || (count > 0 && batchBytes > MAX_BYTES) || keys.has(key)) {
         break;
       }
       keys.add(key);
@@ -200,14 +216,15 @@
     return false;
   }
 
-  #commit(batch: readonly Submission[]): Promise<Result<TxnOutcome, AppError>> {
+  async #commit(batch: readonly Submission[]): Promise<Result<TxnOutcome, AppError>> {
     const { store, clock } = this.#options;
     const deadline = Math.max(...batch.map((submission) => submission.deadline));
-    const limit = AbortSignal.any([
-      this.signal,
-      AbortSignal.timeout(Math.max(1, Math.ceil(deadline - clock.now()))),
-    ]);
-    return store.commit(this.#transaction(batch), limit);
+    const limit = callTimeout(this.signal, Math.max(1, deadline - clock.now()));
+    try {
+      return await store.commit(this.#transaction(batch), limit.signal);
+    } finally {
+      limit.clear();
+    }
   }
 
   /** Answers the submissions whose rows exist now, and queues the others again. */
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -15,14 +15,8 @@
   type Result,
   type TeamName,
 } from '@turmerichoist/core';
-import type { JsonValue } from '@turmerichoist/coordination';
-import {
-  timeoutSignal,
-  WindowStats,
-  type LogFields,
-  type Logger,
-  type Metrics,
-} from '@turmerichoist/runtime';
+import { callTimeout, type JsonValue } from '@turmerichoist/coordination';
+import { WindowStats, type LogFields, type Logger, type Metrics } from '@turmerichoist/runtime';
 import type { JobIntake } from './intake.js';
 import type { CallerTables, JobCall, JobReply } from './ports.js';
 import { RetryAdvice } from './retry-advice.js';
@@ -69,6 +63,9 @@
   constructor(options: JobServiceOptions) {
     this.#options = options;
     this.#counts = new WaitingCounts(options.clock);
+    options.signal.addEventListener('abort', () => {
+      this.#contact.abort();
+    });
   }
 
   get ready(): boolean {
@@ -213,44 +210,48 @@
     if (known !== undefined && isFinal(known)) {
       return Ok(known);
     }
-    const { signal, log } = this.#options;
     if (!this.#isReachable()) {
       return this.#stateWithoutStore(known);
     }
-    const limit = AbortSignal.any([timeoutSignal(signal, timeoutMs), this.#contact.signal]);
-    const found = await this.#readStoredState(id, known, limit);
+    const found = await this.#readStoredState(id, known, timeoutMs);
     if (found.isOk()) {
-      this.#cacheState(id, found.value);
-    } else if (found.error.kind !== 'job-unknown') {
-      log.info('failed to read job state', { job: id, known, error: found.error.kind });
-      if (!this.#isReachable()) {
-        return this.#stateWithoutStore(known);
-      }
-      return known === undefined ? found : Ok(known);
+      return Ok(this.#cacheState(id, found.value));
+    }
+    if (found.error.kind === 'job-unknown') {
+      return found;
     }
-    return found;
+    this.#options.log.info('failed to read job state', { job: id, known, error: found.error.kind });
+    if (!this.#isReachable()) {
+      return this.#stateWithoutStore(known);
+    }
+    return known === undefined ? found : Ok(known);
   }
 
   /** Most jobs that callers ask for have progress, so the job itself is read only without any. */
   async #readStoredState(
     id: JobId,
     known: JobState | undefined,
-    limit: AbortSignal,
+    timeoutMs: Millis,
   ): Promise<Result<JobState, AppError>> {
     const { cell, intake } = this.#options;
-    const progress = await cell.read([`progress/${id}`], limit);
-    if (progress.isErr()) {
-      return progress;
-    }
-    const [row] = progress.value;
-    if (row !== undefined) {
-      return Ok((row.value as unknown as JobProgress).state);
-    }
-    if (known !== undefined) {
-      return Ok(known);
+    const limit = callTimeout(this.#contact.signal, timeoutMs);
+    try {
+      const progress = await cell.read([`progress/${id}`], limit.signal);
+      if (progress.isErr()) {
+        return progress;
+      }
+      const [row] = progress.value;
+      if (row !== undefined) {
+        return Ok((row.value as unknown as JobProgress).state);
+      }
+      if (known !== undefined) {
+        return Ok(known);
+      }
+      const jobs = await intake.read('jobs', id, limit.signal);
+      return jobs.andThen(({ length }) => (length === 0 ? fail('job-unknown', id) : Ok('queued')));
+    } finally {
+      limit.clear();
     }
-    const jobs = await intake.read('jobs', id, limit);
-    return jobs.andThen(({ length }) => (length === 0 ? fail('job-unknown', id) : Ok('queued')));
   }
 
   #isReachable(): boolean {
@@ -295,7 +296,13 @@
     return fail('not-ready', `waiting count ${reason}`, RETRY_AFTER_MS);
   }
 
-  #cacheState(id: JobId, state: JobState): void {
+  /**
+   * Keeps a state that was read, unless a later one is known: reads overtake each other. Returns the
+   * later one.
+   */
+  #cacheState(id: JobId, read: JobState): JobState {
+    const known = this.#cachedStates.get(id);
+    const state = known !== undefined && stageOf(known) > stageOf(read) ? known : read;
     this.#cachedStates.set(id, state);
     if (this.#cachedStates.size > MAX_CACHED_STATES) {
       const [oldest] = this.#cachedStates.keys();
@@ -303,9 +310,15 @@
         this.#cachedStates.delete(oldest);
       }
     }
+    return state;
   }
 }
 
+/** States of a job follow each other in the order of their stages. */
+function stageOf(state: JobState): number {
+  return state === 'queued' ? 0 : isFinal(state) ? 2 : 1;
+}
+
 function isFinal(state: JobState): boolean {
   return state === 'completed' || state === 'failed' || state === 'cancelled';
 }
--- a/packages/daemon/src/jobs/stored-progress.ts
+++ b/packages/daemon/src/jobs/stored-progress.ts
@@ -1,8 +1,14 @@
-import type { JobId, JobProgress, MaintenanceWave } from '@turmerichoist/core';
+import type { JobId, JobProgress, MaintenanceWave, Millis } from '@turmerichoist/core';
 import type { ChangeFeed, RowChange } from '@turmerichoist/coordination';
-import type { Logger } from '@turmerichoist/runtime';
+import { sleep, type Logger } from '@turmerichoist/runtime';
 import type { OperatorView } from './ports.js';
 
+/**
+ * Pause after a failed read. The store client refuses calls at once while it backs off, so without a
+ * pause no input would be handled, not even the answer that ends the backoff.
+ */
+const RETRY_MS: Millis = 100;
+
 interface StoredWave {
   readonly begun: readonly string[];
   readonly completed: boolean;
@@ -26,10 +32,14 @@
 
   /** Reads all rows, and tries again until it succeeds or the signal is aborted. */
   async load(cell: ChangeFeed, signal: AbortSignal): Promise<void> {
-    for (const { key, value } of await this.#read(cell, 'progress', signal)) {
+    const [jobs, waves] = await Promise.all([
+      this.#read(cell, 'progress', signal),
+      this.#read(cell, 'waves', signal),
+    ]);
+    for (const { key, value } of jobs) {
       this.#jobs.set(nameOf(key), value as unknown as JobProgress);
     }
-    for (const { key, value } of await this.#read(cell, 'waves', signal)) {
+    for (const { key, value } of waves) {
       this.#waves.set(Number(nameOf(key)), value as unknown as StoredWave);
     }
     this.#loaded = !signal.aborted;
@@ -51,6 +61,7 @@
         return read.value.rows;
       }
       this.#log.warn('failed to load table, retrying', { table, error: read.error.kind });
+      await sleep(RETRY_MS, signal);
     }
     return [];
   }
