--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -169,8 +169,9 @@
         this.#service.setReachable(message.state === 'in-touch');
         return;
       case 'route':
-        // Renewals under way on the former route have failed; the lease must not end meanwhile.
+        // What was under way on the former route has failed; the lease must not end meanwhile.
         this.#elector.post({ type: 'renew' });
+        this.#elector.post({ type: 'poll' });
         return;
       case 'view':
         this.#setView(message.view);
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -224,18 +224,14 @@
     if (found.isOk()) {
       return Ok(this.#cacheState(id, found.value));
     }
-    if (found.error.kind !== 'job-unknown') {
-      this.#options.log.info('failed to read job state', {
-        job: id,
-        known,
-        error: found.error.kind,
-      });
-      if (!this.#isReachable()) {
-        return this.#stateWithoutStore(known);
-      }
-      return known === undefined ? found : Ok(known);
+    if (found.error.kind === 'job-unknown') {
+      return found;
+    }
+    this.#options.log.info('failed to read job state', { job: id, known, error: found.error.kind });
+    if (!this.#isReachable()) {
+      return this.#stateWithoutStore(known);
     }
-    return found;
+    return known === undefined ? found : Ok(known);
   }
 
   async #readStoredState(
