fix(jobs): no warning of a listener leak when a member begins to lead

Cause: a new owner makes more than ten calls at once, each with a listener on the signal of its term. Change: no limit of listeners on this signal, which ends with the term.

--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import {
   JobDirectory,
   SeededRandom,
@@ -212,6 +213,8 @@
     const { cell, openIntakeFeed, shared, maxLeaseMs, orderHandoverMs } = this.#options;
     const controller = new AbortController();
     const signal = AbortSignal.any([this.signal, controller.signal]);
+    // The calls that a new owner makes at once exceed the number for which Node.js warns of a leak.
+    setMaxListeners(0, signal);
     const owner = new JobOwner(
       {
         member,
