--- a/packages/coordination/src/store/types.ts
+++ b/packages/coordination/src/store/types.ts
@@ -7,6 +7,9 @@
 export type JsonValue =
   null | boolean | number | string | readonly JsonValue[] | { readonly [name: string]: JsonValue };
 
+/** Largest encoded value of a row. A transaction with a larger one is rejected as a whole. */
+export const MAX_VALUE_BYTES = 65_536;
+
 export interface Row {
   readonly key: string;
   readonly version: RowVersion;
--- a/packages/daemon/src/jobs/acceptor.ts
+++ b/packages/daemon/src/jobs/acceptor.ts
@@ -8,6 +8,7 @@
   type Result,
 } from '@turmerichoist/core';
 import {
+  MAX_VALUE_BYTES,
   callTimeout,
   type JsonValue,
   type TableStore,
@@ -20,8 +21,6 @@
 const BATCH_DELAY_MS: Millis = 3;
 const MAX_ROWS = 40;
 const MAX_BYTES = 400_000;
-/** Largest value that the store takes. A transaction with a larger one is rejected as a whole. */
-const MAX_ROW_BYTES = 65_536;
 /** Upper bound of the delay before the first retry; doubles with each failure. */
 const RETRY_BASE_MS: Millis = 25;
 /** Upper bound of the delay before any retry, well below the time for which callers wait. */
@@ -65,8 +64,8 @@
  * same reason an insert that failed or whose outcome is unknown is repeated until the deadline.
  * Errors: `store-unavailable` or `deadline-passed` if none of the attempts for this call wrote the
  * row and none ever will, `outcome-unknown` if one may have written it or the process stops,
- * `body-too-large` if the store takes no such row, `not-ready` on shutdown. While the store doesn't answer, submissions of which no attempt may have
- * been stored fail at once, and no attempts are sent.
+ * `body-too-large` if the store takes no such row, `not-ready` on shutdown. While the store doesn't
+ * answer, submissions of which no attempt may have been stored fail at once, and no attempts are sent.
  */
 export class Acceptor extends Actor<AcceptMessage> {
   readonly #options: AcceptorOptions;
@@ -85,8 +84,8 @@
   /** Inserts a row if it does not exist. A retry must pass an equivalent value; the first stays. */
   accept(key: string, value: JsonValue, deadline: Millis): Promise<Result<void, AppError>> {
     const bytes = Buffer.byteLength(JSON.stringify(value));
-    if (bytes > MAX_ROW_BYTES) {
-      return Promise.resolve(fail('body-too-large', `a row holds ${MAX_ROW_BYTES} bytes`));
+    if (bytes > MAX_VALUE_BYTES) {
+      return Promise.resolve(fail('body-too-large', `a row holds ${MAX_VALUE_BYTES} bytes`));
     }
     return new Promise((resolve) => {
       const expiry = callTimeout(this.signal, Math.max(0, deadline - this.#options.clock.now()));
--- a/packages/daemon/src/jobs/progress-writer.ts
+++ b/packages/daemon/src/jobs/progress-writer.ts
@@ -1,5 +1,5 @@
 import type { Clock, JobId, JobProgress, Millis } from '@turmerichoist/core';
-import type { JsonValue, TableStore } from '@turmerichoist/coordination';
+import { MAX_VALUE_BYTES, type JsonValue, type TableStore } from '@turmerichoist/coordination';
 import { Actor, sleep, type ActorContext, type Metrics } from '@turmerichoist/runtime';
 import {
   ProgressQueue,
@@ -13,8 +13,6 @@
 const MAX_ROWS = 80;
 /** Size of a batch, which grows by a third when it is sent; a transaction holds 1 MB. */
 const MAX_BYTES = 600_000;
-/** Largest value that the store takes. A transaction with a larger one is rejected as a whole. */
-const MAX_ROW_BYTES = 65_536;
 /**
  * Delay before a write, so that changes that arrive close together share a transaction. Ends that
  * executors list during it are acknowledged together, too, which takes fewer polls.
@@ -112,10 +110,10 @@
    */
   #fitsIntoRow({ job, progress }: QueuedProgress): boolean {
     const bytes = progressBytes(progress);
-    if (bytes > MAX_ROW_BYTES) {
+    if (bytes > MAX_VALUE_BYTES) {
       this.log.error('progress is too large to store', { job, bytes });
     }
-    return bytes <= MAX_ROW_BYTES;
+    return bytes <= MAX_VALUE_BYTES;
   }
 
   /** Retries until the rows are stored. Returns false on shutdown or if another owner leads. */
