--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -131,7 +131,11 @@
       for (const donor of this.#donors(free, pool, pools, now)) {
         // Each move reduces what the donor's pool can still lend.
         const isStandby = pools.get(donor.pool)?.standby === true;
-        if (missing > 0 && !taken.has(donor.name) && (isStandby || this.#canLend(donor, now))) {
+        if (
+          missing > 0 &&
+          !taken.has(donor.name) &&
+          (isStandby || this.#tryTakeFromPool(donor, now))
+        ) {
           taken.add(donor.name);
           missing -= 1;
           decisions.push(this.#move(donor, pool, now));
@@ -208,8 +212,8 @@
       .length;
   }
 
-  /** Whether an idle instance's pool can do without it. If so, it counts as lent. */
-  #canLend({ pool, capacity }: PoolInstance, now: Millis): boolean {
+  /** Takes an idle instance from what its pool can lend in this plan; false if none is left. */
+  #tryTakeFromPool({ pool, capacity }: PoolInstance, now: Millis): boolean {
     const least = (this.#initialSizes?.get(pool) ?? 0) * MIN_POOL_SHARE + 1;
     const spare = this.#spareProcessors(pool, now) - capacity.processors;
     if (spare < 0 || this.#remainingCount(pool) <= least) {
