--- a/review/lib/installation.mjs
+++ b/review/lib/installation.mjs
@@ -10,6 +10,8 @@
 
 const ZONES = ['north-a', 'north-b', 'north-c'];
 const READY_TIMEOUT_MS = 20_000;
+/** A run that takes longer counts as one that could not run. */
+const RUN_LIMIT_MS = 118_000;
 /** Part of the store with the rows of the leader; only read here, to tell which member to disturb. */
 const CELL_PART = 'c0';
 
@@ -43,9 +45,14 @@
   #network = pickNetwork();
   #folder = mkdtempSync(join(tmpdir(), 'review-'));
   #cloud;
+  #closed = false;
 
   constructor(record) {
     this.#record = record;
+    // Whatever ends this process, the processes that it has started end, too.
+    process.once('exit', () => this.close());
+    ['SIGTERM', 'SIGINT'].forEach((signal) => process.once(signal, () => process.exit(2)));
+    setTimeout(() => process.exit(2), RUN_LIMIT_MS).unref();
   }
 
   get folder() {
@@ -142,6 +149,10 @@
   }
 
   close() {
+    if (this.#closed) {
+      return;
+    }
+    this.#closed = true;
     this.members.forEach((member) => member.stop());
     this.executors.forEach((executor) => executor.life !== undefined && executor.crash());
     this.#cloud?.close();
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -17,8 +17,20 @@
 const idOf = ({ table, part = '', key }) => `${table}\n${part}\n${key}`;
 const pause = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
+/** Index of the first key that is not below `key`. */
+function positionOf(keys, key) {
+  let [low, high] = [0, keys.length];
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    [low, high] = keys[middle] < key ? [middle + 1, high] : [low, middle];
+  }
+  return low;
+}
+
 export class StandInStore {
   #rows = new Map();
+  /** Keys by table and part, in ascending order. */
+  #keys = new Map();
   /** Latest change of each row, in the order of their versions. */
   #changes = new Map();
   #version = 0;
@@ -42,6 +54,30 @@
     this.#apply([{ table, part: '', key, value: encoded }], []);
   }
 
+  /**
+   * Adds rows as if they had been written long ago: calls that wait for changes do not show them.
+   * Each is `{ table, part, key, value }`, with the encoded value.
+   */
+  addOld(rows) {
+    for (const row of rows) {
+      this.#rows.set(idOf(row), { ...row, ver: 1 });
+      this.#keysOf(row).push(row.key);
+    }
+    this.#keys.forEach((keys) => keys.sort());
+  }
+
+  #keysOf({ table, part = '' }) {
+    const name = `${table}\n${part}`;
+    const keys = this.#keys.get(name) ?? [];
+    this.#keys.set(name, keys);
+    return keys;
+  }
+
+  /** The stored rows of a table, in all parts. */
+  rowsOf(table) {
+    return [...this.#rows.values()].filter((row) => row.table === table);
+  }
+
   remove(table, key) {
     this.#apply([], [{ table, part: '', key }]);
   }
@@ -55,7 +91,13 @@
   /** May answer a transaction otherwise: `(carryOut) => answer`. */
   interceptTransaction = (carryOut) => carryOut();
 
+  /** While true, calls are turned away with 503. */
+  down = false;
+
   async #handle({ path, query, body }) {
+    if (this.down) {
+      return { status: 503 };
+    }
     if (path === '/-/rows-tx') {
       return this.interceptTransaction(() => this.#transact(body));
     }
@@ -102,11 +144,18 @@
     this.#version += 1;
     const ver = this.#version;
     for (const { table, part = '', key, value } of writes) {
+      if (!this.#rows.has(idOf({ table, part, key }))) {
+        const keys = this.#keysOf({ table, part });
+        keys.splice(positionOf(keys, key), 0, key);
+      }
       this.#rows.set(idOf({ table, part, key }), { table, part, key, value, ver });
       this.#change({ table, part, key, value, ver });
     }
     for (const { table, part = '', key } of remove) {
-      this.#rows.delete(idOf({ table, part, key }));
+      if (this.#rows.delete(idOf({ table, part, key }))) {
+        const keys = this.#keysOf({ table, part });
+        keys.splice(positionOf(keys, key), 1);
+      }
       this.#change({ table, part, key, ver, deleted: true });
     }
     this.#waiters.forEach((wake) => wake());
@@ -121,22 +170,22 @@
     const [table, part] = [query.get('table'), query.get('part') ?? ''];
     const [start, end] = [query.get('startKey') ?? '', query.get('target')];
     const limit = Math.min(MAX_PAGE_ROWS, Number(query.get('limit') ?? MAX_PAGE_ROWS));
-    const found = [...this.#rows.values()]
-      .filter((row) => row.table === table && row.part === part)
-      .filter(({ key }) => key >= start && (end === null || key < end))
-      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    const keys = this.#keysOf({ table, part });
+    const first = positionOf(keys, start);
+    const last = end === null ? keys.length : positionOf(keys, end);
     const rows = [];
     let bytes = 0;
-    for (const row of found) {
+    for (let i = first; i < last && rows.length < limit; i += 1) {
+      const row = this.#rows.get(idOf({ table, part, key: keys[i] }));
       bytes += row.value.length;
-      if (rows.length >= limit || (rows.length > 0 && bytes > MAX_PAGE_BYTES)) {
+      if (rows.length > 0 && bytes > MAX_PAGE_BYTES) {
         break;
       }
       rows.push(row);
     }
     return {
       rows,
-      hasMore: rows.length < found.length,
+      hasMore: first + rows.length < last,
       ver: this.#version,
       nowMs: performance.now(),
     };
