Leave ends out of the review's check whose lease lapsed first

An end is not taken note of if the executor's lease lapsed before. The check of TWICE in the scripts did not tell.

--- a/review/lib/executor.mjs
+++ b/review/lib/executor.mjs
@@ -18,6 +18,8 @@
   startedAt = performance.now();
   fence = 0;
   deadline = 0;
+  /** Whether the lease of what runs has ended, as it has before the first. */
+  lapsed = true;
   sequence = 0;
   acked = 0;
   nextEnd = 1;
@@ -41,8 +43,9 @@
   #server;
   #timers = [];
 
-  constructor({ id, service, zone, rack, capacity, store, plan, resources, log }) {
-    Object.assign(this, { id, service, zone, rack, capacity, store, plan, resources, log });
+  constructor({ kind = 'a', ...options }) {
+    const { id, service, zone, rack, capacity, store, plan, resources, log } = options;
+    Object.assign(this, { id, service, zone, rack, capacity, store, plan, resources, log, kind });
     /** May hold a call back or answer it otherwise: `(call, carryOut) => answer`. */
     this.intercept = (_call, carryOut) => carryOut();
   }
@@ -87,7 +90,7 @@
       state: 'ready',
       coldRemainingMs: 0,
       capacity,
-      labels: ['a', rack],
+      labels: [this.kind, rack],
       clockMs: life.clockMs,
       sequence: life.sequence,
       born: life.born,
@@ -196,7 +199,12 @@
   }
 
   #checkLease(life) {
-    if (life.clockMs >= life.deadline) {
+    const lapsed = life.clockMs >= life.deadline;
+    if (lapsed && !life.lapsed) {
+      this.log('lapse', { executor: this.id, born: life.born });
+    }
+    life.lapsed = lapsed;
+    if (lapsed) {
       [...life.running.values()].forEach((run) => this.#end(life, run, 'lapsed'));
     }
   }
--- a/review/lib/installation.mjs
+++ b/review/lib/installation.mjs
@@ -74,12 +74,12 @@
     if (path !== '/-/machines') {
       return { status: 409, body: { reason: 'busy' } };
     }
-    const machines = this.executors.map(({ id, service, zone, rack, capacity, life }) => ({
+    const machines = this.executors.map(({ id, service, zone, rack, kind, capacity, life }) => ({
       machine: `m-${id}`,
       pool: service,
       state: life === undefined ? 'down' : 'up',
       zone,
-      labels: ['a', rack],
+      labels: [kind, rack],
       capacity,
       id,
     }));
@@ -91,13 +91,14 @@
     this.#record.write(`${type} ${JSON.stringify(fields)}`);
   };
 
-  async addExecutor({ service, capacity, plan, resources }) {
+  async addExecutor({ service, capacity, plan, resources, kind }) {
     const number = this.executors.length;
     const executor = new StandInExecutor({
       id: `i-${number}`,
       service,
       zone: ZONES[number % ZONES.length],
       rack: `r-${number}`,
+      kind,
       capacity,
       plan,
       resources,
