--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -21,4 +21,5 @@
   type RankedJob,
 } from './ordering.js';
 export type { ExecutorCounts, CellPoolLoad, CellPoolLoadView } from './pool-load.js';
+export type { RecoverySummary } from './recovery.js';
 export { TaskDurations } from './task-durations.js';
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -10,7 +10,7 @@
 import { PaceController } from './pace-controller.js';
 import { PendingAcknowledgements } from './pending-acknowledgements.js';
 import { CellPoolLoadView } from './pool-load.js';
-import { Recovery, type RecoveryOptions } from './recovery.js';
+import { Recovery, type RecoveryOptions, type RecoverySummary } from './recovery.js';
 import { RunReconciler } from './run-reconciler.js';
 import { RunTable } from './run-table.js';
 import { SchedulingAgenda } from './scheduling-agenda.js';
@@ -118,6 +118,11 @@
     return this.#recovery.awaitedExecutors(this.#options.clock.now());
   }
 
+  /** What was known when the recovery ended, after which adopted tasks may start; undefined before. */
+  get recoverySummary(): RecoverySummary | undefined {
+    return this.#recovery.summary;
+  }
+
   /** Executors that may have runs and must be polled. */
   get executors(): readonly ExecutorInfo[] {
     return this.#executors.infos;
@@ -278,7 +283,7 @@
     if (state === undefined) {
       return [];
     }
-    this.#recovery.reported(report.executor);
+    this.#recovery.reported(report.executor, report.moreEnded === true);
     this.#reconciler.report(state, report, now);
     const lastEndSeq = Math.max(state.lastEndSeq, ...report.ended.map(({ seq }) => seq));
     if (report.ended.length > 0) {
--- a/packages/core/src/jobs/recovery.ts
+++ b/packages/core/src/jobs/recovery.ts
@@ -21,6 +21,14 @@
   readonly complete: boolean;
 }
 
+/** A recovery that is over, for the log. */
+export interface RecoverySummary {
+  /** Executors that had reported when it ended. */
+  readonly reported: number;
+  /** Those whose latest report by then left ended runs out. */
+  readonly partlyListed: number;
+}
+
 /** Tracks whether all runs of earlier owners are known or have ended. */
 export class Recovery {
   readonly #options: RecoveryOptions;
@@ -28,9 +36,12 @@
   readonly #inherited: ReadonlySet<ExecutorId>;
   /** Executors whose runs are known or have ended since, also those that are not tracked any more. */
   readonly #reported = new Set<ExecutorId>();
+  /** Executors whose latest report may leave out runs that have ended. */
+  readonly #partlyListed = new Set<ExecutorId>();
   #listed = false;
   #firstList: FirstList | undefined;
   #complete = false;
+  #summary: RecoverySummary | undefined;
 
   constructor(options: RecoveryOptions, executors: ExecutorTable) {
     this.#options = options;
@@ -43,9 +54,19 @@
     return this.#complete ? [] : [...this.#inherited];
   }
 
-  /** An executor has reported its runs. */
-  reported(id: ExecutorId): void {
+  /** An executor has reported its runs. `moreEnded`: more of them may have ended than it lists. */
+  reported(id: ExecutorId, moreEnded: boolean): void {
     this.#reported.add(id);
+    if (moreEnded) {
+      this.#partlyListed.add(id);
+    } else {
+      this.#partlyListed.delete(id);
+    }
+  }
+
+  /** What was known when the recovery ended; undefined before. */
+  get summary(): RecoverySummary | undefined {
+    return this.#summary;
   }
 
   /** The platform's list of executors is known. */
@@ -134,7 +155,10 @@
   /** Completes the recovery if it is over. Returns true once. */
   completeIfOver(now: Millis): boolean {
     const over = this.isOver(now);
-    this.#complete ||= over;
+    if (over) {
+      this.#complete = true;
+      this.#summary = { reported: this.#reported.size, partlyListed: this.#partlyListed.size };
+    }
     return over;
   }
 }
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -241,10 +241,7 @@
     if (event.type === 'executors' || event.type === 'tick') {
       this.#links.sync(this.#decider.executors);
     }
-    const times = decisions.length > 0 ? this.#takeoverTimes.onDecided() : undefined;
-    if (times !== undefined) {
-      this.log.info('first decision', { epoch: this.#options.term.epoch, ...times });
-    }
+    this.#logTakeover(decisions.length > 0);
     this.#decisionLog.write(decisions);
     decisions.forEach((decision) => {
       this.#execute(decision);
@@ -254,6 +251,18 @@
     }
   }
 
+  #logTakeover(decided: boolean): void {
+    const { epoch } = this.#options.term;
+    const times = decided ? this.#takeoverTimes.onDecided() : undefined;
+    if (times !== undefined) {
+      this.log.info('first decision', { epoch, ...times });
+    }
+    const recovery = this.#takeoverTimes.onRecovery(this.#decider.recoverySummary);
+    if (recovery !== undefined) {
+      this.log.info('recovery ended', { epoch, ...recovery });
+    }
+  }
+
   /** Tells the decider when the leader lease has lapsed, and when it is valid again. */
   #checkLeadership(): void {
     const held = this.#options.mayAct();
--- a/packages/daemon/src/jobs/takeover-times.ts
+++ b/packages/daemon/src/jobs/takeover-times.ts
@@ -1,4 +1,4 @@
-import type { Clock, JobEvent, Millis } from '@turmerichoist/core';
+import type { Clock, JobEvent, Millis, RecoverySummary } from '@turmerichoist/core';
 import type { LogFields } from '@turmerichoist/runtime';
 
 /** Measures how long after the election an owner reaches the steps of a takeover. */
@@ -8,6 +8,7 @@
   #firstLeaseMs: Millis | undefined;
   #jobsLoadedMs: Millis | undefined;
   #reported = false;
+  #recoveryReported = false;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -36,6 +37,15 @@
     };
   }
 
+  /** Takes what the decider says of the recovery. Returns it, with the time, once it is over. */
+  onRecovery(summary: RecoverySummary | undefined): LogFields | undefined {
+    if (this.#recoveryReported || summary === undefined) {
+      return undefined;
+    }
+    this.#recoveryReported = true;
+    return { recoveryMs: this.#elapsedMs(), ...summary };
+  }
+
   #elapsedMs(): Millis {
     return Math.round(this.#clock.now() - this.#electedAt);
   }
