fix(jobs): a new leader waits until executors have listed all their ends

Cause: an executor lists its ended runs 500 at a time, the next ones once these are acknowledged. The recovery of a new leader counted an executor as known after its first report, also where `moreEnded` said that ends were missing. The tasks of these ends were started, and the ends, when they were listed, counted as those of runs given up. Evidence: the second starts are all of tasks whose end has a number above 500 (780 of one executor, 620 of the other), and `recovery ended` came with partlyListed 2, before those ends were acknowledged or listed. Change: an executor counts as known (`runsKnown`) when a report has listed all its ended runs. Tasks of earlier jobs wait until then, or until its lease has ended. It gets no new tasks before, so its list only becomes shorter, and its instance is neither maintained nor lent, which would lose the ends. Failed ends and checkpoints in later lists count in time for the same reason. The calls of that model have a file of their own.

--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -19,8 +19,11 @@
   readonly info: ExecutorInfo;
   /** Whether it is in the platform's latest list of executors. */
   readonly listed: boolean;
-  /** Whether it has reported to this owner, so that the runs an earlier owner left are known. */
-  readonly hasReported: boolean;
+  /**
+   * Whether a report to this owner has listed all its ended runs, so that the runs an earlier owner
+   * left are known. It gets no new tasks before, whose ends would make its list longer.
+   */
+  readonly runsKnown: boolean;
   /** Monotonic time at which the poll of its latest report was sent. */
   readonly lastReportAt: Millis | undefined;
   /** Monotonic time at which this process received its latest report. */
@@ -44,8 +47,7 @@
 }
 
 /** Fields on which it depends, together with the time, whether new tasks may be placed there. */
-type ContactField =
-  'hasReported' | 'lastReportAt' | 'lastReceivedAt' | 'leaseEndsAt' | 'lastEndSeq';
+type ContactField = 'runsKnown' | 'lastReportAt' | 'lastReceivedAt' | 'leaseEndsAt' | 'lastEndSeq';
 type ExecutorChange = Partial<Omit<ExecutorState, ContactField | TimingField>>;
 type TimingField = 'backoffUntil' | 'lastUnansweredAt' | 'failureStreak';
 
@@ -94,7 +96,7 @@
     this.#states.set(info.id, {
       info,
       listed: true,
-      hasReported: false,
+      runsKnown: false,
       lastReportAt: undefined,
       lastReceivedAt: -Infinity,
       leaseEndsAt: now,
@@ -207,11 +209,11 @@
    * is behind, says nothing about the executor.
    */
   isSchedulable(state: ExecutorState, now: Millis): boolean {
-    const { info, listed, hasReported, backoffUntil, cordoned, leaseEndsAt } = state;
+    const { info, listed, runsKnown, backoffUntil, cordoned, leaseEndsAt } = state;
     const heardRecently = now - state.lastReceivedAt <= UNRESPONSIVE_AFTER_MS;
     return (
       listed &&
-      hasReported &&
+      runsKnown &&
       !info.draining &&
       !cordoned &&
       backoffUntil <= now &&
--- a/packages/core/src/jobs/idle-times.ts
+++ b/packages/core/src/jobs/idle-times.ts
@@ -25,14 +25,14 @@
 
   /** Takes note of the present runs. Called regularly. */
   track(now: Millis): void {
-    for (const { info, hasReported, lastEndSeq } of this.#tables.executors.all()) {
-      if (!hasReported || this.#tables.runs.countAt(info.id) > 0) {
+    for (const { info, runsKnown, lastEndSeq } of this.#tables.executors.all()) {
+      if (!runsKnown || this.#tables.runs.countAt(info.id) > 0) {
         this.#since.delete(info.id);
       } else if (!this.#since.has(info.id)) {
         const idleBefore = this.#inherited.has(info.id) && lastEndSeq === 0;
         this.#since.set(info.id, idleBefore ? now - this.#inheritedIdleMs : now);
       }
-      if (hasReported) {
+      if (runsKnown) {
         this.#inherited.delete(info.id);
       }
     }
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -104,7 +104,7 @@
     const state = this.#executors.get(id);
     return (
       state !== undefined &&
-      (state.hasReported || state.leaseEndsAt > now || this.#runs.at(id).length > 0)
+      (state.lastReportAt !== undefined || state.leaseEndsAt > now || this.#runs.at(id).length > 0)
     );
   }
 
@@ -283,7 +283,8 @@
     if (state === undefined) {
       return [];
     }
-    this.#recovery.reported(report.executor, report.moreEnded === true);
+    const runsKnown = state.runsKnown || report.moreEnded !== true;
+    this.#recovery.reported(report.executor, runsKnown);
     this.#reconciler.report(state, report, now);
     const lastEndSeq = Math.max(state.lastEndSeq, ...report.ended.map(({ seq }) => seq));
     if (report.ended.length > 0) {
@@ -291,7 +292,7 @@
     }
     this.#executors.updateContact(
       report.executor,
-      { hasReported: true, lastReportAt: report.sentAt, lastReceivedAt, leaseEndsAt, lastEndSeq },
+      { runsKnown, lastReportAt: report.sentAt, lastReceivedAt, leaseEndsAt, lastEndSeq },
       now,
     );
     return this.#leadership.held ? this.#paceController.onReport(report.executor, now) : [];
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -232,11 +232,7 @@
       return wait({ instance: name, reason: 'order-handover' }, false);
     }
     const { executor } = instance;
-    if (
-      executor !== undefined &&
-      this.#dependencies.executors.get(executor)?.hasReported !== true
-    ) {
-      // Its runs are not known before its first report.
+    if (executor !== undefined && this.#dependencies.executors.get(executor)?.runsKnown !== true) {
       return wait({ instance: name, reason: 'executor-unseen' }, false);
     }
     const runs = executor === undefined ? [] : this.#dependencies.runs.at(executor);
--- a/packages/core/src/jobs/pool-load.ts
+++ b/packages/core/src/jobs/pool-load.ts
@@ -30,7 +30,7 @@
 
 /** Executors of a pool, each counted once: in the first of these groups that it belongs to. */
 export interface ExecutorCounts {
-  /** Not listed, or not reported yet since it was. */
+  /** Not listed, or with runs that it has not reported yet since it was. */
   readonly unknown: number;
   /** About to be maintained, moved or shut down. */
   readonly leaving: number;
@@ -106,8 +106,8 @@
   state: ExecutorState,
   now: Millis,
 ): ExecutorGroup {
-  const { info, listed, hasReported, cordoned, shutdownPending, leaseEndsAt } = state;
-  if (!listed || !hasReported) {
+  const { info, listed, runsKnown, cordoned, shutdownPending, leaseEndsAt } = state;
+  if (!listed || !runsKnown) {
     return 'unknown';
   }
   if (info.draining || cordoned || shutdownPending) {
--- a/packages/core/src/jobs/recovery.ts
+++ b/packages/core/src/jobs/recovery.ts
@@ -25,7 +25,7 @@
 export interface RecoverySummary {
   /** Executors that had reported when it ended. */
   readonly reported: number;
-  /** Those whose latest report by then left ended runs out. */
+  /** Those that had not listed all their ended runs by then, and whose lease had ended. */
   readonly partlyListed: number;
 }
 
@@ -35,8 +35,8 @@
   readonly #executors: ExecutorTable;
   readonly #inherited: ReadonlySet<ExecutorId>;
   /** Executors whose runs are known or have ended since, also those that are not tracked any more. */
-  readonly #reported = new Set<ExecutorId>();
-  /** Executors whose latest report may leave out runs that have ended. */
+  readonly #known = new Set<ExecutorId>();
+  /** Executors that have reported, but have not listed all their ended runs. */
   readonly #partlyListed = new Set<ExecutorId>();
   #listed = false;
   #firstList: FirstList | undefined;
@@ -54,13 +54,16 @@
     return this.#complete ? [] : [...this.#inherited];
   }
 
-  /** An executor has reported its runs. `moreEnded`: more of them may have ended than it lists. */
-  reported(id: ExecutorId, moreEnded: boolean): void {
-    this.#reported.add(id);
-    if (moreEnded) {
-      this.#partlyListed.add(id);
-    } else {
+  /**
+   * An executor has reported. `runsKnown`: it has listed all its ended runs. Those that a report leaves
+   * out are listed only when the ones before them are acknowledged, and may be `done`.
+   */
+  reported(id: ExecutorId, runsKnown: boolean): void {
+    if (runsKnown) {
+      this.#known.add(id);
       this.#partlyListed.delete(id);
+    } else {
+      this.#partlyListed.add(id);
     }
   }
 
@@ -88,7 +91,7 @@
     }
   }
 
-  /** Whether executors that have not reported yet may still run tasks of an earlier owner. */
+  /** Whether executors may have runs of an earlier owner that they have not reported yet. */
   isPending(now: Millis): boolean {
     return !this.#complete && (this.#isListMissing(now) || this.#someAwaited(now));
   }
@@ -121,8 +124,8 @@
 
   #mayHaveUnknownRuns(id: ExecutorId, now: Millis): boolean {
     const state = this.#executors.get(id);
-    const reported = state === undefined ? this.#reported.has(id) : state.hasReported;
-    if (reported || this.#hasEnded(id)) {
+    const runsKnown = state === undefined ? this.#known.has(id) : state.runsKnown;
+    if (runsKnown || this.#hasEnded(id)) {
       return false;
     }
     // A lease that this owner has extended keeps the runs of earlier owners going.
@@ -157,7 +160,8 @@
     const over = this.isOver(now);
     if (over) {
       this.#complete = true;
-      this.#summary = { reported: this.#reported.size, partlyListed: this.#partlyListed.size };
+      const reported = new Set([...this.#known, ...this.#partlyListed]).size;
+      this.#summary = { reported, partlyListed: this.#partlyListed.size };
     }
     return over;
   }
--- a/packages/core/test/support/executor-model.ts
+++ b/packages/core/test/support/executor-model.ts
@@ -30,9 +30,20 @@
 export interface ModelReport {
   readonly startedWallMs: Millis;
   readonly running: readonly ReportedRun[];
+  /** At most `maxListedEnds`, the first ones. */
   readonly ended: readonly EndedRun[];
-  /** Tasks whose `done` end this poll has acknowledged. */
-  readonly newlyAcknowledged: readonly TaskKey[];
+  readonly moreEnded: boolean;
+  /** `done` ends that this poll has acknowledged. */
+  readonly newlyAcknowledged: readonly AcknowledgedEnd[];
+}
+
+export interface AcknowledgedEnd {
+  readonly task: TaskRef;
+  readonly endedAt: Millis;
+}
+
+interface ModelEnd extends EndedRun {
+  readonly endedAt: Millis;
 }
 
 const START_UP_MS: Millis = 500;
@@ -45,7 +56,8 @@
 export class ExecutorModel {
   info: ExecutorInfo;
   readonly runs = new Map<TaskKey, ModelRun>();
-  #ends: EndedRun[] = [];
+  readonly #maxListedEnds: number;
+  #ends: ModelEnd[] = [];
   readonly #attempts = new Map<TaskKey, number>();
   /** Ends up to this number preceded an expiry of the lease; only later ones are acknowledged. */
   #lastLapseSeq = 0;
@@ -53,8 +65,9 @@
   #fence = -1;
   #leaseEndsAt: Millis = -Infinity;
 
-  constructor(info: ExecutorInfo) {
+  constructor(info: ExecutorInfo, maxListedEnds: number) {
     this.info = info;
+    this.#maxListedEnds = maxListedEnds;
   }
 
   restart(now: Millis): void {
@@ -72,12 +85,12 @@
   settle(now: Millis): void {
     for (const run of [...this.runs.values()]) {
       if (run.endsAt <= Math.min(now, this.#leaseEndsAt)) {
-        this.#end(run, run.reason);
+        this.#end(run, run.reason, run.endsAt);
       }
     }
     if (now > this.#leaseEndsAt) {
       [...this.runs.values()].forEach((run) => {
-        this.#end(run, 'lapsed');
+        this.#end(run, 'lapsed', now);
       });
       this.#lastLapseSeq = this.#seq;
     }
@@ -116,7 +129,7 @@
     this.#attempts.set(key, Math.max(attempt, this.#attempts.get(key) ?? 0));
     const run = this.runs.get(key);
     if (run !== undefined && run.attempt <= attempt) {
-      this.#end(run, 'stopped');
+      this.#end(run, 'stopped', now);
     }
   }
 
@@ -134,7 +147,7 @@
     this.#leaseEndsAt = Math.max(this.#leaseEndsAt, lease ?? -Infinity);
     const newlyAcknowledged = this.#ends
       .filter(({ seq, reason }) => seq <= through && reason === 'done' && seq > this.#lastLapseSeq)
-      .map(({ task }) => taskKey(task));
+      .map(({ task, endedAt }) => ({ task, endedAt }));
     this.#ends = this.#ends.filter(({ seq }) => seq > through);
     const running = [...this.runs.values()].map(({ task, attempt, endsAt }) => ({
       task,
@@ -146,16 +159,25 @@
     return {
       startedWallMs: this.info.startedWallMs,
       running,
-      ended: [...this.#ends],
+      ended: this.#ends
+        .slice(0, this.#maxListedEnds)
+        .map(({ seq, task, attempt, reason, checkpoint }) => ({
+          seq,
+          task,
+          attempt,
+          reason,
+          checkpoint,
+        })),
+      moreEnded: this.#ends.length >= this.#maxListedEnds,
       newlyAcknowledged,
     };
   }
 
-  #end({ task, attempt }: ModelRun, reason: RunEndReason): void {
+  #end({ task, attempt }: ModelRun, reason: RunEndReason, endedAt: Millis): void {
     const key = taskKey(task);
     this.runs.delete(key);
     this.#attempts.set(key, Math.max(attempt, this.#attempts.get(key) ?? 0));
     this.#seq += 1;
-    this.#ends.push({ seq: this.#seq, task, attempt, reason, checkpoint: '' });
+    this.#ends.push({ seq: this.#seq, task, attempt, reason, checkpoint: '', endedAt });
   }
 }
--- a/packages/core/test/support/job-world.ts
+++ b/packages/core/test/support/job-world.ts
@@ -15,22 +15,17 @@
   type TaskRef,
 } from '../../src/index.js';
 import { ActionQueue } from './action-queue.js';
-import { ExecutorModel } from './executor-model.js';
+import { CallNetwork, type CallFaults } from './call-network.js';
+import { ExecutorModel, type AcknowledgedEnd } from './executor-model.js';
 
 /** Probabilities of faults, each from 0 to 1. */
-export interface JobFaults {
-  /** A call is carried out, but its answer is lost. */
-  readonly answerLost: number;
-  /** A call times out and is carried out seconds later. */
-  readonly late: number;
+export interface JobFaults extends CallFaults {
   /** A run ends `failed`. */
   readonly runFails: number;
 }
 
 export const NO_FAULTS: JobFaults = { answerLost: 0, late: 0, runFails: 0 };
 
-const NETWORK_DELAY_MS: Millis = 2;
-const ORDER_TIMEOUT_MS: Millis = 450;
 const POLL_PERIOD_MS: Millis = 200;
 const TICK_MS: Millis = 100;
 const STORE_WRITE_MS: Millis = 15;
@@ -41,6 +36,8 @@
 const TAKEOVER_DELAY_MS: Millis = 2_800;
 const LAPSE_MS: Millis = 3_200;
 const ATTEMPTS_PER_TERM = 1_000;
+/** As on the users' platform. */
+const MAX_LISTED_ENDS = 500;
 
 /** One owner's term; events for an ended term are dropped. */
 interface Term {
@@ -73,18 +70,23 @@
   #infos: readonly ExecutorInfo[];
   readonly #random: SeededRandom;
   readonly #queue = new ActionQueue(this.clock);
+  readonly #network: CallNetwork;
   readonly #acknowledged = new Map<string, number>();
   /** Start time in the latest report of each executor. */
   readonly #incarnations = new Map<string, Millis>();
   readonly #acknowledgedDone = new Set<TaskKey>();
+  /** When each task was last started at an executor. */
+  readonly #startedAt = new Map<TaskKey, Millis>();
   readonly #leaseEndsAt = new Map<string, Millis>();
   #generation = -1;
 
-  constructor(infos: readonly ExecutorInfo[], seed: number) {
+  /** `maxListedEnds`: number of ended runs that an executor lists at once. */
+  constructor(infos: readonly ExecutorInfo[], seed: number, maxListedEnds = MAX_LISTED_ENDS) {
     this.#infos = infos;
     this.#random = new SeededRandom(seed);
+    this.#network = new CallNetwork(this.#queue, this.#random);
     infos.forEach((info) => {
-      this.executors.set(info.id, new ExecutorModel(info));
+      this.executors.set(info.id, new ExecutorModel(info, maxListedEnds));
     });
     this.elect();
   }
@@ -313,13 +315,15 @@
         const through = this.#acknowledged.get(id) ?? 0;
         const lease = extend ? sentAt + LEASE_MS : undefined;
         const answer = this.executors.get(id)?.hold(term.generation, through, lease, this.now);
-        answer?.newlyAcknowledged.forEach((key) => this.#acknowledgedDone.add(key));
+        answer?.newlyAcknowledged.forEach((end) => {
+          this.#checkAcknowledged(id, end);
+        });
         return answer;
       },
       (answer) => {
         if (answer !== undefined) {
-          const { startedWallMs, running, ended } = answer;
-          const report = { executor: id, startedWallMs, sentAt, running, ended };
+          const { startedWallMs, running, ended, moreEnded } = answer;
+          const report = { executor: id, startedWallMs, sentAt, running, ended, moreEnded };
           if (this.#incarnations.get(id) !== startedWallMs) {
             this.#incarnations.set(id, startedWallMs);
             this.#acknowledged.delete(id);
@@ -347,26 +351,7 @@
 
   /** Sends a call, subject to the current fault probabilities. */
   #send<T>(apply: () => T, answered: (value: T) => void, unanswered: () => void): void {
-    const draw = this.#random.next();
-    const { late, answerLost } = this.faults;
-    if (draw < late) {
-      this.#after(2_000 + this.#random.next() * 10_000, () => {
-        apply();
-      });
-      this.#after(ORDER_TIMEOUT_MS, unanswered);
-      return;
-    }
-    const lost = draw < late + answerLost;
-    this.#after(NETWORK_DELAY_MS, () => {
-      const value = apply();
-      this.#after(lost ? ORDER_TIMEOUT_MS : NETWORK_DELAY_MS, () => {
-        if (lost) {
-          unanswered();
-        } else {
-          answered(value);
-        }
-      });
-    });
+    this.#network.send(this.faults, { apply, answered, unanswered });
   }
 
   /** Records violations when an executor starts a task. */
@@ -381,6 +366,16 @@
     if (this.#acknowledgedDone.has(key)) {
       this.violations.push(`${key} starts at ${id} after its end was acknowledged`);
     }
+    this.#startedAt.set(key, this.now);
+  }
+
+  /** Records a violation when the task of an acknowledged end was started after that end. */
+  #checkAcknowledged(id: string, { task, endedAt }: AcknowledgedEnd): void {
+    const key = taskKey(task);
+    if ((this.#startedAt.get(key) ?? -Infinity) > endedAt) {
+      this.violations.push(`${key} was started after its end at ${id}, which is acknowledged`);
+    }
+    this.#acknowledgedDone.add(key);
   }
 
   #duration(task: TaskRef): Millis {
--- a/packages/daemon/test/job-takeover.test.ts
+++ b/packages/daemon/test/job-takeover.test.ts
@@ -83,6 +83,25 @@
   return executor.polls.filter(({ fencingToken }) => fencingToken === token);
 }
 
+test('tasks start again whose ends their executor lists after others are acknowledged', async () => {
+  const ids = ['a1', 'a2', 'a3', 'a4', 'a5'];
+  const leader = new AbortController();
+  executor.maxListedEnds = 2;
+  await store('', 'servers/e1', EXECUTOR);
+  await Promise.all(ids.map((id) => storeJob(id)));
+  startMember('a', tables, leader.signal, executor);
+  await eventually(() => executor.starts.length === ids.length);
+  leader.abort();
+  ids.forEach((id) => {
+    executor.finish(`${id}.0.0.0`);
+  });
+  startMember('b', tables, controller.signal, executor);
+  const last = (): boolean =>
+    pollsOfLatestLeader().some((poll) => poll.acknowledgedThrough === ids.length);
+  await eventually(last);
+  expect(executor.starts).toHaveLength(ids.length);
+}, 30_000);
+
 describe('a leader that takes 5 s to read the jobs', () => {
   test('leases of running tasks lapse, or the tasks are stopped as those of unknown jobs', async () => {
     await killLeaderWithRuns();
--- a/packages/daemon/test/support/fake-executor.ts
+++ b/packages/daemon/test/support/fake-executor.ts
@@ -24,6 +24,8 @@
   readonly starts: TaskKey[] = [];
   readonly stops: TaskKey[] = [];
   readonly lapses: TaskKey[] = [];
+  /** Number of ended runs that it lists at once; the others follow after acknowledgements. */
+  maxListedEnds = Infinity;
   readonly #runs = new Map<TaskKey, ReportedRun>();
   #ended: readonly EndedRun[] = [];
   #seq = 0;
@@ -44,7 +46,9 @@
         await this.#awaitEnd(waitMs, signal);
         const { startedWallMs } = this.info;
         const running = [...this.#runs.values()];
-        return { type: 'report', startedWallMs, running, ended: this.#ended };
+        const ended = this.#ended.slice(0, this.maxListedEnds);
+        const moreEnded = this.#ended.length >= this.maxListedEnds;
+        return { type: 'report', startedWallMs, running, ended, moreEnded };
       },
       start: ({ task, attempt }) => {
         const key = taskKey(task);
