fix(jobs): a start that a restarted executor confirmed is not given up

The leader took the confirmed run for one of the former process, dropped it and started the task elsewhere beside it. Callers have not been seen to meet it. Change: a restart drops the runs that were confirmed before the last report of the former process. The next report tells of later ones: listed, they go on; not listed, their tasks are started again.

--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -249,8 +249,9 @@
     return this.#retired.get(id) === startedWallMs;
   }
 
-  #handleRestart({ leaseEndsAt }: ExecutorState, info: ExecutorInfo, now: Millis): void {
-    this.#reconciler.handleRestart(info.id, now);
+  #handleRestart(former: ExecutorState, info: ExecutorInfo, now: Millis): void {
+    const { leaseEndsAt } = former;
+    this.#reconciler.handleRestart(former, now);
     this.#acknowledgements.drop(info.id);
     this.#executors.add(info, now);
     this.#executors.updateContact(info.id, { leaseEndsAt }, now);
--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -162,13 +162,15 @@
 
   /**
    * Handles a restarted executor, which has lost its runs. A start still in flight may reach the
-   * new process, so its task is only requeued once a stop has ruled the start out.
+   * new process, so its task is only requeued once a stop has ruled the start out. A start that was
+   * confirmed since the last report of the former process may have reached the new one, whose next
+   * report tells.
    */
-  handleRestart(executor: ExecutorId, now: Millis): void {
-    for (const run of this.#runs.at(executor)) {
+  handleRestart({ info, lastReportAt }: ExecutorState, now: Millis): void {
+    for (const run of this.#runs.at(info.id)) {
       if (run.phase === 'starting' || run.phase === 'unknown') {
         this.stop(run, 'executor restarted', now);
-      } else {
+      } else if (!isConfirmedSince(run, lastReportAt)) {
         this.#drop(run);
       }
     }
@@ -348,6 +350,12 @@
   );
 }
 
+/** Whether the executor confirmed this owner's start after the poll of its last report was sent. */
+function isConfirmedSince(run: Run, lastReportAt: Millis = -Infinity): boolean {
+  const { phase, startedAt, confirmedAt = -Infinity } = run;
+  return phase === 'running' && startedAt !== undefined && confirmedAt > lastReportAt;
+}
+
 /**
  * Whether decisions depend on the percent or the gauge of a confirmed run: on the readiness of lasting
  * tasks, and on the latency of tasks with a target. Those of other runs change with nearly every report.
--- a/packages/core/test/jobs-executor-failures.test.ts
+++ b/packages/core/test/jobs-executor-failures.test.ts
@@ -254,3 +254,40 @@
     expect(decisions).toContainEqual(expect.objectContaining({ ...START, executor: 'e2' }));
   });
 });
+
+describe('an executor that restarts just before a start reaches it', () => {
+  const running = [{ task: TASK, attempt: 1, checkpoint: '', percent: 0, gauge: 0 }];
+
+  /** The cell, with a second executor, once the list of executors shows the new process. */
+  function restartedCell(): OneTaskCell {
+    const cell = new OneTaskCell();
+    const list = (startedWallMs: number, now: number): readonly JobDecision[] => {
+      const executors = [executor('e1', { startedWallMs }), executor('e2')];
+      return cell.handle({ type: 'executors', executors }, now);
+    };
+    cell.started(1_010);
+    list(1, 1_012);
+    const idle = { executor: 'e2', startedWallMs: 1, sentAt: 1_012, running: [], ended: [] };
+    cell.handle({ type: 'report', leaseEndsAt: 9_000, report: idle }, 1_014);
+    expect(list(2, 1_020).filter(({ type }) => type === 'start')).toEqual([]);
+    return cell;
+  }
+
+  test('has the task started elsewhere while its new process runs it', () => {
+    const cell = restartedCell();
+    const report = { executor: 'e1', startedWallMs: 2, sentAt: 1_030, running, ended: [] };
+    const decisions = cell.handle({ type: 'report', leaseEndsAt: 9_000, report }, 1_040);
+    expect(decisions).toEqual([]);
+    const end = { seq: 1, task: TASK, attempt: 1, reason: 'done', checkpoint: '' } as const;
+    expect(cell.report(1_300, [end], 2)).toContainEqual(
+      expect.objectContaining({ progress: expect.objectContaining({ state: 'completed' }) }),
+    );
+  });
+
+  test('keeps the task from being started again that its former process ran', () => {
+    const cell = restartedCell();
+    expect(cell.report(1_030, [], 2)).toContainEqual(
+      expect.objectContaining({ ...START, attempt: 2 }),
+    );
+  });
+});
