--- /dev/null
+++ b/packages/daemon/src/jobs/decision-dispatcher.ts
@@ -0,0 +1,77 @@
+import type { JobDecision } from '@turmerichoist/core';
+import type { Recipient, Logger, Metrics } from '@turmerichoist/runtime';
+import { DecisionLog } from './decision-log.js';
+import type { ExecutorLinks } from './executor-links.js';
+import type { InstanceControl } from './instance-control.js';
+import type { ProgressWriterMessage } from './progress-writer.js';
+import type { WaveStatusWriter } from './wave-status-writer.js';
+
+export interface DecisionDispatcherOptions {
+  readonly links: Pick<ExecutorLinks, 'post'>;
+  readonly writer: Recipient<ProgressWriterMessage>;
+  readonly waveStatus: Pick<WaveStatusWriter, 'post'>;
+  readonly instances: Pick<InstanceControl, 'order'>;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly onSuperseded: () => void;
+}
+
+/** Logs the decisions of an owner and passes each on to the part that carries it out. */
+export class DecisionDispatcher {
+  readonly #options: DecisionDispatcherOptions;
+  readonly #decisionLog: DecisionLog;
+
+  constructor(options: DecisionDispatcherOptions) {
+    this.#options = options;
+    this.#decisionLog = new DecisionLog(options.log);
+  }
+
+  dispatch(decisions: readonly JobDecision[]): void {
+    this.#decisionLog.write(decisions);
+    decisions.forEach((decision) => {
+      this.#options.metrics.count(`owner.${decision.type}`);
+      this.#dispatchOne(decision);
+    });
+  }
+
+  #dispatchOne(decision: JobDecision): void {
+    const { links, writer, waveStatus, instances, onSuperseded } = this.#options;
+    switch (decision.type) {
+      case 'start': {
+        const { executor, task, attempt, payload, checkpoint } = decision;
+        const order = { task, attempt, payload, checkpoint };
+        links.post(executor, { type: 'start', order });
+        return;
+      }
+      case 'stop': {
+        const { executor, task, attempt } = decision;
+        links.post(executor, { type: 'stop', task, attempt });
+        return;
+      }
+      case 'pace': {
+        const { executor, task, attempt, percent } = decision;
+        links.post(executor, { type: 'pace', task, attempt, percent });
+        return;
+      }
+      case 'persist': {
+        const { job, progress } = decision;
+        writer.post({ type: 'persist', job, progress });
+        return;
+      }
+      case 'acknowledge': {
+        const { executor, startedWallMs, through } = decision;
+        const acknowledgement = { executor, startedWallMs, through };
+        writer.post({ type: 'acknowledge', acknowledgement });
+        return;
+      }
+      case 'order':
+        void instances.order(decision.order);
+        return;
+      case 'wave-status':
+        waveStatus.post(decision);
+        return;
+      case 'superseded':
+        onSuperseded();
+    }
+  }
+}
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -1,11 +1,4 @@
-import type {
-  Clock,
-  JobDecider,
-  JobDecision,
-  JobEvent,
-  MemberId,
-  Millis,
-} from '@turmerichoist/core';
+import type { Clock, JobDecider, JobEvent, MemberId, Millis } from '@turmerichoist/core';
 import {
   CELL_OWNER_KEY,
   FEED_WAIT_MS,
@@ -27,7 +20,7 @@
 import type { Bulletin } from './bulletin.js';
 import { watchCancellations } from './cancellations.js';
 import { CountInputs, type CountInput } from './count-inputs.js';
-import { DecisionLog } from './decision-log.js';
+import { DecisionDispatcher } from './decision-dispatcher.js';
 import { ExecutorLinks } from './executor-links.js';
 import { ExecutorRegistry } from './executor-registry.js';
 import { GatedFeed } from './gated-feed.js';
@@ -97,7 +90,7 @@
   readonly #rounds: RoundPacer;
   readonly #stored: StoredProgress;
   readonly #reportGate = new ReportGate();
-  readonly #decisionLog: DecisionLog;
+  readonly #dispatcher: DecisionDispatcher;
   readonly #takeoverTimes: TakeoverTimes;
   readonly #countInputs = new CountInputs();
   /** Whether this member held the leader lease when the latest event was handled. */
@@ -114,7 +107,6 @@
     this.#load = new OwnerLoad(clock);
     this.#takeoverTimes = new TakeoverTimes(clock);
     this.#stored = new StoredProgress(this.log);
-    this.#decisionLog = new DecisionLog(this.log);
     const queue = (): boolean => this.post({ type: 'schedule' });
     this.#rounds = new RoundPacer({ clock, signal: this.signal, queue });
     this.#instances = new InstanceControl(
@@ -149,6 +141,15 @@
       },
       context,
     );
+    this.#dispatcher = new DecisionDispatcher({
+      links: this.#links,
+      writer: this.#writer,
+      waveStatus: this.#waveStatus,
+      instances: this.#instances,
+      log: this.log,
+      metrics,
+      onSuperseded: options.onSuperseded,
+    });
   }
 
   get bulletin(): Bulletin {
@@ -242,10 +243,7 @@
       this.#links.sync(this.#decider.executors);
     }
     this.#logTakeover(decisions.length > 0);
-    this.#decisionLog.write(decisions);
-    decisions.forEach((decision) => {
-      this.#execute(decision);
-    });
+    this.#dispatcher.dispatch(decisions);
     if (this.#decider.needsRound(this.#options.clock.now())) {
       this.#rounds.request();
     }
@@ -343,47 +341,6 @@
     this.#watchTable(shared, rowCodec.executorTable, EXECUTORS_PAUSE_MS, onChanges);
   }
 
-  #execute(decision: JobDecision): void {
-    this.#options.metrics.count(`owner.${decision.type}`);
-    switch (decision.type) {
-      case 'start': {
-        const { executor, task, attempt, payload, checkpoint } = decision;
-        const order = { task, attempt, payload, checkpoint };
-        this.#links.post(executor, { type: 'start', order });
-        return;
-      }
-      case 'stop': {
-        const { executor, task, attempt } = decision;
-        this.#links.post(executor, { type: 'stop', task, attempt });
-        return;
-      }
-      case 'pace': {
-        const { executor, task, attempt, percent } = decision;
-        this.#links.post(executor, { type: 'pace', task, attempt, percent });
-        return;
-      }
-      case 'persist': {
-        const { job, progress } = decision;
-        this.#writer.post({ type: 'persist', job, progress });
-        return;
-      }
-      case 'acknowledge': {
-        const { executor, startedWallMs, through } = decision;
-        const acknowledgement = { executor, startedWallMs, through };
-        this.#writer.post({ type: 'acknowledge', acknowledgement });
-        return;
-      }
-      case 'order':
-        void this.#instances.order(decision.order);
-        return;
-      case 'wave-status':
-        this.#waveStatus.post(decision);
-        return;
-      case 'superseded':
-        this.#options.onSuperseded();
-    }
-  }
-
   #onAcknowledged({ executor, startedWallMs, through }: PendingAcknowledgement): void {
     this.#links.post(executor, { type: 'acknowledged', startedWallMs, through });
   }
