--- a/packages/core/src/jobs/recovery.ts
+++ b/packages/core/src/jobs/recovery.ts
@@ -25,7 +25,7 @@
 export interface RecoverySummary {
   /** Executors that had reported when it ended. */
   readonly reported: number;
-  /** Those that had not listed all their ended runs by then, and whose lease had ended. */
+  /** Those that had not listed all their ended runs before their lease or their instance ended. */
   readonly partlyListed: number;
 }
 
