--- a/packages/core/src/jobs/model.ts
+++ b/packages/core/src/jobs/model.ts
@@ -37,6 +37,23 @@
   readonly maxUnavailable: number;
 }
 
+/** A step without conditions on where and how its tasks run. */
+export const UNCONSTRAINED_STEP: Omit<StepSpec, 'taskCount' | 'resources' | 'estimateMs'> = {
+  after: [],
+  checkpointing: false,
+  gang: false,
+  sameRack: false,
+  requiredLabel: '',
+  preferredRack: '',
+  maxPerExecutor: 0,
+  speculative: false,
+  lasting: false,
+  image: '',
+  targetMs: 0,
+  fills: false,
+  maxUnavailable: 0,
+};
+
 /** A job as submitted. */
 export interface JobSpec {
   /** Passed to executors unchanged. */
--- a/packages/core/test/support/job-fixtures.ts
+++ b/packages/core/test/support/job-fixtures.ts
@@ -1,4 +1,5 @@
 import {
+  UNCONSTRAINED_STEP,
   JobDecider,
   type AcceptedJob,
   type Clock,
@@ -26,19 +27,7 @@
     taskCount: 1,
     resources: { processors: 1, memoryMb: 100, accelerators: 0 },
     estimateMs: 300,
-    after: [],
-    checkpointing: false,
-    gang: false,
-    sameRack: false,
-    requiredLabel: '',
-    preferredRack: '',
-    maxPerExecutor: 0,
-    speculative: false,
-    lasting: false,
-    image: '',
-    targetMs: 0,
-    fills: false,
-    maxUnavailable: 0,
+    ...UNCONSTRAINED_STEP,
     ...over,
   };
 }
--- a/packages/measure/src/jobs/workload.ts
+++ b/packages/measure/src/jobs/workload.ts
@@ -1,4 +1,5 @@
 import {
+  UNCONSTRAINED_STEP,
   SeededRandom,
   type AcceptedJob,
   type ExecutorInfo,
@@ -52,19 +53,7 @@
   taskCount: TASKS_PER_STEP,
   resources: RESOURCES.small,
   estimateMs: DURATION_MS.small,
-  after: [],
-  checkpointing: false,
-  gang: false,
-  sameRack: false,
-  requiredLabel: '',
-  preferredRack: '',
-  maxPerExecutor: 0,
-  speculative: false,
-  lasting: false,
-  image: '',
-  targetMs: 0,
-  fills: false,
-  maxUnavailable: 0,
+  ...UNCONSTRAINED_STEP,
 };
 
 export function poolName(index: number): string {
