--- a/packages/core/test/jobs-takeover-faults.test.ts
+++ b/packages/core/test/jobs-takeover-faults.test.ts
@@ -90,3 +90,17 @@
     { numRuns: Number(process.env.TURMERICHOIST_RUNS ?? 300), seed: 20261206 },
   );
 });
+
+test('a done task starts again because a restarted executor carries out a former acknowledgement', () => {
+  const world = new JobWorld(EXECUTORS, 9, 2);
+  world.submit(job('first', [step({ taskCount: 30, estimateMs: 600 })]));
+  world.run(500);
+  world.faults = { answerLost: 0.05, late: 0.02, runFails: 0.02, pollsOutliveExecutors: true };
+  world.run(1_004);
+  world.restart('e2');
+  world.run(256);
+  world.killOwner();
+  world.faults = { ...NO_FAULTS, pollsOutliveExecutors: true };
+  world.run(25_000);
+  expect(world.violations).toEqual([]);
+});
--- a/packages/core/test/support/job-world.ts
+++ b/packages/core/test/support/job-world.ts
@@ -23,6 +23,8 @@
 export interface JobFaults extends CallFaults {
   /** A run ends `failed`. */
   readonly runFails: number;
+  /** Whether an executor that has restarted carries out polls that were sent to its former process. */
+  readonly pollsOutliveExecutors?: boolean;
 }
 
 export const NO_FAULTS: JobFaults = { answerLost: 0, late: 0, runFails: 0 };
@@ -298,7 +300,8 @@
     this.#send(
       () => {
         const model = this.executors.get(id);
-        if (model === undefined || model.info.startedWallMs !== incarnation) {
+        const sameProcess = model?.info.startedWallMs === incarnation;
+        if (model === undefined || !(sameProcess || this.faults.pollsOutliveExecutors === true)) {
           // As with starts, calls in flight are lost when an executor ends.
           return 'lost';
         }
