--- a/review/lib-2/member.mjs
+++ b/review/lib-2/member.mjs
@@ -66,6 +66,8 @@
       stdio: ['ignore', log, log],
     });
     closeSync(log);
+    const child = this.#child;
+    process.once('exit', () => child.kill('SIGKILL'));
     this.ended = new Promise((resolve) => {
       this.#child.once('exit', (code, signal) => {
         resolve({ code, signal });
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -161,6 +161,9 @@
 
 /** Runs a case and ends the process with its result: HELD, BROKEN or NOT_RUN. */
 export async function runCase(folder, play) {
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.once(signal, () => process.exit(NOT_RUN));
+  }
   const world = new World(folder);
   let result = NOT_RUN;
   try {
