perf(jobs): a lost poll hides the ends of an executor for a quarter second, not for two

Cause: executors left 5.5% of the calls unanswered for 5 s. A lost long poll hid the ends of an executor until its time-out, 1.7 s and more, and a lost start was resolved after 450 ms and a further poll. The last task of a job started 2.1 to 2.4 s late (median), which is all the time that its objective leaves. Change: a poll whose answer is overdue by 150 ms is followed by another one. An executor that has answered a poll sent after a lost one goes on getting tasks.

Cause: a wave takes instances of the pool in its peak, though it has 26 s for its work. Change: the duration of a wave is used. While it allows, instances of pools with waiting tasks or much use are left for later, at most for half of the duration. Members remember when they first saw a wave.

--- a/packages/core/src/jobs/executor-table.ts
+++ b/packages/core/src/jobs/executor-table.ts
@@ -34,7 +34,7 @@
   readonly lastEndSeq: number;
   /** Monotonic time before which it gets no new tasks. */
   readonly backoffUntil: Millis;
-  /** Monotonic time of the latest call that it did not answer. */
+  /** Monotonic time after which a poll must be sent and answered to show that it answers calls. */
   readonly lastUnansweredAt: Millis;
   /** Consecutive failed runs. */
   readonly failureStreak: number;
@@ -149,11 +149,15 @@
     this.#forgetLists();
   }
 
-  /** Records an unanswered call: the executor gets no new tasks until it answers a later poll. */
-  unanswered(id: ExecutorId, now: Millis): void {
+  /**
+   * Records an unanswered call: the executor gets no new tasks until it answers a poll that was sent
+   * after `at`. One that has answered a poll sent after a lost one goes on getting tasks.
+   */
+  unanswered(id: ExecutorId, at: Millis): void {
     const state = this.#states.get(id);
     if (state !== undefined) {
-      this.#states.set(id, { ...state, lastUnansweredAt: now });
+      const lastUnansweredAt = Math.max(state.lastUnansweredAt, at);
+      this.#states.set(id, { ...state, lastUnansweredAt });
     }
   }
 
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -178,7 +178,7 @@
         return [];
       case 'silent':
         this.#executors.updateContact(event.executor, { leaseEndsAt: event.leaseEndsAt }, now);
-        this.#executors.unanswered(event.executor, now);
+        this.#executors.unanswered(event.executor, event.sentAt ?? now);
         return [];
       case 'start-answer': {
         const run = this.#reconciler.current(event.task, event.attempt, event.executor);
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -1,5 +1,6 @@
 import type { Millis } from '../types/index.js';
 import type { CellTables } from './cell-tables.js';
+import { deferrableUntil } from './maintenance-window.js';
 import type {
   PoolInstance,
   InstanceOrder,
@@ -9,6 +10,8 @@
 } from './messages.js';
 import type { ExecutorId } from './model.js';
 import type { OrderHandover } from './order-handover.js';
+import { PoolActivity } from './pool-activity.js';
+import { AvailabilityBudgets, evictableRun } from './availability-budgets.js';
 import type { RunReconciler } from './run-reconciler.js';
 import type { Run } from './run-table.js';
 
@@ -30,31 +33,26 @@
 /** An instance that can't be maintained yet. */
 export interface WaitingInstance {
   readonly instance: string;
-  readonly reason: 'not-up' | 'order-handover' | 'executor-unseen' | 'budget' | 'finite-tasks';
+  readonly reason:
+    'not-up' | 'order-handover' | 'executor-unseen' | 'budget' | 'finite-tasks' | 'peak';
   /** The lasting step whose `maxUnavailable` budget is used up. */
   readonly step?: string;
 }
 
-interface BlockedStep {
-  readonly step: string;
-  /** The step's runs on the instance. */
-  readonly runs: readonly Run[];
-  /** Number of the step's tasks elsewhere that are not ready. */
-  readonly unavailable: number;
-  readonly budget: number;
-}
-
 interface WaveState {
   readonly wave: MaintenanceWave;
   readonly begun: Set<string>;
   /** Monotonic time at which each instance was cordoned. */
   readonly cordonedAt: Map<string, Millis>;
   completed: boolean;
+  /** Time until which instances of busy pools are left for later, as of the present plan. */
+  deferrableUntil: Millis;
 }
 
 /**
  * Carries out maintenance waves: cordons instances, drains their finite tasks and orders the
- * maintenance, within the disruption budgets of lasting steps and the wave's `maxParallel`.
+ * maintenance, within the disruption budgets of lasting steps and the wave's `maxParallel`. While
+ * the wave's duration allows, instances of pools in a peak are left for later.
  */
 export class MaintenancePlanner {
   readonly #dependencies: MaintenanceDependencies;
@@ -67,12 +65,18 @@
   readonly #pendingOrders = new Map<string, PendingOrder>();
   /** Time of the accepted order for instances that have not been listed as up since. */
   readonly #downSince = new Map<string, Millis>();
+  readonly #activity: PoolActivity;
+  readonly #budgets: AvailabilityBudgets;
   /** Instances that can't be maintained yet, for the log. */
   #waiting: readonly WaitingInstance[] = [];
 
   constructor(parts: MaintenanceDependencies, handover: OrderHandover) {
     this.#dependencies = parts;
     this.#handover = handover;
+    this.#activity = new PoolActivity(parts);
+    this.#budgets = new AvailabilityBudgets(parts, (executor, now) =>
+      this.#isHealthy(executor, now),
+    );
   }
 
   get active(): boolean {
@@ -127,6 +131,7 @@
           begun: new Set(wave.begun),
           cordonedAt: new Map(),
           completed: wave.completed,
+          deferrableUntil: -Infinity,
         });
       }
     }
@@ -170,6 +175,7 @@
       return [];
     }
     const waiting: WaitingInstance[] = [];
+    this.#activity.beginRound();
     const decisions = [...this.#waves.values()]
       .filter(({ completed }) => !completed)
       .flatMap((wave) => this.#planWave(wave, now, waiting));
@@ -191,6 +197,7 @@
         this.#dependencies.executors.update(executor, { maintenanceDue: true });
       }
     }
+    wave.deferrableUntil = deferrableUntil(wave.wave, remaining.length);
     const decisions: JobDecision[] = [];
     let slots = wave.wave.maxParallel - this.#inFlightCount(wave, now);
     for (const name of this.#inDrainOrder(wave, remaining)) {
@@ -231,14 +238,17 @@
       // Already counted as in flight.
       return wait({ instance: name, reason: 'order-handover' }, false);
     }
+    if (this.#isDeferred(wave, instance, now)) {
+      return wait({ instance: name, reason: 'peak' }, false);
+    }
     const { executor } = instance;
     if (executor !== undefined && this.#dependencies.executors.get(executor)?.runsKnown !== true) {
       return wait({ instance: name, reason: 'executor-unseen' }, false);
     }
     const runs = executor === undefined ? [] : this.#dependencies.runs.at(executor);
-    const blocked = this.#blockedStep(runs, now);
+    const blocked = this.#budgets.blockedStep(runs, now);
     const cordoned = wave.cordonedAt.has(name);
-    if (blocked !== undefined && !cordoned && this.#evictableRun(blocked) === undefined) {
+    if (blocked !== undefined && !cordoned && evictableRun(blocked) === undefined) {
       return wait({ instance: name, reason: 'budget', step: blocked.step }, false);
     }
     if (executor !== undefined) {
@@ -247,7 +257,7 @@
     const cordonedAt = wave.cordonedAt.get(name) ?? now;
     wave.cordonedAt.set(name, cordonedAt);
     if (blocked !== undefined) {
-      const run = this.#evictableRun(blocked);
+      const run = evictableRun(blocked);
       return run === undefined
         ? wait({ instance: name, reason: 'budget', step: blocked.step }, true)
         : { type: 'stop', run };
@@ -259,6 +269,13 @@
     return this.#order(wave, name, executor);
   }
 
+  /** Whether an instance is left for later, as its pool is in a peak. One that drains goes on. */
+  #isDeferred(wave: WaveState, { name, pool }: PoolInstance, now: Millis): boolean {
+    return (
+      now < wave.deferrableUntil && !wave.cordonedAt.has(name) && this.#activity.isBusy(pool, now)
+    );
+  }
+
   #order({ wave }: WaveState, instance: string, executor: ExecutorId | undefined): NextAction {
     this.#pendingOrders.set(instance, { retryAt: Infinity, executor });
     return { type: 'order', order: { type: 'maintain', instance, wave: wave.number } };
@@ -290,57 +307,6 @@
     return wave.instances.filter(down).length;
   }
 
-  /** The first lasting step whose budget does not allow all these runs to end at once. */
-  #blockedStep(runs: readonly Run[], now: Millis): BlockedStep | undefined {
-    const steps = new Map<string, Run[]>();
-    for (const run of runs) {
-      // Counts runs that were last reported as not ready, too, since they may be ready by now.
-      if (run.lasting) {
-        const { jobId, occurrence, step } = run.task;
-        const key = `${jobId}.${occurrence}.${step}`;
-        steps.set(key, [...(steps.get(key) ?? []), run]);
-      }
-    }
-    const leaving = new Set(runs.map(({ executor }) => executor));
-    for (const [step, ofStep] of steps) {
-      const spec =
-        ofStep[0] === undefined ? undefined : this.#dependencies.jobs.step(ofStep[0].task)?.spec;
-      const budget = Math.max(1, spec?.maxUnavailable ?? 1);
-      const unavailable = this.#unavailableElsewhere(ofStep, spec?.taskCount ?? 0, leaving, now);
-      if (unavailable + ofStep.length > budget) {
-        return { step, runs: ofStep, unavailable, budget };
-      }
-    }
-    return undefined;
-  }
-
-  /** One of several runs of the step that the budget allows to stop, to restart elsewhere. */
-  #evictableRun({ runs, unavailable, budget }: BlockedStep): Run | undefined {
-    if (runs.length < 2 || runs.some(({ phase }) => phase === 'stopping')) {
-      return undefined;
-    }
-    const chosen = runs.find((run) => !isReady(run)) ?? runs[0];
-    const others = runs.filter((run) => run !== chosen && !isReady(run)).length;
-    return unavailable + others < budget ? chosen : undefined;
-  }
-
-  /** Number of tasks of the runs' step that are not ready, without those on `leaving` executors. */
-  #unavailableElsewhere(
-    runs: readonly Run[],
-    taskCount: number,
-    leaving: ReadonlySet<ExecutorId>,
-    now: Millis,
-  ): number {
-    const task = runs[0]?.task;
-    const siblings = this.#dependencies.runs
-      .ofJob(task?.jobId ?? '')
-      .filter((run) => run.task.occurrence === task?.occurrence && run.task.step === task.step);
-    const available = siblings.filter(
-      (one) => !leaving.has(one.executor) && isReady(one) && this.#isHealthy(one.executor, now),
-    );
-    return taskCount - runs.length - available.length;
-  }
-
   /** Whether the executor is responsive and no order that ends it is or may be on its way. */
   #isHealthy(executor: ExecutorId, now: Millis): boolean {
     const state = this.#dependencies.executors.get(executor);
@@ -381,9 +347,3 @@
 function wait(waiting: WaitingInstance, usesSlot: boolean): NextAction {
   return { type: 'wait', waiting, usesSlot };
 }
-
-const READY_PERCENT = 100;
-
-function isReady(run: Run): boolean {
-  return run.phase === 'running' && run.percent >= READY_PERCENT;
-}
--- a/packages/core/src/jobs/messages.ts
+++ b/packages/core/src/jobs/messages.ts
@@ -31,11 +31,20 @@
   readonly executor: ExecutorId | undefined;
 }
 
+/** Time within which the maintenance of all instances of a wave must have begun. */
+export interface WaveWindow {
+  /** Monotonic time of this process before which the wave was not requested. */
+  readonly requestedAfter: Millis;
+  readonly durationMs: Millis;
+}
+
 /** A request to maintain a set of instances, at most `maxParallel` of them at once. */
 export interface MaintenanceWave {
   readonly number: number;
   readonly instances: readonly string[];
   readonly maxParallel: number;
+  /** Undefined if it is not known when the wave was requested. */
+  readonly window?: WaveWindow;
   /** Instances whose maintenance has begun under an earlier owner. */
   readonly begun: readonly string[];
   readonly completed: boolean;
@@ -66,7 +75,13 @@
   /** A poll that may extend the lease of an executor is about to be sent. */
   | { readonly type: 'lease'; readonly executor: ExecutorId; readonly leaseEndsAt: Millis }
   /** A poll of an executor timed out or failed. */
-  | { readonly type: 'silent'; readonly executor: ExecutorId; readonly leaseEndsAt: Millis }
+  | {
+      readonly type: 'silent';
+      readonly executor: ExecutorId;
+      readonly leaseEndsAt: Millis;
+      /** Monotonic time at which the poll was sent; if absent, now. */
+      readonly sentAt?: Millis;
+    }
   | {
       readonly type: 'start-answer';
       readonly task: TaskRef;
--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -1,10 +1,22 @@
 import type { Clock, ExecutorInfo, JobEvent, Millis, TaskRef } from '@turmerichoist/core';
 import { Actor, sleep, type ActorContext, type Recipient } from '@turmerichoist/runtime';
+import type { CallLoss } from './call-loss.js';
 import type { ExecutorClient, PollResponse, StartOrder } from './ports.js';
 import { WakeablePause } from './wakeable-pause.js';
 
 /** Long-poll time of one poll, which returns early when a run ends. Each poll extends the lease. */
 const POLL_WAIT_MS: Millis = 1_000;
+/**
+ * Long-poll time while calls are being lost and tasks start or end on the executor. The ends that a
+ * lost poll would have told are known after this time, instead of after a time-out of over 1.7 s.
+ */
+const SHORT_POLL_WAIT_MS: Millis = 250;
+/** An executor counts as active for this long after a start or an end. */
+const ACTIVE_MS: Millis = 3_000;
+/** A poll is overdue when it is not answered this long after its wait; executors take milliseconds. */
+const OVERDUE_MS: Millis = 150;
+/** Overdue polls at which no further one is sent: the executor is silent, and no call is lost. */
+const MAX_OVERDUE_POLLS = 2;
 /**
  * Shortest and longest pause before an executor is polled again whose ended runs are not acknowledged.
  * Behind a slow store, a fixed pause made thousands of polls a second that listed the same runs.
@@ -56,9 +68,14 @@
   readonly maxLeaseMs: Millis;
   /** Whether the owner holds its lease now; checked directly before each extension or order. */
   readonly mayAct: () => boolean;
+  /** Of the calls over all links of the owner. */
+  readonly loss: CallLoss;
   readonly owner: Recipient<JobEvent>;
 }
 
+/** How a poll ended, or that it is still under way although its answer is due. */
+type PollResult = 'answered' | 'unanswered' | 'overdue';
+
 /** Owns the connections to one executor: polls it continuously and forwards orders to it. */
 export class ExecutorLink extends Actor<ExecutorLinkMessage> {
   readonly #options: ExecutorLinkOptions;
@@ -85,6 +102,11 @@
   #extraPolling = false;
   /** Whether another such poll was asked for after that one was sent. */
   #extraPollDue = false;
+  #pollsSent = 0;
+  /** Number of polls under way that are overdue. */
+  #overduePolls = 0;
+  /** Time of the latest start or listed end. */
+  #activeAt: Millis = -Infinity;
 
   constructor(options: ExecutorLinkOptions, context: ActorContext) {
     super('executor', context);
@@ -137,21 +159,57 @@
 
   async #runPollLoop(): Promise<void> {
     // The first poll returns at once: it reads the executor's clock, which a lease needs.
-    let answered = await this.#poll(0);
+    let result: PollResult = (await this.#poll(0)) ? 'answered' : 'unanswered';
     while (!this.signal.aborted) {
       // No other turn may come between the first report and the poll that extends the lease: starts
       // that the owner decides from the report can't be sent before.
       const resumed = !this.#options.mayAct() && (await this.#awaitLeadership());
-      const waitMs = answered && !resumed && this.#allAcknowledged ? POLL_WAIT_MS : 0;
-      answered = await this.#poll(waitMs, answered);
-      if (!answered) {
+      const answered = result === 'answered';
+      const waitMs = answered && !resumed && this.#allAcknowledged ? this.#waitMs() : 0;
+      result = await this.#pollUntilOverdue(waitMs, answered);
+      if (result === 'unanswered') {
         await sleep(UNANSWERED_PAUSE_MS, this.signal);
-      } else if (!this.#allAcknowledged) {
+      } else if (result === 'answered' && !this.#allAcknowledged) {
         await this.#awaitAcknowledgement();
       }
     }
   }
 
+  #waitMs(): Millis {
+    const { clock, loss } = this.#options;
+    const active = clock.now() - this.#activeAt < ACTIVE_MS;
+    return active && loss.elevated ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS;
+  }
+
+  /** Polls once, and stops waiting for the answer when it is overdue. It still counts if it comes. */
+  async #pollUntilOverdue(waitMs: Millis, extend: boolean): Promise<PollResult> {
+    let overdue = false;
+    const poll = this.#poll(waitMs, extend).then((answered): PollResult => {
+      this.#overduePolls -= overdue ? 1 : 0;
+      return answered ? 'answered' : 'unanswered';
+    });
+    if (this.#overduePolls >= MAX_OVERDUE_POLLS) {
+      return poll;
+    }
+    const limit = new AbortController();
+    const result = await Promise.race([
+      poll,
+      this.#overdueAfter(waitMs + OVERDUE_MS, limit.signal),
+    ]);
+    limit.abort();
+    if (result === 'overdue') {
+      overdue = true;
+      this.#overduePolls += 1;
+      this.#mayHaveRestarted = true;
+    }
+    return result;
+  }
+
+  async #overdueAfter(ms: Millis, signal: AbortSignal): Promise<PollResult> {
+    await sleep(ms, AbortSignal.any([this.signal, signal]));
+    return 'overdue';
+  }
+
   /** Pauses while the owner may not act. Returns whether it did. */
   async #awaitLeadership(): Promise<boolean> {
     let paused = false;
@@ -194,6 +252,8 @@
     const extending = extend && mayAct();
     const restarted = this.#mayHaveRestarted || client.process !== this.#reportedProcess;
     const acknowledgedThrough = restarted ? 0 : this.#acknowledgedThrough;
+    this.#pollsSent += 1;
+    const number = this.#pollsSent;
     if (extending) {
       this.#leaseRequested ||= this.#clockKnown;
       const endsAt = sentAt + leaseBoundMs(leaseMs);
@@ -208,7 +268,9 @@
       { acknowledgedThrough, leaseMs: extending ? leaseMs : undefined, waitMs },
       this.signal,
     );
-    this.#mayHaveRestarted = answer.type !== 'report';
+    const superseded = number !== this.#pollsSent;
+    this.#mayHaveRestarted = answer.type !== 'report' || (superseded && this.#mayHaveRestarted);
+    this.#options.loss.record(answer.type !== 'unanswered');
     if (answer.type === 'report') {
       this.#onReport(answer, sentAt);
       return true;
@@ -218,7 +280,7 @@
       owner.post({ type: 'fenced', executor: info.id });
       return false;
     }
-    owner.post({ type: 'silent', executor: info.id, leaseEndsAt: this.#leaseEndsAt });
+    owner.post({ type: 'silent', executor: info.id, leaseEndsAt: this.#leaseEndsAt, sentAt });
     return false;
   }
 
@@ -235,7 +297,10 @@
       this.#reportedThrough = 0;
     }
     const last = answer.ended.at(-1)?.seq ?? 0;
-    this.#reportedThrough = Math.max(this.#reportedThrough, last);
+    if (last > this.#reportedThrough) {
+      this.#reportedThrough = last;
+      this.#activeAt = clock.now();
+    }
     owner.post({
       type: 'report',
       leaseEndsAt: this.#leaseEndsAt,
@@ -252,12 +317,14 @@
   }
 
   async #start(order: StartOrder): Promise<void> {
-    const { client, info, mayAct, owner } = this.#options;
+    const { client, clock, info, loss, mayAct, owner } = this.#options;
     if (!this.#leaseRequested) {
       // A start may follow the first report before the next poll, which requests a lease, is sent.
       await sleep(0, this.signal);
     }
+    this.#activeAt = clock.now();
     const outcome = mayAct() ? await client.start(order, this.signal) : 'not-sent';
+    loss.record(outcome !== 'unknown');
     const { task, attempt } = order;
     if (outcome !== 'started') {
       this.log.info('start not confirmed', { task, attempt, executor: info.id, outcome });
--- a/packages/daemon/src/jobs/executor-links.ts
+++ b/packages/daemon/src/jobs/executor-links.ts
@@ -1,5 +1,6 @@
 import type { Clock, ExecutorId, ExecutorInfo, JobEvent, Millis } from '@turmerichoist/core';
 import type { ActorContext, Metrics, Recipient } from '@turmerichoist/runtime';
+import { CallLoss } from './call-loss.js';
 import { ExecutorLink, type ExecutorLinkMessage } from './executor-link.js';
 import type { ExecutorConnector } from './ports.js';
 
@@ -26,6 +27,7 @@
 export class ExecutorLinks {
   readonly #options: ExecutorLinksOptions;
   readonly #context: ActorContext;
+  readonly #loss: CallLoss;
   readonly #links = new Map<ExecutorId, OpenLink>();
   /** Addresses to which links were opened, or could not be, by executor. */
   #addresses: ReadonlyMap<ExecutorId, string> = new Map();
@@ -33,6 +35,7 @@
   constructor(options: ExecutorLinksOptions, context: ActorContext) {
     this.#options = options;
     this.#context = context;
+    this.#loss = new CallLoss(options.clock);
   }
 
   /** Forwards a message to an executor's link; dropped without one, like an unanswered request. */
@@ -88,7 +91,7 @@
     const signal = AbortSignal.any([this.#context.signal, controller.signal]);
     const client = connector.connect(info, fencingToken, signal);
     const link = new ExecutorLink(
-      { info, client, clock, leaseMs, maxLeaseMs, mayAct, owner },
+      { info, client, clock, leaseMs, maxLeaseMs, mayAct, loss: this.#loss, owner },
       { log, signal },
     );
     log.info('executor link opened', { executor: info.id, pool: info.pool, zone: info.zone });
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -42,6 +42,7 @@
   OperatorView,
   RowCodec,
 } from './ports.js';
+import { WaveWindows } from './wave-windows.js';
 
 /** The load balancer sends no more connections after two failed probes, one second apart. */
 const DRAIN_MS: Millis = 2_500;
@@ -77,7 +78,12 @@
   | LeaderEvent
   | StoreContactEvent
   | RouteChange
-  | { readonly type: 'view'; readonly view: OperatorView }
+  | {
+      readonly type: 'view';
+      readonly view: OperatorView;
+      /** When the read was sent that preceded the one of the view; undefined for the first. */
+      readonly readBefore: Millis | undefined;
+    }
   | { readonly type: 'superseded'; readonly term: LeaderTerm };
 
 /** One member of a cell: serves callers, and runs the cell's `JobOwner` while it is the leader. */
@@ -86,6 +92,7 @@
   readonly #service: JobService;
   readonly #elector: LeaderElector;
   readonly #loadReporter: LoadReporter;
+  readonly #waveWindows = new WaveWindows();
   #view: OperatorView = { config: undefined, zonesOut: new Set(), waves: [] };
   #owner: { readonly owner: JobOwner; readonly abort: () => void } | undefined;
   /** Latest bulletin of the current leader, which may be this member. */
@@ -175,7 +182,7 @@
         this.#elector.post({ type: 'poll' });
         return;
       case 'view':
-        this.#setView(message.view);
+        this.#setView(message.view, message.readBefore);
         return;
       case 'published':
         this.#onPublished(message);
@@ -192,8 +199,9 @@
     }
   }
 
-  #setView(view: OperatorView): void {
+  #setView(requested: OperatorView, readBefore: Millis | undefined): void {
     const present = this.#view.config;
+    const view = { ...requested, waves: this.#waveWindows.apply(requested.waves, readBefore) };
     const older = (view.config?.revision ?? -1) < (present?.revision ?? -1);
     this.#view = older ? { ...view, config: present } : view;
     const { config } = this.#view;
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -91,8 +91,16 @@
   readonly config: JobConfig | undefined;
   /** Availability zones that operators have taken out of service. */
   readonly zonesOut: ReadonlySet<ZoneName>;
-  /** Requested maintenance waves, without the progress that the owner stores. */
-  readonly waves: readonly Omit<MaintenanceWave, 'begun' | 'completed'>[];
+  readonly waves: readonly RequestedWave[];
+}
+
+/** A maintenance wave as operators request it, without the progress that the owner stores. */
+export interface RequestedWave extends Pick<
+  MaintenanceWave,
+  'number' | 'instances' | 'maxParallel' | 'window'
+> {
+  /** Time within which the maintenance of all instances must have begun. */
+  readonly durationMs: Millis;
 }
 
 /** Decodes and encodes the rows that are shared with the platform and its operators. */
--- a/packages/daemon/test/executor-link.test.ts
+++ b/packages/daemon/test/executor-link.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, expect, test } from '@jest/globals';
 import { ManualClock, type Clock, type EndedRun, type JobEvent } from '@turmerichoist/core';
 import { silentLogger, SystemClock } from '@turmerichoist/runtime';
+import { CallLoss } from '../src/jobs/call-loss.js';
 import { ExecutorLink } from '../src/jobs/executor-link.js';
 import type { ExecutorClient, PollResponse, PollRequest } from '../src/jobs/ports.js';
 
@@ -78,6 +79,7 @@
       leaseMs: LEASE_MS,
       maxLeaseMs: MAX_LEASE_MS,
       mayAct: () => leading,
+      loss: new CallLoss(clock),
       owner: {
         post: (event) => {
           events.push(event);
--- a/packages/daemon/test/support/job-cell-fixture.ts
+++ b/packages/daemon/test/support/job-cell-fixture.ts
@@ -65,7 +65,11 @@
 
 /** Tells a member the configuration. */
 export function configure(cell: JobCell, config: JobConfig): void {
-  cell.post({ type: 'view', view: { config, zonesOut: new Set(), waves: [] } });
+  cell.post({
+    type: 'view',
+    view: { config, zonesOut: new Set(), waves: [] },
+    readBefore: undefined,
+  });
 }
 
 /** Starts a member of a cell without instances, which has not read a configuration yet. */
