perf(jobs): order time-outs follow the answer times while calls are lost

Cause: a fixed time-out of 250 ms for orders would be too short for a slow owner, whose calls would then all time out and be repeated, and still twice what a lost start needs where answers take 3 ms. Change: one count of calls and answer times over all links. While 1% to 25% of the calls are unanswered, orders time out after the smoothed answer time and four deviations, 100 to 450 ms, polls of active executors wait for 150 ms, and one whose answer is overdue by the same time is followed by another. Without losses, all is as before: 450 ms and 1 s.

--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -8,13 +8,11 @@
 const POLL_WAIT_MS: Millis = 1_000;
 /**
  * Long-poll time while calls are being lost and tasks start or end on the executor. The ends that a
- * lost poll would have told are known after this time, instead of after a time-out of over 1.7 s.
+ * lost poll would have told are known soon after it, instead of after a time-out of over 1.7 s.
  */
-const SHORT_POLL_WAIT_MS: Millis = 250;
+const SHORT_POLL_WAIT_MS: Millis = 150;
 /** An executor counts as active for this long after a start or an end. */
 const ACTIVE_MS: Millis = 3_000;
-/** A poll is overdue when it is not answered this long after its wait; executors take milliseconds. */
-const OVERDUE_MS: Millis = 150;
 /** Overdue polls at which no further one is sent: the executor is silent, and no call is lost. */
 const MAX_OVERDUE_POLLS = 2;
 /**
@@ -191,10 +189,11 @@
     if (this.#overduePolls >= MAX_OVERDUE_POLLS) {
       return poll;
     }
+    const { loss } = this.#options;
     const limit = new AbortController();
     const result = await Promise.race([
       poll,
-      this.#overdueAfter(waitMs + OVERDUE_MS, limit.signal),
+      this.#overdueAfter(waitMs + loss.answerTimeoutMs, limit.signal),
     ]);
     limit.abort();
     if (result === 'overdue') {
@@ -322,9 +321,15 @@
       // A start may follow the first report before the next poll, which requests a lease, is sent.
       await sleep(0, this.signal);
     }
-    this.#activeAt = clock.now();
-    const outcome = mayAct() ? await client.start(order, this.signal) : 'not-sent';
+    const sentAt = clock.now();
+    this.#activeAt = sentAt;
+    const outcome = mayAct()
+      ? await client.start(order, loss.answerTimeoutMs, this.signal)
+      : 'not-sent';
     loss.record(outcome !== 'unknown');
+    if (outcome === 'started') {
+      loss.recordTime(clock.now() - sentAt);
+    }
     const { task, attempt } = order;
     if (outcome !== 'started') {
       this.log.info('start not confirmed', { task, attempt, executor: info.id, outcome });
@@ -337,8 +342,9 @@
   }
 
   async #stop(task: TaskRef, attempt: number): Promise<void> {
-    const { client, info, mayAct, owner } = this.#options;
-    const answered = mayAct() && (await client.stop(task, attempt, this.signal));
+    const { client, info, loss, mayAct, owner } = this.#options;
+    const answered =
+      mayAct() && (await client.stop(task, attempt, loss.answerTimeoutMs, this.signal));
     owner.post({ type: 'stop-answer', task, attempt, executor: info.id, answered });
     if (answered) {
       await this.#pollSoon();
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -58,9 +58,10 @@
    */
   readonly process: number;
   poll(req: PollRequest, signal: AbortSignal): Promise<PollResponse>;
-  start(order: StartOrder, signal: AbortSignal): Promise<StartOutcome>;
-  /** Resolves to whether the executor confirmed the stop. */
-  stop(task: TaskRef, attempt: number, signal: AbortSignal): Promise<boolean>;
+  /** `timeoutMs`: time after which the outcome is `unknown`. */
+  start(order: StartOrder, timeoutMs: Millis, signal: AbortSignal): Promise<StartOutcome>;
+  /** Resolves to whether the executor confirmed the stop within `timeoutMs`. */
+  stop(task: TaskRef, attempt: number, timeoutMs: Millis, signal: AbortSignal): Promise<boolean>;
   /** Throttles a task to a share of its speed. Resolves to whether the executor confirmed it. */
   pace(task: TaskRef, attempt: number, percent: number, signal: AbortSignal): Promise<boolean>;
 }
--- a/packages/daemon/test/executor-link.test.ts
+++ b/packages/daemon/test/executor-link.test.ts
@@ -45,6 +45,7 @@
 beforeEach(() => {
   controller = new AbortController();
   leading = true;
+  lossy = false;
   events = [];
 });
 
@@ -52,6 +53,18 @@
   controller.abort();
 });
 
+/** Whether calls to other executors are being lost. */
+let lossy: boolean;
+
+function lossyCalls(clock: Clock): CallLoss {
+  const loss = new CallLoss(clock);
+  for (let call = 0; call < 1_000; call += 1) {
+    loss.record(call % 18 > 0);
+    loss.recordTime(3);
+  }
+  return loss;
+}
+
 /** Whether the owner holds its leader lease. */
 let leading: boolean;
 
@@ -79,7 +92,7 @@
       leaseMs: LEASE_MS,
       maxLeaseMs: MAX_LEASE_MS,
       mayAct: () => leading,
-      loss: new CallLoss(clock),
+      loss: lossy ? lossyCalls(clock) : new CallLoss(clock),
       owner: {
         post: (event) => {
           events.push(event);
@@ -302,3 +315,40 @@
   expect(reports.at(-1)).toBeGreaterThanOrEqual(requestedAt);
   expect(executor.polls.length).toBe(4);
 });
+
+test('a lost poll hides the ends of an executor until it times out', async () => {
+  lossy = true;
+  const executor = new ScriptedExecutor();
+  const link = openLink(executor);
+  (await executor.waitForPoll(1))(REPORT);
+  (await executor.waitForPoll(2))(REPORT_OF_AN_END);
+  link.post({ type: 'acknowledged', startedWallMs: 1, through: 7 });
+  // The third poll is lost.
+  await executor.waitForPoll(3);
+  (await executor.waitForPoll(4))({ ...REPORT, ended: [{ ...ENDED, seq: 8 }] });
+  await executor.waitForPoll(5);
+  const last = events.findLast((event) => event.type === 'report');
+  expect(last?.type === 'report' && last.report.ended[0]?.seq).toBe(8);
+});
+
+test('a poll that follows a lost one acknowledges ends to a restarted executor', async () => {
+  lossy = true;
+  const executor = new ScriptedExecutor();
+  const link = openLink(executor);
+  (await executor.waitForPoll(1))(REPORT);
+  (await executor.waitForPoll(2))(REPORT_OF_AN_END);
+  link.post({ type: 'acknowledged', startedWallMs: 1, through: 7 });
+  await executor.waitForPoll(3);
+  await executor.waitForPoll(4);
+  expect(executor.polls[3]?.req).toMatchObject({ acknowledgedThrough: 0, leaseMs: undefined });
+});
+
+test('a silent executor is polled ever more often while its polls are under way', async () => {
+  lossy = true;
+  const executor = new ScriptedExecutor();
+  openLink(executor);
+  (await executor.waitForPoll(1))(REPORT);
+  await executor.waitForPoll(4);
+  await elapse(1_000);
+  expect(executor.polls.length).toBe(4);
+});
