feat(jobs): order jobs by their team's share of the pool

A team's weight was decoded and never read: in a full pool, one team with many small jobs took all capacity. Jobs of teams below their weighted max-min share of a pool now come before those of teams at it. Water-filling keeps its precision for weights of any size and is shared by both paths.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -18,10 +18,13 @@
   LeastWorkFirst,
   remainingWork,
   objectiveAt,
+  withShare,
   type JobOrdering,
+  type JobValue,
   type Lateness,
   type RankedJob,
 } from './ordering.js';
 export type { ExecutorCounts, CellPoolLoad, CellPoolLoadView } from './pool-load.js';
 export type { RecoverySummary } from './recovery.js';
+export { TeamShares, type PoolUse, type TeamStanding, type WaitingWork } from './team-shares.js';
 export { TaskDurations } from './task-durations.js';
--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -1,5 +1,4 @@
 import { NO_RESOURCES, add, scale } from '../tasks/resource-arithmetic.js';
-import type { Resources } from '../tasks/model.js';
 import type { Clock, Millis, PoolName, TeamName } from '../types/index.js';
 import { Job } from './job.js';
 import type { JobId, SchedulingConfig, TaskRef } from './model.js';
@@ -8,6 +7,7 @@
 import { ReadyJobs } from './ready-jobs.js';
 import type { SchedulingAgenda } from './scheduling-agenda.js';
 import type { StepProgress } from './step-progress.js';
+import type { InheritedDemand } from './unreported-usage.js';
 
 export interface JobTableOptions {
   readonly clock: Clock;
@@ -23,6 +23,8 @@
  */
 const CLOCK_LEAD_MS: Millis = 10_000;
 
+const NOTHING_INHERITED: InheritedDemand = { all: NO_RESOURCES, finite: NO_RESOURCES };
+
 /** Processors that pending tasks need. `held`: by tasks that wait for the end of a recovery. */
 export interface WaitingProcessors {
   readonly startable: number;
@@ -72,24 +74,26 @@
 
   /**
    * Resources of the tasks that earlier owners may have started and that are not known to run, by
-   * team. Tasks of ended jobs count, as their stops may not have arrived, and so do those of steps
+   * pool and team. Tasks of ended jobs count, as their stops may not have arrived, and so do those of steps
    * whose predecessors are not known to be done: their ends may not have been stored.
    */
-  inheritedDemand(now: Millis): ReadonlyMap<TeamName, Resources> {
-    const demand = new Map<TeamName, Resources>();
-    for (const { accepted, occurrences } of this.#inherited) {
-      let sum = demand.get(accepted.team) ?? NO_RESOURCES;
+  inheritedDemand(now: Millis): ReadonlyMap<PoolName, ReadonlyMap<TeamName, InheritedDemand>> {
+    const demand = new Map<PoolName, Map<TeamName, InheritedDemand>>();
+    for (const { accepted, policy, occurrences } of this.#inherited) {
+      const teams = demand.get(policy.pool) ?? new Map<TeamName, InheritedDemand>();
+      let { all, finite } = teams.get(accepted.team) ?? NOTHING_INHERITED;
       for (const { dueAt, steps } of occurrences) {
         if (dueAt > now + CLOCK_LEAD_MS) {
           break;
         }
-        for (const { spec, pending } of steps) {
+        for (const { spec, need, pending } of steps) {
           if (pending.size > 0) {
-            sum = add(sum, scale(spec.resources, pending.size));
+            all = add(all, scale(spec.resources, pending.size));
+            finite = spec.lasting ? finite : add(finite, scale(need.resources, pending.size));
           }
         }
       }
-      demand.set(accepted.team, sum);
+      demand.set(policy.pool, teams.set(accepted.team, { all, finite }));
     }
     return demand;
   }
--- a/packages/core/src/jobs/ordering.ts
+++ b/packages/core/src/jobs/ordering.ts
@@ -1,11 +1,18 @@
 import type { Millis } from '../types/index.js';
 import type { Job } from './job.js';
 import type { TaskDurations } from './task-durations.js';
+import type { TeamShares } from './team-shares.js';
 
-/** Decides which job gets capacity first. */
+/**
+ * Decides which work yields when there is too little capacity: of two jobs, the one that is served
+ * later. All parts that let work wait or refuse it ask this order; none has its own.
+ */
 export interface JobOrdering {
-  /** Ranks a job as of now. With time alone, a rank never gets better. */
-  rank(job: Job, now: Millis): RankedJob;
+  /**
+   * Ranks a job as of now. With time alone, a rank never gets better. Without `shares`, its team
+   * counts as below its share, as in a pool that is not full.
+   */
+  rank(job: Job, now: Millis, shares?: TeamShares): RankedJob;
   /** Negative if `a` is served before `b`; jobs that compare equal are served by arrival. */
   compare(a: RankedJob, b: RankedJob): number;
 }
@@ -44,24 +51,43 @@
   return age <= MAX_LATENESS_FACTOR * objective ? 'late' : 'worthless';
 }
 
-const LASTING_RANK = 0;
-const LATENESS_RANK: Readonly<Record<Lateness, number>> = { 'in-time': 1, late: 2, worthless: 3 };
+/** What a job is worth: whether it is lasting, or how late. */
+export type JobValue = 'lasting' | Lateness;
 
-function rank(job: Job, now: Millis): number {
-  return job.lasting ? LASTING_RANK : LATENESS_RANK[latenessOf(job, now)];
-}
+const VALUE_RANK: Readonly<Record<JobValue, number>> = {
+  lasting: 0,
+  'in-time': 1,
+  late: 2,
+  worthless: 3,
+};
 
 /** What the order of a job depends on, as of one time. */
 export interface RankedJob {
   readonly job: Job;
-  readonly rank: number;
+  readonly value: JobValue;
+  /** Whether its team is below its share of the pool. Always true for lasting jobs. */
+  readonly belowShare: boolean;
   readonly started: boolean;
+  /** Estimated work that is left, in processor-milliseconds. */
   readonly work: number;
 }
 
+/** The same rank as of the present usage of the job's team. */
+export function withShare(ranked: RankedJob, shares: TeamShares): RankedJob {
+  const { job, value } = ranked;
+  const { team } = job.accepted;
+  const belowShare = value === 'lasting' || shares.isBelowShare(team, value === 'worthless');
+  return belowShare === ranked.belowShare ? ranked : { ...ranked, belowShare };
+}
+
+/** Shares decide between jobs that can have value and between worthless ones, not across. */
 function compareRanked(a: RankedJob, b: RankedJob): number {
-  if (a.rank !== b.rank) {
-    return a.rank - b.rank;
+  const decidedByShare = (a.value === 'worthless') === (b.value === 'worthless');
+  if (decidedByShare && a.belowShare !== b.belowShare) {
+    return a.belowShare ? -1 : 1;
+  }
+  if (a.value !== b.value) {
+    return VALUE_RANK[a.value] - VALUE_RANK[b.value];
   }
   if (a.job.policy.priority !== b.job.policy.priority) {
     return a.job.policy.priority - b.job.policy.priority;
@@ -73,9 +99,9 @@
 }
 
 /**
- * Sorts lasting jobs first and the others by lateness; then by priority, started before new jobs,
- * and least remaining work. Under a load of several times the capacity this completes the most jobs
- * in time.
+ * Sorts lasting jobs first and worthless ones last. Between them, jobs of teams below their share
+ * come first; then jobs in time, by priority, started before new jobs, and least remaining work. Under
+ * a load of several times the capacity, the order within a team completes the most jobs in time.
  */
 export class LeastWorkFirst implements JobOrdering {
   readonly #durations: TaskDurations;
@@ -84,13 +110,15 @@
     this.#durations = durations;
   }
 
-  rank(job: Job, now: Millis): RankedJob {
-    return {
+  rank(job: Job, now: Millis, shares?: TeamShares): RankedJob {
+    const ranked = {
       job,
-      rank: rank(job, now),
+      value: job.lasting ? 'lasting' : latenessOf(job, now),
+      belowShare: true,
       started: job.state === 'running',
       work: remainingWork(job, this.#durations),
-    };
+    } as const;
+    return shares === undefined ? ranked : withShare(ranked, shares);
   }
 
   compare(a: RankedJob, b: RankedJob): number {
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -16,6 +16,8 @@
    * the next reservation or release.
    */
   readonly #maxFree = new Map<string, Resources>();
+  /** Maximum of each resource of the capacity of the candidates with a label. */
+  readonly #maxCapacity = new Map<string, Resources>();
 
   constructor(table: ExecutorTable, runs: RunTable, candidates: readonly ExecutorState[]) {
     this.#runs = runs;
@@ -32,6 +34,27 @@
     return fitsIn(resources, this.#maxFreeWith(requiredLabel));
   }
 
+  /** Whether a task may fit on a candidate without runs. */
+  canEverFit({ resources, requiredLabel }: TaskNeed): boolean {
+    const known = this.#maxCapacity.get(requiredLabel);
+    const max =
+      known ??
+      this.#candidates
+        .filter(({ info }) => hasLabel(info, requiredLabel))
+        .map(({ info }) => info.capacity)
+        .reduce(maxResources, NO_RESOURCES);
+    this.#maxCapacity.set(requiredLabel, max);
+    return fitsIn(resources, max);
+  }
+
+  /** Capacity that is free on all candidates together. */
+  get totalFree(): Resources {
+    return [...this.#freeCapacity.values()].reduce(
+      (sum, free) => add(sum, maxResources(free, NO_RESOURCES)),
+      NO_RESOURCES,
+    );
+  }
+
   #maxFreeWith(label: string): Resources {
     const known = this.#maxFree.get(label);
     if (known !== undefined) {
--- a/packages/core/src/jobs/ready-jobs.ts
+++ b/packages/core/src/jobs/ready-jobs.ts
@@ -1,9 +1,13 @@
 import { Heap } from '../requests/heap.js';
-import type { Millis } from '../types/index.js';
-import type { Job } from './job.js';
+import { NO_RESOURCES, add, scale } from '../tasks/resource-arithmetic.js';
+import type { Resources } from '../tasks/model.js';
+import type { Millis, TeamName } from '../types/index.js';
+import type { Job, ReadyStep } from './job.js';
 import type { JobId } from './model.js';
-import type { JobOrdering, RankedJob } from './ordering.js';
-import { StartGroup, startGroupKey } from './start-group.js';
+import { withShare, type JobOrdering, type RankedJob } from './ordering.js';
+import { StartGroup, startGroupKey, type TaskNeed } from './start-group.js';
+import type { TeamShares, WaitingWork } from './team-shares.js';
+import { WaitingTotals } from './waiting-totals.js';
 
 /**
  * Time after which all ranks are worked out anew. Estimates of durations change with each ended
@@ -18,6 +22,8 @@
   readonly position: number;
 }
 
+type Candidate = Pick<RankedEntry, 'ranked' | 'position'>;
+
 interface Member {
   readonly job: Job;
   readonly position: number;
@@ -31,9 +37,12 @@
   readonly heap: Heap<RankedEntry>;
 }
 
+/** The first job of a group. */
 interface GroupHead {
   readonly group: Group;
   readonly entry: RankedEntry;
+  /** Its rank among jobs of other teams. All jobs of a group are of one team. */
+  readonly ranked: RankedJob;
 }
 
 interface DueTime {
@@ -53,6 +62,7 @@
   readonly #groups = new Map<string, Group>();
   readonly #changed = new Set<Member>();
   readonly #dueTimes = new Heap<DueTime>((a, b) => a.at < b.at);
+  readonly #totals = new WaitingTotals();
   #nextPosition = 0;
   #allRankedAt: Millis = -Infinity;
 
@@ -73,6 +83,16 @@
 
   remove({ id }: Job): void {
     this.#members.delete(id);
+    this.#totals.remove(id);
+  }
+
+  /**
+   * What the pending tasks of finite steps need, by team. Leaves out adopted jobs, and groups without
+   * a task that can run anywhere.
+   */
+  waiting(now: Millis, canRun: (need: TaskNeed) => boolean): ReadonlyMap<TeamName, WaitingWork> {
+    this.#refresh(now);
+    return this.#totals.byTeam(({ adopted, needs }) => !adopted && needs.some(canRun));
   }
 
   /** The tasks that a job may start have changed, or what its rank depends on. */
@@ -90,24 +110,30 @@
 
   /**
    * Yields jobs of groups that may start tasks, the first to be served first. The caller starts
-   * tasks of a job before it asks for the next one.
+   * tasks of a job before it asks for the next one. Without `shares`, no team is at its share.
    */
-  *take(now: Millis, mayStart: (group: StartGroup) => boolean): Iterable<Job> {
+  *take(now: Millis, mayStart: (group: StartGroup) => boolean, shares?: TeamShares): Iterable<Job> {
     this.#refresh(now);
     const passed: GroupHead[] = [];
     try {
-      const heads = this.#heads(now, mayStart);
+      const heads = this.#heads(now, mayStart, shares);
       for (let head = heads.pop(); head !== undefined; head = heads.pop()) {
         const { group, entry } = head;
         const { job } = entry.ranked;
         if (!mayStart(group.start)) {
           continue;
         }
+        const current = shares === undefined ? head.ranked : withShare(head.ranked, shares);
+        if (current !== head.ranked) {
+          // The team has reached its share in this round. It stays there, as nothing ends meanwhile.
+          heads.push({ ...head, ranked: current });
+          continue;
+        }
         group.heap.pop();
         passed.push(head);
         yield job;
         const exhausted = group.start.uniform && job.ready(now).length > 0;
-        const next = exhausted ? undefined : this.#head(group, now);
+        const next = exhausted ? undefined : this.#head(group, now, shares);
         if (next !== undefined) {
           heads.push(next);
         }
@@ -117,10 +143,19 @@
     }
   }
 
-  #heads(now: Millis, mayStart: (group: StartGroup) => boolean): Heap<GroupHead> {
-    const heads = new Heap<GroupHead>((a, b) => this.#comesBefore(a.entry, b.entry));
+  #heads(
+    now: Millis,
+    mayStart: (group: StartGroup) => boolean,
+    shares: TeamShares | undefined,
+  ): Heap<GroupHead> {
+    const heads = new Heap<GroupHead>((a, b) =>
+      this.#comesBefore(
+        { ranked: a.ranked, position: a.entry.position },
+        { ranked: b.ranked, position: b.entry.position },
+      ),
+    );
     for (const group of this.#groups.values()) {
-      const head = mayStart(group.start) ? this.#head(group, now) : undefined;
+      const head = mayStart(group.start) ? this.#head(group, now, shares) : undefined;
       if (head !== undefined) {
         heads.push(head);
       }
@@ -129,12 +164,13 @@
   }
 
   /** The first job of a group. Ranks get worse with time, so only the first one is ranked again. */
-  #head(group: Group, now: Millis): GroupHead | undefined {
+  #head(group: Group, now: Millis, shares: TeamShares | undefined): GroupHead | undefined {
     const { heap } = group;
     for (let entry = heap.peek(); entry !== undefined; entry = heap.peek()) {
       const member = this.#members.get(entry.ranked.job.id);
       if (member?.entry === entry && entry.rankedAt === now) {
-        return { group, entry };
+        const { ranked } = entry;
+        return { group, entry, ranked: shares === undefined ? ranked : withShare(ranked, shares) };
       }
       heap.pop();
       if (member?.entry === entry) {
@@ -180,7 +216,9 @@
   #place(member: Member, now: Millis): void {
     const { job } = member;
     member.entry = undefined;
-    const needs = job.ready(now).map(({ step }) => step.need);
+    this.#totals.remove(job.id);
+    const steps = job.ready(now);
+    const needs = steps.map(({ step }) => step.need);
     if (needs.length === 0 || this.#members.get(job.id) !== member) {
       return;
     }
@@ -192,7 +230,12 @@
       heap: new Heap<RankedEntry>((a, b) => this.#comesBefore(a, b)),
     };
     this.#groups.set(key, group);
-    group.heap.push(this.#rank(member, now));
+    const entry = this.#rank(member, now);
+    group.heap.push(entry);
+    const { start } = group;
+    const { team } = job.accepted;
+    const worthless = entry.ranked.value === 'worthless';
+    this.#totals.add(job.id, { key, start, team, worthless, need: finiteNeed(steps) });
   }
 
   #rank(member: Member, now: Millis): RankedEntry {
@@ -202,7 +245,17 @@
     return entry;
   }
 
-  #comesBefore(a: RankedEntry, b: RankedEntry): boolean {
+  #comesBefore(a: Candidate, b: Candidate): boolean {
     return (this.#order.compare(a.ranked, b.ranked) || a.position - b.position) < 0;
   }
 }
+
+/** Capacity that the pending tasks of finite steps take. */
+function finiteNeed(steps: readonly ReadyStep[]): Resources {
+  return steps
+    .filter(({ step }) => !step.spec.lasting)
+    .reduce(
+      (sum, { step }) => add(sum, scale(step.need.resources, step.pending.size)),
+      NO_RESOURCES,
+    );
+}
--- a/packages/core/src/jobs/recovery.ts
+++ b/packages/core/src/jobs/recovery.ts
@@ -1,6 +1,6 @@
 import { NO_RESOURCES, add } from '../tasks/resource-arithmetic.js';
 import type { Resources } from '../tasks/model.js';
-import type { Millis } from '../types/index.js';
+import type { Millis, PoolName } from '../types/index.js';
 import type { ExecutorTable } from './executor-table.js';
 import type { PoolInstance } from './messages.js';
 import type { ExecutorId } from './model.js';
@@ -104,25 +104,26 @@
   }
 
   /**
-   * Capacity of the executors on which runs of an earlier owner may go on that no report has listed.
+   * Capacity of the executors, by pool, on which runs of an earlier owner may go on that no report has listed.
    * Undefined if it is not known, since one of them is not described. A report lists all that runs,
    * also one that leaves ended runs out.
    */
-  unreportedCapacity(now: Millis): Resources | undefined {
+  unreportedCapacity(now: Millis): ReadonlyMap<PoolName, Resources> | undefined {
+    const capacity = new Map<PoolName, Resources>();
     if (!this.isPending(now)) {
-      return NO_RESOURCES;
+      return capacity;
     }
     if (this.#isListMissing(now)) {
       return undefined;
     }
-    let capacity = NO_RESOURCES;
     for (const id of this.#awaited(now)) {
       const state = this.#executors.get(id);
       if (state === undefined) {
         return undefined;
       }
       if (state.lastReportAt === undefined) {
-        capacity = add(capacity, state.info.capacity);
+        const { pool, capacity: more } = state.info;
+        capacity.set(pool, add(capacity.get(pool) ?? NO_RESOURCES, more));
       }
     }
     return capacity;
--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -270,7 +270,8 @@
     step.markAssigned(task.index);
     step.saveCheckpoint(task.index, running.checkpoint);
     job.markStarted();
-    const order = { task, attempt, executor, orderedAt: now };
+    const pool = this.#executors.get(executor)?.info.pool ?? job.policy.pool;
+    const order = { task, attempt, executor, pool, orderedAt: now };
     const begun = newRun(job, step, order);
     this.#runs.add({
       ...begun,
--- a/packages/core/src/jobs/run-table.ts
+++ b/packages/core/src/jobs/run-table.ts
@@ -1,6 +1,6 @@
 import { NO_RESOURCES, add, subtract } from '../tasks/resource-arithmetic.js';
 import type { Resources } from '../tasks/model.js';
-import type { Millis, TeamName } from '../types/index.js';
+import type { Millis, PoolName, TeamName } from '../types/index.js';
 import type { Job } from './job.js';
 import { footprint, taskKey, type ExecutorId, type TaskKey, type TaskRef } from './model.js';
 import type { StepProgress } from './step-progress.js';
@@ -21,6 +21,8 @@
   readonly task: TaskRef;
   readonly attempt: number;
   readonly executor: ExecutorId;
+  /** Pool of the executor when the run began. */
+  readonly pool: PoolName;
   readonly phase: RunPhase;
   /** Whether a report of the executor has listed it as running. */
   readonly listed: boolean;
@@ -54,7 +56,7 @@
 export function newRun(
   job: Job,
   { spec }: StepProgress,
-  order: Pick<Run, 'task' | 'attempt' | 'executor' | 'orderedAt'>,
+  order: Pick<Run, 'task' | 'attempt' | 'executor' | 'pool' | 'orderedAt'>,
 ): Run {
   return {
     ...order,
@@ -88,6 +90,8 @@
   readonly #byExecutor = new Map<ExecutorId, Map<TaskKey, Run>>();
   readonly #byJob = new Map<string, Map<TaskKey, Run>>();
   readonly #teamUsage = new Map<TeamName, Resources>();
+  /** Capacity that runs of finite tasks take, by pool and team. */
+  readonly #finiteUsage = new Map<PoolName, Map<TeamName, Resources>>();
   /** Number of runs in phase `stopping`. */
   #stopping = 0;
   /** Free capacity by executor, until a run begins or ends there. */
@@ -139,11 +143,17 @@
     return this.#teamUsage.get(team) ?? NO_RESOURCES;
   }
 
+  /** Capacity that runs of finite tasks take in a pool, by team; changes with the table. */
+  finiteUsage(pool: PoolName): ReadonlyMap<TeamName, Resources> {
+    return getOrCreate(this.#finiteUsage, pool);
+  }
+
   add(run: Run): void {
     this.remove(run.key);
     this.#store(run);
     this.#free.delete(run.executor);
     this.#teamUsage.set(run.team, add(this.teamUsage(run.team), run.resources));
+    this.#changeFiniteUsage(run, add);
   }
 
   /** Updates the mutable fields of a run. Its executor and resources do not change. */
@@ -169,9 +179,17 @@
       this.#byJob.delete(run.task.jobId);
     }
     this.#teamUsage.set(run.team, subtract(this.teamUsage(run.team), run.resources));
+    this.#changeFiniteUsage(run, subtract);
     return run;
   }
 
+  #changeFiniteUsage({ lasting, pool, team, footprint: taken }: Run, change: typeof add): void {
+    if (!lasting) {
+      const usage = getOrCreate(this.#finiteUsage, pool);
+      usage.set(team, change(usage.get(team) ?? NO_RESOURCES, taken));
+    }
+  }
+
   #store(run: Run): void {
     this.#stopping += stoppingCount(run) - stoppingCount(this.#byKey.get(run.key));
     this.#byKey.set(run.key, run);
@@ -188,12 +206,12 @@
 type MutableField =
   'phase' | 'listed' | 'confirmedAt' | 'stopSentAt' | 'percent' | 'gauge' | 'pace' | 'orderedAt';
 
-function getOrCreate<K>(maps: Map<K, Map<TaskKey, Run>>, key: K): Map<TaskKey, Run> {
+function getOrCreate<K, L, V>(maps: Map<K, Map<L, V>>, key: K): Map<L, V> {
   const existing = maps.get(key);
   if (existing !== undefined) {
     return existing;
   }
-  const created = new Map<TaskKey, Run>();
+  const created = new Map<L, V>();
   maps.set(key, created);
   return created;
 }
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,4 +1,4 @@
-import { add, fitsIn, scale } from '../tasks/resource-arithmetic.js';
+import { add, fitsIn, NO_RESOURCES, scale } from '../tasks/resource-arithmetic.js';
 import type { CellTables } from './cell-tables.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName, ZoneName } from '../types/index.js';
@@ -10,6 +10,7 @@
 import { newRun } from './run-table.js';
 import type { StartGroup } from './start-group.js';
 import type { StepProgress } from './step-progress.js';
+import { TeamShares } from './team-shares.js';
 import type { UnreportedUsage } from './unreported-usage.js';
 
 /** Limits on starts, apart from the capacity of executors. */
@@ -30,11 +31,17 @@
 /** Places pending tasks on executors, job by job. */
 export class Scheduler {
   readonly #tables: CellTables;
+  readonly #shares = new Map<PoolName, TeamShares>();
 
   constructor(tables: CellTables) {
     this.#tables = tables;
   }
 
+  /** Shares as of the latest round of a pool; undefined if no executor could get tasks then. */
+  shares(pool: PoolName): TeamShares | undefined {
+    return this.#shares.get(pool);
+  }
+
   /** Starts as many pending tasks of a pool as fit now. */
   schedule(pool: PoolName, limits: StartLimits, now: Millis): readonly JobDecision[] {
     const { jobs, runs, executors } = this.#tables;
@@ -44,17 +51,45 @@
       candidatesOf(executors, pool, limits.zonesOut, now),
     );
     if (round.empty) {
+      this.#shares.delete(pool);
       return [];
     }
+    const shares = this.#computeShares(pool, round, limits, now);
     const mayStart = ({ adopted, needs }: StartGroup): boolean =>
       !(limits.holdAdopted && adopted) && needs.some((need) => round.mayFit(need));
     const decisions: JobDecision[] = [];
-    for (const job of jobs.readyJobsIn(pool).take(now, mayStart)) {
+    for (const job of jobs.readyJobsIn(pool).take(now, mayStart, shares)) {
       this.#startReadyTasks(job, round, limits, now, decisions);
     }
     return decisions;
   }
 
+  #computeShares(
+    pool: PoolName,
+    round: PlacementRound,
+    limits: StartLimits,
+    now: Millis,
+  ): TeamShares {
+    const { jobs, runs } = this.#tables;
+    const { unreported, teams } = limits;
+    const inherited = unreported.inPool(pool);
+    const usage = runs.finiteUsage(pool);
+    const known = [...usage.values()].reduce(add, NO_RESOURCES);
+    const shares = new TeamShares(
+      {
+        capacity: add(add(round.totalFree, known), unreported.totalInPool(pool)),
+        users: [...usage.keys(), ...inherited.keys()],
+        usage: (team) => add(usage.get(team) ?? NO_RESOURCES, inherited.get(team) ?? NO_RESOURCES),
+        waiting: (at) => jobs.readyJobsIn(pool).waiting(at, (need) => round.canEverFit(need)),
+        teams,
+        chargedToCap: (team) => add(runs.teamUsage(team), unreported.of(team)),
+      },
+      now,
+    );
+    this.#shares.set(pool, shares);
+    return shares;
+  }
+
   #startReadyTasks(
     job: Job,
     round: PlacementRound,
@@ -191,8 +226,8 @@
   ): JobDecision {
     step.markAssigned(task.index);
     job.markStarted();
-    const executor = state.info.id;
-    this.#tables.runs.add(newRun(job, step, { task, attempt, executor, orderedAt: now }));
+    const { id: executor, pool } = state.info;
+    this.#tables.runs.add(newRun(job, step, { task, attempt, executor, pool, orderedAt: now }));
     return {
       type: 'start',
       executor,
--- a/packages/core/src/requests/water-fill.ts
+++ b/packages/core/src/requests/water-fill.ts
@@ -1,5 +1,15 @@
 import type { TeamName } from '../types/index.js';
 
+const DEFAULT_WEIGHT = 1;
+/** Weight of a team whose configured one is not positive, so that its work runs in idle capacity. */
+export const MIN_TEAM_WEIGHT = 1e-6;
+
+/** The weight that counts for a configured one: a missing one is 1, an invalid one the smallest. */
+export function effectiveWeight(configured: number | undefined): number {
+  const weight = configured ?? DEFAULT_WEIGHT;
+  return Number.isFinite(weight) ? Math.max(MIN_TEAM_WEIGHT, weight) : MIN_TEAM_WEIGHT;
+}
+
 /** Demand and weight of one team that competes for a shared capacity. */
 export interface WeightedDemand {
   readonly team: TeamName;
@@ -20,16 +30,24 @@
  */
 export function waterFill(capacity: number, demands: readonly WeightedDemand[]): WaterFillResult {
   const ordered = [...demands].sort((a, b) => a.demand / a.weight - b.demand / b.weight);
+  const weightsLeft = sumsToEnd(ordered.map(({ weight }) => weight));
   const shares = new Map<TeamName, number>();
   let capacityLeft = capacity;
-  let weightLeft = demands.reduce((sum, item) => sum + item.weight, 0);
   let level = 0;
-  for (const item of ordered) {
-    level = capacityLeft / weightLeft;
-    const share = Math.min(item.demand, item.weight * level);
-    shares.set(item.team, share);
-    capacityLeft -= share;
-    weightLeft -= item.weight;
+  for (const [index, { team, weight, demand }] of ordered.entries()) {
+    level = capacityLeft / (weightsLeft[index] ?? weight);
+    const share = Math.min(demand, weight * level);
+    shares.set(team, share);
+    capacityLeft = Math.max(0, capacityLeft - share);
   }
   return { shares, level };
 }
+
+/** For each value, its sum with all after it. Subtraction from a total would lose small values. */
+function sumsToEnd(values: readonly number[]): readonly number[] {
+  const sums = [...values];
+  for (let index = sums.length - 2; index >= 0; index -= 1) {
+    sums[index] = (sums[index] ?? 0) + (sums[index + 1] ?? 0);
+  }
+  return sums;
+}
--- a/packages/core/src/tasks/resource-arithmetic.ts
+++ b/packages/core/src/tasks/resource-arithmetic.ts
@@ -59,11 +59,21 @@
 
 /** Largest fraction of any single resource of `capacity` that `amount` takes. */
 export function dominantShare(amount: Resources, capacity: Resources): number {
-  return Math.max(
-    part(amount.processors, capacity.processors),
-    part(amount.memoryMb, capacity.memoryMb),
-    part(amount.accelerators, capacity.accelerators),
-  );
+  return largest(fractionOf(amount, capacity));
+}
+
+/** Fraction of each resource of `capacity` that `amount` takes. */
+export function fractionOf(amount: Resources, capacity: Resources): Resources {
+  return {
+    processors: part(amount.processors, capacity.processors),
+    memoryMb: part(amount.memoryMb, capacity.memoryMb),
+    accelerators: part(amount.accelerators, capacity.accelerators),
+  };
+}
+
+/** Maximum of all resources. */
+export function largest({ processors, memoryMb, accelerators }: Resources): number {
+  return Math.max(processors, memoryMb, accelerators);
 }
 
 function part(amount: number, capacity: number): number {
--- a/packages/core/src/tasks/share-ledger.ts
+++ b/packages/core/src/tasks/share-ledger.ts
@@ -1,4 +1,5 @@
 import type { Configuration } from '../resources/index.js';
+import { effectiveWeight } from '../requests/water-fill.js';
 import type { TeamName } from '../types/index.js';
 import {
   NO_RESOURCES,
@@ -19,8 +20,6 @@
   tasks: number;
 }
 
-const DEFAULT_WEIGHT = 1;
-
 /**
  * Weighted dominant resource fairness (DRF) between teams, and their allowances on this pool. A
  * task counts from the moment its lease is planned until the lease can no longer be live.
@@ -62,7 +61,7 @@
   }
 
   weight(team: TeamName): number {
-    return this.#weights.get(team) ?? DEFAULT_WEIGHT;
+    return effectiveWeight(this.#weights.get(team));
   }
 
   /** Resources charged to a team. */
