--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -26,5 +26,11 @@
 } from './ordering.js';
 export type { ExecutorCounts, CellPoolLoad, CellPoolLoadView } from './pool-load.js';
 export type { RecoverySummary } from './recovery.js';
-export { TeamShares, type PoolUse, type TeamStanding, type WaitingWork } from './team-shares.js';
+export {
+  TeamShares,
+  type PoolUse,
+  type ShareStanding,
+  type TeamStanding,
+  type WaitingWork,
+} from './team-shares.js';
 export { TaskDurations } from './task-durations.js';
--- a/packages/core/src/jobs/ordering.ts
+++ b/packages/core/src/jobs/ordering.ts
@@ -1,7 +1,9 @@
+import type { Resources } from '../tasks/model.js';
+import { NO_RESOURCES } from '../tasks/resource-arithmetic.js';
 import type { Millis } from '../types/index.js';
 import type { Job } from './job.js';
 import type { TaskDurations } from './task-durations.js';
-import type { TeamShares } from './team-shares.js';
+import type { ShareStanding, TeamShares } from './team-shares.js';
 
 /**
  * Decides which work yields when there is too little capacity: of two jobs, the one that is served
@@ -54,19 +56,25 @@
 /** What a job is worth: whether it is lasting, or how late. */
 export type JobValue = 'lasting' | Lateness;
 
-const VALUE_RANK: Readonly<Record<JobValue, number>> = {
-  lasting: 0,
-  'in-time': 1,
-  late: 2,
-  worthless: 3,
+type Ranks<T extends string> = Readonly<Record<T, number>>;
+
+/** Within each of these, the shares of teams decide first. */
+const CLASS_RANK: Ranks<JobValue> = { lasting: 0, 'in-time': 1, late: 1, worthless: 2 };
+const LATENESS_RANK: Ranks<JobValue> = { lasting: 0, 'in-time': 0, late: 1, worthless: 2 };
+const STANDING_RANK: Ranks<ShareStanding> = {
+  below: 0,
+  'in-reach': 1,
+  reached: 2,
 };
 
 /** What the order of a job depends on, as of one time. */
 export interface RankedJob {
   readonly job: Job;
   readonly value: JobValue;
-  /** Whether its team is below its share of the pool. Always true for lasting jobs. */
-  readonly belowShare: boolean;
+  /** How its team's usage of the pool relates to its share. Always `below` for lasting jobs. */
+  readonly standing: ShareStanding;
+  /** Capacity that its next task takes. */
+  readonly nextTask: Resources;
   readonly started: boolean;
   /** Estimated work that is left, in processor-milliseconds. */
   readonly work: number;
@@ -74,20 +82,21 @@
 
 /** The same rank as of the present usage of the job's team. */
 export function withShare(ranked: RankedJob, shares: TeamShares): RankedJob {
-  const { job, value } = ranked;
-  const { team } = job.accepted;
-  const belowShare = value === 'lasting' || shares.isBelowShare(team, value === 'worthless');
-  return belowShare === ranked.belowShare ? ranked : { ...ranked, belowShare };
+  const { job, value, nextTask } = ranked;
+  if (value === 'lasting') {
+    return ranked;
+  }
+  const standing = shares.standing(job.accepted.team, nextTask, value === 'worthless');
+  return standing === ranked.standing ? ranked : { ...ranked, standing };
 }
 
-/** Shares decide between jobs that can have value and between worthless ones, not across. */
 function compareRanked(a: RankedJob, b: RankedJob): number {
-  const decidedByShare = (a.value === 'worthless') === (b.value === 'worthless');
-  if (decidedByShare && a.belowShare !== b.belowShare) {
-    return a.belowShare ? -1 : 1;
-  }
-  if (a.value !== b.value) {
-    return VALUE_RANK[a.value] - VALUE_RANK[b.value];
+  const byRank =
+    CLASS_RANK[a.value] - CLASS_RANK[b.value] ||
+    STANDING_RANK[a.standing] - STANDING_RANK[b.standing] ||
+    LATENESS_RANK[a.value] - LATENESS_RANK[b.value];
+  if (byRank !== 0) {
+    return byRank;
   }
   if (a.job.policy.priority !== b.job.policy.priority) {
     return a.job.policy.priority - b.job.policy.priority;
@@ -114,7 +123,8 @@
     const ranked = {
       job,
       value: job.lasting ? 'lasting' : latenessOf(job, now),
-      belowShare: true,
+      standing: 'below',
+      nextTask: job.ready(now)[0]?.step.need.resources ?? NO_RESOURCES,
       started: job.state === 'running',
       work: remainingWork(job, this.#durations),
     } as const;
--- a/packages/core/src/jobs/ready-jobs.ts
+++ b/packages/core/src/jobs/ready-jobs.ts
@@ -125,7 +125,7 @@
         }
         const current = shares === undefined ? head.ranked : withShare(head.ranked, shares);
         if (current !== head.ranked) {
-          // The team has reached its share in this round. It stays there, as nothing ends meanwhile.
+          // Its team has come nearer to its share, and stays there: nothing ends within a round.
           heads.push({ ...head, ranked: current });
           continue;
         }
--- a/packages/core/src/jobs/team-shares.ts
+++ b/packages/core/src/jobs/team-shares.ts
@@ -35,6 +35,13 @@
   readonly chargedToCap: (team: TeamName) => Resources;
 }
 
+/**
+ * `below`: one more task stays within the share; `in-reach`: below it by less than a task; `reached`:
+ * at the share or above. Teams that lack whole tasks come first, as otherwise a team could stay far
+ * below its share while others go back and forth over the last fraction of theirs.
+ */
+export type ShareStanding = 'below' | 'in-reach' | 'reached';
+
 /** A team below its share. All figures are fractions of the dominant resource of the pool. */
 export interface TeamStanding {
   readonly team: TeamName;
@@ -87,15 +94,24 @@
     this.#initialUsage = new Map([...teams].map((team) => [team, use.usage(team)]));
   }
 
+  /** Whether a team uses less than its share. True for a team without demand and usage. */
+  isBelowShare(team: TeamName): boolean {
+    return this.standing(team, NO_RESOURCES) !== 'reached';
+  }
+
   /**
-   * Whether a team uses less than its share. A team without demand is below it, since it would be
-   * served first. `worthless`: the share for jobs that have lost their value, for which the useful
-   * and the worthless work of all teams compete.
+   * How the usage of a team relates to its share, if it starts `task` next. With each start it gets
+   * nearer to its share. `worthless`: the share for jobs that have lost their value, for which the
+   * useful and the worthless work of all teams compete.
    */
-  isBelowShare(team: TeamName, worthless = false): boolean {
+  standing(team: TeamName, task: Resources, worthless = false): ShareStanding {
     const { byTeam, lowest } = this.#levels(worthless);
     const share = this.#weight(team) * (byTeam.get(team) ?? lowest);
-    return this.#fraction(this.#use.usage(team)) + ROUNDING_TOLERANCE < share;
+    const usage = this.#use.usage(team);
+    if (this.#fraction(usage) + ROUNDING_TOLERANCE >= share) {
+      return 'reached';
+    }
+    return this.#fraction(add(usage, task)) <= share + ROUNDING_TOLERANCE ? 'below' : 'in-reach';
   }
 
   /** The teams with waiting work that are below their share of useful work as of now. */
