feat(jobs): log the teams below their share and count them in a gauge

The periodic load line of the leader lists, for each pool with waiting work, the teams that lack most of their share, with share, usage, waiting work and the age of the shares. A former leader sets its gauges to 0, so that it does not go on showing its last figures.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -24,7 +24,12 @@
   type Lateness,
   type RankedJob,
 } from './ordering.js';
-export type { ExecutorCounts, CellPoolLoad, CellPoolLoadView } from './pool-load.js';
+export type {
+  ExecutorCounts,
+  CellPoolLoad,
+  CellPoolLoadView,
+  PoolSharesLoad,
+} from './pool-load.js';
 export type { RecoverySummary } from './recovery.js';
 export {
   TeamShares,
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -17,6 +17,7 @@
 import { SchedulingAgenda } from './scheduling-agenda.js';
 import { Scheduler } from './scheduler.js';
 import { TaskDurations } from './task-durations.js';
+import type { TeamShares } from './team-shares.js';
 import { UnreportedUsage } from './unreported-usage.js';
 
 export interface JobDeciderOptions
@@ -76,7 +77,14 @@
     this.#scheduler = new Scheduler(parts);
     this.#instanceOrders = new InstanceOrders({ ...parts, reconciler: this.#reconciler }, options);
     this.#paceController = new PaceController(this.#runs);
-    this.poolLoad = new CellPoolLoadView(parts, this.#instanceOrders.lender);
+    this.poolLoad = new CellPoolLoadView(parts, this.#instanceOrders.lender, (pool) =>
+      this.#scheduler.shares(pool),
+    );
+  }
+
+  /** Shares of a pool as of its latest round; undefined if no executor could get tasks then. */
+  teamShares(pool: PoolName): TeamShares | undefined {
+    return this.#scheduler.shares(pool);
   }
 
   /** Number of jobs by queue of which no executor is known to have begun a task. */
--- a/packages/core/src/jobs/pool-load.ts
+++ b/packages/core/src/jobs/pool-load.ts
@@ -5,10 +5,26 @@
 import type { InstanceLender } from './lending.js';
 import type { PoolInstance } from './messages.js';
 import { latenessOf, type Lateness } from './ordering.js';
+import type { TeamShares, TeamStanding } from './team-shares.js';
 
 /** Pools that are described at once, so that the description stays small on any deployment. */
 const MAX_POOLS_DESCRIBED = 8;
 
+/** Teams of a pool that are described at once, for the same reason. */
+const MAX_TEAMS_DESCRIBED = 8;
+/** Precision of logged fractions. */
+const FRACTION_STEPS = 1_000;
+
+/** How the usage of teams relates to their shares of a pool. */
+export interface PoolSharesLoad {
+  /** Time since the round as of which the shares are. */
+  readonly ageMs: Millis;
+  /** Number of teams with waiting work that are below their share. */
+  readonly teamsBelow: number;
+  /** Those that lack most of it. */
+  readonly lackingMost: readonly TeamStanding[];
+}
+
 /** Capacity of a pool and the work that waits for it, at one moment. */
 export interface CellPoolLoad {
   readonly pool: PoolName;
@@ -26,6 +42,8 @@
   readonly incoming: number;
   /** Open finite jobs with tasks that could start, by lateness. */
   readonly jobs: Readonly<Record<Lateness, number>>;
+  /** Undefined if no tasks wait, or no executor could get tasks in the latest round. */
+  readonly shares: PoolSharesLoad | undefined;
 }
 
 /** Executors of a pool, each counted once: in the first of these groups that it belongs to. */
@@ -48,10 +66,23 @@
 export class CellPoolLoadView {
   readonly #tables: CellTables;
   readonly #lender: InstanceLender;
+  readonly #sharesOf: (pool: PoolName) => TeamShares | undefined;
 
-  constructor(tables: CellTables, lender: InstanceLender) {
+  /** `sharesOf` returns the shares of the latest round of a pool. */
+  constructor(
+    tables: CellTables,
+    lender: InstanceLender,
+    sharesOf: (pool: PoolName) => TeamShares | undefined,
+  ) {
     this.#tables = tables;
     this.#lender = lender;
+    this.#sharesOf = sharesOf;
+  }
+
+  /** Number of teams below their share, for each pool with jobs. */
+  teamsBelowShare(now: Millis): ReadonlyMap<PoolName, number> {
+    const { pools } = this.#tables.jobs;
+    return new Map(pools.map((pool) => [pool, this.#sharesOf(pool)?.teamsBelow(now).length ?? 0]));
   }
 
   /** Describes the pools with the most waiting work, most first. */
@@ -84,6 +115,7 @@
       ),
       incoming: this.#lender.incomingCount(pool),
       jobs: countEach(waitingLateness(jobs.openJobsIn(pool), now), LATENESS_GROUPS),
+      shares: startable + held === 0 ? undefined : describeShares(this.#sharesOf(pool), now),
     };
   }
 }
@@ -126,6 +158,27 @@
   return group === 'idle' || group === 'working';
 }
 
+function describeShares(shares: TeamShares | undefined, now: Millis): PoolSharesLoad | undefined {
+  if (shares === undefined) {
+    return undefined;
+  }
+  const below = [...shares.teamsBelow(now)].sort((a, b) => b.share - b.usage - (a.share - a.usage));
+  return {
+    ageMs: Math.round(now - shares.at),
+    teamsBelow: below.length,
+    lackingMost: below.slice(0, MAX_TEAMS_DESCRIBED).map(({ team, share, usage, waiting }) => ({
+      team,
+      share: rounded(share),
+      usage: rounded(usage),
+      waiting: rounded(waiting),
+    })),
+  };
+}
+
+function rounded(fraction: number): number {
+  return Math.round(fraction * FRACTION_STEPS) / FRACTION_STEPS;
+}
+
 function waitingLateness(jobs: readonly Job[], now: Millis): readonly Lateness[] {
   return jobs
     .filter((job) => !job.lasting && job.ready(now).some(({ step }) => step.pending.size > 0))
--- a/packages/core/test/jobs-pool-load.test.ts
+++ b/packages/core/test/jobs-pool-load.test.ts
@@ -40,9 +40,10 @@
     this.handle({ type: 'report', leaseEndsAt: sentAt + LEASE_MS, report });
   }
 
-  submit(id: string, tasks: number): void {
+  submit(id: string, tasks: number, team = 't1'): void {
     const accepted = {
       ...job(id, [step({ taskCount: tasks })]),
+      team,
       acceptedWallMs: this.clock.wall(),
     };
     this.handle({ type: 'jobs', jobs: [{ accepted }], adopted: false });
@@ -68,6 +69,7 @@
         instances: { up: 0, moving: 0, maintenance: 0, down: 0 },
         incoming: 0,
         jobs: { 'in-time': 1, late: 0, worthless: 0 },
+        shares: { ageMs: 0, teamsBelow: 0, lackingMost: [] },
       },
     ]);
   });
@@ -95,6 +97,20 @@
     ]);
   });
 
+  test('does not name the teams that lack a part of their share', () => {
+    const cell = new DescribedCell();
+    cell.submit('j1', 12);
+    cell.submit('j2', 40, 't2');
+    cell.submit('j3', 40, 't3');
+    cell.clock.advance(400);
+    const lackingMost = [
+      { team: 't3', share: 0.333, usage: 0, waiting: 2.5 },
+      { team: 't2', share: 0.333, usage: 0.25, waiting: 2.25 },
+    ];
+    expect(cell.loads()[0]?.shares).toEqual({ ageMs: 400, teamsBelow: 2, lackingMost });
+    expect(cell.decider.poolLoad.teamsBelowShare(cell.clock.now())).toEqual(new Map([['p1', 2]]));
+  });
+
   test('grows with the number of pools of the deployment', () => {
     expect(new DescribedCell(40).loads()).toHaveLength(8);
   });
--- a/packages/core/test/support/shared-pool.ts
+++ b/packages/core/test/support/shared-pool.ts
@@ -33,6 +33,7 @@
   readonly id: string;
   readonly runs: Map<TaskKey, ReportedRun>;
   ended: readonly EndedRun[];
+  silentUntil: Millis;
   lastSeq: number;
 }
 
@@ -58,6 +59,7 @@
       id: `e${index}`,
       runs: new Map<TaskKey, ReportedRun>(),
       ended: [],
+      silentUntil: 0,
       lastSeq: 0,
     }));
     this.#begin();
@@ -88,6 +90,13 @@
     this.#handle({ type: 'jobs', jobs: [{ accepted: stored }], adopted: false });
   }
 
+  /** Loses the reports of an executor for a time; it runs on. */
+  silence(id: string, forMs: Millis): void {
+    for (const one of this.#executors.filter((other) => other.id === id)) {
+      one.silentUntil = this.now + forMs;
+    }
+  }
+
   /** A new owner begins with what is stored, and does not know what runs. */
   takeOver(): void {
     this.#term += 1;
@@ -170,8 +179,11 @@
     this.demand.set(team, (this.demand.get(team) ?? 0) + by);
   }
 
-  #report({ id, runs, ended }: PoolExecutor): void {
+  #report({ id, runs, ended, silentUntil }: PoolExecutor): void {
     const sentAt = this.now;
+    if (silentUntil > sentAt) {
+      return;
+    }
     const running = [...runs.values()];
     const report = { executor: id, startedWallMs: 1, sentAt, running, ended };
     this.#handle({ type: 'report', leaseEndsAt: sentAt + LEASE_MS, report });
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -110,7 +110,7 @@
     const { rowCodec: codec, metrics } = options;
     this.#registry = new ExecutorRegistry({ codec, log: this.log, metrics });
     const { clock, term, mayAct, member, orders, inheritedBulletin } = options;
-    this.#load = new OwnerLoad(clock);
+    this.#load = new OwnerLoad(clock, metrics, this.signal);
     this.#takeoverTimes = new TakeoverTimes(clock);
     this.#stored = new StoredProgress(this.log);
     const queue = (): boolean => this.post({ type: 'schedule' });
--- a/packages/daemon/src/jobs/owner-load.ts
+++ b/packages/daemon/src/jobs/owner-load.ts
@@ -1,9 +1,14 @@
-import type { CellPoolLoadView, Clock, JobEvent, Millis } from '@turmerichoist/core';
-import { WindowStats, type LogFields } from '@turmerichoist/runtime';
+import type { CellPoolLoadView, Clock, JobEvent, Millis, PoolName } from '@turmerichoist/core';
+import { WindowStats, type LogFields, type Metrics } from '@turmerichoist/runtime';
+
+const TEAMS_BELOW_SHARE = 'shares.teams_below';
 
 /** How far a leader is behind, and what it has handled, by period. */
 export class OwnerLoad {
   readonly #clock: Clock;
+  readonly #metrics: Metrics;
+  /** Pools whose gauge has been set. */
+  readonly #gaugedPools = new Set<PoolName>();
   /** Times at which ticks were queued behind other events and have not been handled. */
   readonly #queuedTicks: Millis[] = [];
   readonly #eventDelay = new WindowStats();
@@ -12,8 +17,15 @@
   readonly #ends = new Map<string, number>();
   #jobsReadAt: Millis | undefined;
 
-  constructor(clock: Clock) {
+  /** Figures are taken until `signal` aborts at the end of the term. */
+  constructor(clock: Clock, metrics: Metrics, signal: AbortSignal) {
     this.#clock = clock;
+    this.#metrics = metrics;
+    const onEnd = (): void => {
+      // Otherwise a former leader would go on showing its last figures.
+      this.#gaugeTeamsBelow(new Map());
+    };
+    signal.addEventListener('abort', onEnd, { once: true });
   }
 
   onTickQueued(): void {
@@ -43,6 +55,7 @@
   /** Returns the figures since the last call. `listedEnds` counts an end each time it is listed. */
   take(pools: CellPoolLoadView): LogFields {
     const oldest = this.#queuedTicks[0];
+    this.#gaugeTeamsBelow(pools.teamsBelowShare(this.#clock.now()));
     const fields = {
       eventDelayMs: this.#eventDelay.take(),
       oldestEventMs: oldest === undefined ? 0 : Math.round(this.#clock.now() - oldest),
@@ -56,6 +69,15 @@
     this.#ends.clear();
     return fields;
   }
+
+  #gaugeTeamsBelow(counts: ReadonlyMap<PoolName, number>): void {
+    for (const pool of counts.keys()) {
+      this.#gaugedPools.add(pool);
+    }
+    for (const pool of this.#gaugedPools) {
+      this.#metrics.gauge(TEAMS_BELOW_SHARE, counts.get(pool) ?? 0, { pool });
+    }
+  }
 }
 
 function ageOf(time: Millis | undefined, clock: Clock): Millis | undefined {
