--- a/packages/core/test/jobs-team-order.test.ts
+++ b/packages/core/test/jobs-team-order.test.ts
@@ -81,14 +81,19 @@
   return counts;
 }
 
-test('a team that reaches its share in a round keeps its place in that round', () => {
+test('a team that reaches its share in a round keeps the places of its other jobs', () => {
   const clock = new ManualClock(10_000);
   const decider = newDecider(clock);
   const now = clock.now();
   decider.handle({ type: 'executors', executors: [executor('e1')] }, now);
   const report = { executor: 'e1', startedWallMs: 1, sentAt: now, running: [], ended: [] };
   decider.handle({ type: 'report', leaseEndsAt: now + 5_000, report }, now);
-  const jobs = [...jobsOf('a', 8), ...jobsOf('b', 8)].map((accepted) => ({ accepted }));
+  const resources = { processors: 1, memoryMb: 50, accelerators: 0 };
+  const others = jobsOf('a', 8).map(({ id }) => ({
+    ...job(`${id}-other`, [step({ resources })]),
+    team: 'a',
+  }));
+  const jobs = [...jobsOf('a', 8), ...others, ...jobsOf('b', 8)].map((accepted) => ({ accepted }));
   expect(startsByTeam(decider.handle({ type: 'jobs', jobs, adopted: false }, now))).toEqual({
     a: 4,
     b: 4,
