--- a/packages/core/src/jobs/team-shares.ts
+++ b/packages/core/src/jobs/team-shares.ts
@@ -63,8 +63,9 @@
   readonly demand: Resources;
 }
 
-/** Dominant share for each unit of weight at which teams have to stop, by team. */
+/** Dominant share for each unit of weight at which teams have to stop. */
 interface FairLevels {
+  /** By team; infinite if no resource that the team needs is used up. */
   readonly byTeam: ReadonlyMap<TeamName, number>;
   /** That of the scarcest resource, for teams without demand. */
   readonly lowest: number;
@@ -185,27 +186,39 @@
   let growing = claims;
   let lowest = Infinity;
   while (growing.length > 0) {
-    const { resource, level } = firstUsedUp(growing, left);
+    const first = firstUsedUp(growing, left);
+    if (first === undefined) {
+      growing.forEach(({ team }) => byTeam.set(team, Infinity));
+      break;
+    }
+    const { resource, level } = first;
     lowest = Math.min(lowest, level);
     const stopping = growing.filter(({ demand }) => demand[resource] > 0);
-    for (const { team, weight, demand } of stopping) {
-      byTeam.set(team, level);
-      const given = Math.min(1, (weight * level) / largest(demand));
-      left = subtract(left, scale(demand, given));
-    }
+    stopping.forEach(({ team }) => byTeam.set(team, level));
     growing = growing.filter(({ demand }) => demand[resource] <= 0);
+    if (growing.length > 0) {
+      left = stopping.reduce((rest, { weight, demand }) => {
+        const given = Math.min(1, (weight * level) / largest(demand));
+        return subtract(rest, scale(demand, given));
+      }, left);
+    }
   }
   return { byTeam, lowest };
 }
 
 const RESOURCES = ['processors', 'memoryMb', 'accelerators'] as const;
 
-/** The resource that is used up at the lowest level, if all teams grow in proportion. */
-function firstUsedUp(
-  claims: readonly Claim[],
-  left: Resources,
-): { readonly resource: keyof Resources; readonly level: number } {
-  const levels = RESOURCES.map((resource) => {
+interface UsedUp {
+  readonly resource: keyof Resources;
+  readonly level: number;
+}
+
+/** The resource that is used up first if all teams grow in proportion; undefined if none is. */
+function firstUsedUp(claims: readonly Claim[], left: Resources): UsedUp | undefined {
+  const levels = RESOURCES.filter((resource) => {
+    const total = claims.reduce((sum, { demand }) => sum + demand[resource], 0);
+    return total > left[resource] + ROUNDING_TOLERANCE;
+  }).map((resource) => {
     const demands = claims
       .filter(({ demand }) => demand[resource] > 0)
       .map(({ team, weight, demand }) => ({
@@ -213,8 +226,10 @@
         weight: weight * (demand[resource] / largest(demand)),
         demand: demand[resource],
       }));
-    const level = waterFill(Math.max(0, left[resource]), demands).level;
-    return { resource, level: demands.length === 0 ? Infinity : level };
+    return { resource, level: waterFill(Math.max(0, left[resource]), demands).level };
   });
-  return levels.reduce((first, one) => (one.level < first.level ? one : first));
+  return levels.reduce<UsedUp | undefined>(
+    (first, one) => (first === undefined || one.level < first.level ? one : first),
+    undefined,
+  );
 }
--- a/packages/core/src/tasks/resource-arithmetic.ts
+++ b/packages/core/src/tasks/resource-arithmetic.ts
@@ -59,7 +59,11 @@
 
 /** Largest fraction of any single resource of `capacity` that `amount` takes. */
 export function dominantShare(amount: Resources, capacity: Resources): number {
-  return largest(fractionOf(amount, capacity));
+  return Math.max(
+    part(amount.processors, capacity.processors),
+    part(amount.memoryMb, capacity.memoryMb),
+    part(amount.accelerators, capacity.accelerators),
+  );
 }
 
 /** Fraction of each resource of `capacity` that `amount` takes. */
