--- a/packages/core/src/jobs/team-shares.ts
+++ b/packages/core/src/jobs/team-shares.ts
@@ -95,7 +95,10 @@
     this.#initialUsage = new Map([...teams].map((team) => [team, use.usage(team)]));
   }
 
-  /** Whether a team uses less than its share. True for a team without demand and usage. */
+  /**
+   * Whether a team uses less than its share. Also answers for teams without waiting work: one that
+   * uses nothing is below its share, unless its weight is negligible beside those of the others.
+   */
   isBelowShare(team: TeamName): boolean {
     return this.standing(team, NO_RESOURCES) !== 'reached';
   }
