--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -19,10 +19,24 @@
   LeastWorkFirst,
   remainingWork,
   objectiveAt,
+  withShare,
   type JobOrdering,
+  type JobValue,
   type Lateness,
   type RankedJob,
 } from './ordering.js';
-export type { ExecutorCounts, CellPoolLoad, CellPoolLoadView } from './pool-load.js';
+export type {
+  ExecutorCounts,
+  CellPoolLoad,
+  CellPoolLoadView,
+  PoolSharesLoad,
+} from './pool-load.js';
 export type { RecoverySummary } from './recovery.js';
+export {
+  TeamShares,
+  type PoolUse,
+  type ShareStanding,
+  type TeamStanding,
+  type WaitingWork,
+} from './team-shares.js';
 export { TaskDurations } from './task-durations.js';
--- a/packages/core/src/tasks/resource-arithmetic.ts
+++ b/packages/core/src/tasks/resource-arithmetic.ts
@@ -66,6 +66,20 @@
   );
 }
 
+/** Fraction of each resource of `capacity` that `amount` takes. */
+export function fractionOf(amount: Resources, capacity: Resources): Resources {
+  return {
+    processors: part(amount.processors, capacity.processors),
+    memoryMb: part(amount.memoryMb, capacity.memoryMb),
+    accelerators: part(amount.accelerators, capacity.accelerators),
+  };
+}
+
+/** Maximum of all resources. */
+export function largest({ processors, memoryMb, accelerators }: Resources): number {
+  return Math.max(processors, memoryMb, accelerators);
+}
+
 function part(amount: number, capacity: number): number {
   return capacity > 0 ? amount / capacity : 0;
 }
