--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './checks/index.js';
 export * from './errors/index.js';
 export * from './fleet/index.js';
 export * from './jobs/index.js';
--- a/packages/core/src/resources/documents.ts
+++ b/packages/core/src/resources/documents.ts
@@ -39,32 +39,58 @@
   version: z.int().min(0).optional(),
 });
 
-function formatIssues(prefix: string, issues: readonly z.core.$ZodIssue[]): string[] {
-  return issues.map((issue) => {
-    const path = [prefix, ...issue.path.map(String)].filter((part) => part !== '').join('.');
-    return `${path}: ${issue.message}`;
-  });
+/** Field names and list indices that lead from a document to one of its fields. */
+export type FieldPath = readonly (string | number)[];
+
+/** One invalid field of a document. */
+export interface DocumentIssue {
+  /** The resource, as `kind/name`; absent while these two fields are invalid themselves. */
+  readonly resource?: string;
+  readonly path: FieldPath;
+  readonly message: string;
+  /** Fields below `path` that the schema does not have. */
+  readonly unknownFields?: readonly string[];
 }
 
-/**
- * Validates one document and applies defaults.
- * Fails with `bad-document`, whose detail names every invalid field.
- */
-export function parseDocument(input: unknown): Result<ResourceDocument, AppError> {
+function toIssue(issue: z.core.$ZodIssue, prefix: FieldPath, resource?: string): DocumentIssue {
+  return {
+    ...(resource === undefined ? {} : { resource }),
+    path: [...prefix, ...issue.path.map((part) => (typeof part === 'symbol' ? '' : part))],
+    message: issue.message,
+    ...(issue.code === 'unrecognized_keys' ? { unknownFields: issue.keys } : {}),
+  };
+}
+
+function formatIssue({ resource, path, message }: DocumentIssue): string {
+  const parts = [resource ?? '', ...path.map(String)].filter((part) => part !== '');
+  return `${parts.join('.')}: ${message}`;
+}
+
+/** Validates one document and applies defaults. Fails with every invalid field. */
+export function checkDocument(input: unknown): Result<ResourceDocument, readonly DocumentIssue[]> {
   const outer = envelopeSchema.safeParse(input);
   if (!outer.success) {
-    return Err(appError('bad-document', formatIssues('', outer.error.issues).join('; ')));
+    return Err(outer.error.issues.map((issue) => toIssue(issue, [])));
   }
   const { kind, name, spec, version } = outer.data;
   const inner = SPEC_SCHEMAS[kind].safeParse(spec ?? {});
   if (!inner.success) {
-    const lines = formatIssues(`${kind}/${name}.spec`, inner.error.issues);
-    return Err(appError('bad-document', lines.join('; ')));
+    return Err(inner.error.issues.map((issue) => toIssue(issue, ['spec'], `${kind}/${name}`)));
   }
   const base = { kind, name, spec: inner.data };
   return Ok((version === undefined ? base : { ...base, version }) as ResourceDocument);
 }
 
+/**
+ * Validates one document and applies defaults.
+ * Fails with `bad-document`, whose detail names every invalid field.
+ */
+export function parseDocument(input: unknown): Result<ResourceDocument, AppError> {
+  return checkDocument(input).mapErr((issues) =>
+    appError('bad-document', issues.map(formatIssue).join('; ')),
+  );
+}
+
 /** Validates a list of documents. Fails with the invalid fields of all of them. */
 export function parseDocuments(
   inputs: readonly unknown[],
--- a/packages/core/src/resources/references.ts
+++ b/packages/core/src/resources/references.ts
@@ -1,53 +1,85 @@
 import { Err, Ok, type AppError, type Result, appError } from '../errors/index.js';
 import type { Configuration } from './configuration.js';
+import type { FieldPath } from './documents.js';
 import type { ResourceKind } from './schemas.js';
 
+/** A rule about several resources that one of them violates. */
+export interface Violation {
+  /** The resource, as `kind/name`. */
+  readonly resource: string;
+  readonly field: FieldPath;
+  readonly message: string;
+}
+
 interface Reference {
   readonly from: string;
+  readonly field: FieldPath;
   readonly kind: ResourceKind;
   readonly name: string;
 }
 
 function references(cfg: Configuration): readonly Reference[] {
   return [
-    ...cfg.list('queue').map((q) => reference(`queue/${q.name}`, 'pool', q.spec.pool)),
+    ...cfg
+      .list('queue')
+      .map((q) => reference(`queue/${q.name}`, ['spec', 'pool'], 'pool', q.spec.pool)),
     ...cfg.list('upstream').flatMap((u) => placementReferences(`upstream/${u.name}`, u.spec)),
     ...cfg.list('instance').flatMap((i) => placementReferences(`instance/${i.name}`, i.spec)),
-    ...cfg
-      .list('pool')
-      .flatMap((p) => p.spec.zoneBudgets.map((b) => reference(`pool/${p.name}`, 'zone', b.zone))),
-    ...cfg
-      .list('plan')
-      .flatMap((p) =>
-        (p.spec.select.zones ?? []).map((zone) => reference(`plan/${p.name}`, 'zone', zone)),
-      ),
+    ...cfg.list('pool').flatMap((p) =>
+      p.spec.zoneBudgets.map((budget, index) => {
+        const field = ['spec', 'zoneBudgets', index, 'zone'];
+        return reference(`pool/${p.name}`, field, 'zone', budget.zone);
+      }),
+    ),
+    ...cfg.list('plan').flatMap((p) =>
+      (p.spec.select.zones ?? []).map((zone, index) => {
+        return reference(`plan/${p.name}`, ['spec', 'select', 'zones', index], 'zone', zone);
+      }),
+    ),
   ];
 }
 
-function reference(from: string, kind: ResourceKind, name: string): Reference {
-  return { from, kind, name };
+function reference(from: string, field: FieldPath, kind: ResourceKind, name: string): Reference {
+  return { from, field, kind, name };
 }
 
 function placementReferences(
   from: string,
   spec: { pool: string; zone: string },
 ): readonly Reference[] {
-  return [reference(from, 'pool', spec.pool), reference(from, 'zone', spec.zone)];
+  return [
+    reference(from, ['spec', 'pool'], 'pool', spec.pool),
+    reference(from, ['spec', 'zone'], 'zone', spec.zone),
+  ];
+}
+
+/** Finds references to resources that do not exist. */
+export function findDanglingReferences(cfg: Configuration): readonly Violation[] {
+  return references(cfg)
+    .filter(({ kind, name }) => cfg.get(kind, name) === undefined)
+    .map(({ from, field, kind, name }) => {
+      return { resource: from, field, message: `there is no ${kind}/${name}` };
+    });
 }
 
-function duplicateKeys(cfg: Configuration): readonly string[] {
+/** Finds keys that belong to two teams, or twice to one. */
+export function findSharedKeys(cfg: Configuration): readonly Violation[] {
   const owners = new Map<string, string>();
-  const problems: string[] = [];
+  const violations: Violation[] = [];
   for (const team of cfg.list('team')) {
-    for (const key of team.spec.keys) {
+    for (const [index, key] of team.spec.keys.entries()) {
       const owner = owners.get(key.sha256);
       if (owner !== undefined) {
-        problems.push(`team/${team.name}: key ${key.id} also belongs to team/${owner}`);
+        violations.push({
+          resource: `team/${team.name}`,
+          field: ['spec', 'keys', index, 'sha256'],
+          message: `key ${key.id} also belongs to team/${owner}`,
+        });
       }
       owners.set(key.sha256, team.name);
     }
   }
-  return problems;
+  return violations;
 }
 
 /**
@@ -55,9 +87,8 @@
  * Fails with `bad-document`, whose detail names every violation.
  */
 export function validateConfiguration(cfg: Configuration): Result<Configuration, AppError> {
-  const dangling = references(cfg)
-    .filter((reference) => cfg.get(reference.kind, reference.name) === undefined)
-    .map((reference) => `${reference.from}: there is no ${reference.kind}/${reference.name}`);
-  const problems = [...dangling, ...duplicateKeys(cfg)];
+  const problems = [...findDanglingReferences(cfg), ...findSharedKeys(cfg)].map(
+    ({ resource, message }) => `${resource}: ${message}`,
+  );
   return problems.length > 0 ? Err(appError('bad-document', problems.join('; '))) : Ok(cfg);
 }
