feat(cli): config check, with bounded reading of files

Cause: mistakes in a file show only when it is applied, and a hostile file can keep the parser busy for minutes. Change: `config check` reports findings with file, line and field, and differences with what they affect. All commands that read a file use the same bounded reader.

--- a/packages/cli/src/base-command.ts
+++ b/packages/cli/src/base-command.ts
@@ -1,9 +1,8 @@
-import { readFile } from 'node:fs/promises';
 import { createInterface } from 'node:readline/promises';
 import { Command, Flags } from '@oclif/core';
 import type { Result } from '@turmerichoist/core';
-import { parseAllDocuments } from 'yaml';
 import { ApiClient, EXIT_CODES, exitCodeFor, type ApiError } from './client/index.js';
+import { formatPosition, readDocumentFile } from './documents/index.js';
 import { OUTPUT_FORMATS, render, type OutputFormat } from './output/index.js';
 
 export interface CommonFlags {
@@ -71,19 +70,14 @@
 
   /** Reads the YAML documents of a file, or of standard input for `-`. */
   protected async readDocuments(file: string): Promise<readonly unknown[]> {
-    const text = await readFile(file === '-' ? '/dev/stdin' : file, 'utf8').catch(
-      (err: unknown) => {
-        this.logToStderr(`cannot read ${file}: ${String(err)}`);
-        this.exit(EXIT_CODES.usage);
-      },
-    );
-    const parsed = parseAllDocuments(text);
-    const list = Array.isArray(parsed) ? parsed : [];
-    const parseErrors = list.flatMap((doc) => doc.errors.map((err) => err.message));
-    if (parseErrors.length > 0) {
-      this.logToStderr(parseErrors.join('\n'));
+    const { documents, problems } = await readDocumentFile(file);
+    if (problems.length > 0) {
+      const lines = problems.map(
+        ({ position, message }) => `${formatPosition(position)}: ${message}`,
+      );
+      this.logToStderr(lines.join('\n'));
       this.exit(EXIT_CODES.usage);
     }
-    return list.map((doc) => doc.toJS() as unknown).filter((value) => value !== null);
+    return documents.map(({ value }) => value);
   }
 }
--- /dev/null
+++ b/packages/cli/src/config-check/index.ts
@@ -0,0 +1,4 @@
+export * from './check-files.js';
+export * from './render-report.js';
+export * from './report.js';
+export * from './version-in-force.js';
