--- a/packages/cli/src/documents/index.ts
+++ b/packages/cli/src/documents/index.ts
@@ -6,7 +6,7 @@
   const text = await readText(file);
   return text.isOk()
     ? parseDocumentText(file, text.value)
-    : { documents: [], problems: [text.error] };
+    : { file, documents: [], problems: [text.error] };
 }
 
 export * from './parse-documents.js';
--- a/packages/cli/src/documents/parse-documents.ts
+++ b/packages/cli/src/documents/parse-documents.ts
@@ -7,6 +7,7 @@
 
 /** The documents of a file and the reasons why others of its documents can't be used. */
 export interface DocumentFile {
+  readonly file: string;
   readonly documents: readonly SourceDocument[];
   readonly problems: readonly SourceProblem[];
 }
@@ -15,12 +16,13 @@
 export function parseDocumentText(file: string, text: string): DocumentFile {
   const exceeded = scanText(file, text);
   if (exceeded !== undefined) {
-    return { documents: [], problems: [exceeded] };
+    return { file, documents: [], problems: [exceeded] };
   }
   const lineCounter = new LineCounter();
   const parsed = parseAllDocuments(text, { lineCounter, uniqueKeys: false, prettyErrors: false });
   const results = [...parsed].map((doc) => new DocumentReader(file, doc, lineCounter).read());
   return {
+    file,
     documents: results.flatMap((result) => (result.isOk() ? (result.value ?? []) : [])),
     problems: results.flatMap((result) => (result.isErr() ? result.error : [])),
   };
--- a/packages/cli/src/documents/source-document.ts
+++ b/packages/cli/src/documents/source-document.ts
@@ -1,4 +1,13 @@
-import { isAlias, isMap, isScalar, isSeq, type Document, type LineCounter } from 'yaml';
+import {
+  isAlias,
+  isMap,
+  isScalar,
+  isSeq,
+  type Document,
+  type LineCounter,
+  type Pair,
+  type YAMLMap,
+} from 'yaml';
 import type { FieldPath } from '@turmerichoist/core';
 import type { Position } from './source-problem.js';
 
@@ -18,6 +27,8 @@
   readonly #file: string;
   readonly #doc: Document;
   readonly #lineCounter: LineCounter;
+  /** Makes many look-ups in a large object linear. */
+  readonly #pairsByKey = new WeakMap<YAMLMap, ReadonlyMap<string | undefined, Pair>>();
 
   constructor(file: string, value: unknown, doc: Document, lineCounter: LineCounter) {
     this.#file = file;
@@ -48,7 +59,7 @@
   ): { readonly node: unknown; readonly offset: number | undefined } | undefined {
     const node = isAlias(parent) ? parent.resolve(this.#doc) : parent;
     if (isMap(node)) {
-      const pair = node.items.find(({ key }) => keyText(key) === String(part));
+      const pair = this.#pairsOf(node).get(String(part));
       return pair && { node: pair.value, offset: offsetOf(pair.key) };
     }
     if (isSeq(node) && typeof part === 'number') {
@@ -57,4 +68,11 @@
     }
     return undefined;
   }
+
+  #pairsOf(map: YAMLMap): ReadonlyMap<string | undefined, Pair> {
+    const known = this.#pairsByKey.get(map);
+    const pairs = known ?? new Map(map.items.map((pair) => [keyText(pair.key), pair] as const));
+    this.#pairsByKey.set(map, pairs);
+    return pairs;
+  }
 }
--- a/packages/daemon/src/api/configuration-access.ts
+++ b/packages/daemon/src/api/configuration-access.ts
@@ -2,6 +2,7 @@
   AppError,
   Change,
   Configuration,
+  Finding,
   ResourceKind,
   Result,
   Revision,
@@ -23,6 +24,11 @@
   readonly changes: readonly Change[];
 }
 
+/** The outcome of a dry run, with what the rules report about the resulting configuration. */
+export interface CheckedOutcome extends ApplyOutcome {
+  readonly warnings: readonly Finding[];
+}
+
 export interface AuditFilter {
   readonly team?: string;
   /** As `kind/name`. */
--- a/packages/daemon/src/api/operator-api.ts
+++ b/packages/daemon/src/api/operator-api.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   appError,
+  checkConfiguration,
   RESOURCE_KINDS,
   type AppError,
   type Resource,
@@ -10,7 +11,12 @@
 import { z } from 'zod';
 import { readJson, sendError, sendJson } from '../http/responses.js';
 import { validateInput } from '../http/validate-input.js';
-import type { AuditFilter, ConfigurationAccess } from './configuration-access.js';
+import type {
+  ApplyOutcome,
+  AuditFilter,
+  CheckedOutcome,
+  ConfigurationAccess,
+} from './configuration-access.js';
 import type { Operators } from './operators.js';
 import { watch } from './watch.js';
 
@@ -151,7 +157,14 @@
     }
     const { documents, dryRun } = body.value;
     const { access, signal } = this.#options;
-    sendResult(call, await access.apply(documents, call.actor, dryRun, signal));
+    const outcome = await access.apply(documents, call.actor, dryRun, signal);
+    sendResult(call, dryRun ? outcome.map((value) => this.#check(value)) : outcome);
+  }
+
+  /** Adds the findings about the configuration that the change would lead to. */
+  #check(outcome: ApplyOutcome): CheckedOutcome {
+    const next = this.#options.access.current().with(outcome.revision, outcome.changes);
+    return { ...outcome, warnings: checkConfiguration(next) };
   }
 
   #watch(call: OperatorCall): void {
--- a/packages/stand-ins/src/demo/main.ts
+++ b/packages/stand-ins/src/demo/main.ts
@@ -1,3 +1,4 @@
+import { spawnSync } from 'node:child_process';
 import { readFile } from 'node:fs/promises';
 import { setTimeout as delay } from 'node:timers/promises';
 import { parseAllDocuments } from 'yaml';
@@ -7,6 +8,7 @@
 import { startWorker } from '../worker/index.js';
 import { renderSettings, startEntry, startPlatform } from './demo-system.js';
 
+const EXAMPLE_FILE = 'examples/fleet.yaml';
 const HOST = '127.0.0.1';
 const OPERATOR_TOKEN = 'example-operator-token';
 const READY_TIMEOUT_MS = 20_000;
@@ -25,6 +27,7 @@
   alias turmerichoist='node packages/cli/bin/run.js'
 
   turmerichoist get                          # all resources
+  turmerichoist config check examples/fleet.yaml --against server
   turmerichoist rollout status               # which entries have the newest configuration in force
   curl -i -H 'Authorization: Bearer key-blue' http://${HOST}:8080/q/site/hello
   curl -i -H 'Authorization: Bearer wrong' http://${HOST}:8081/q/site/hello   # refused: not run
@@ -50,8 +53,17 @@
   throw new Error(`${description} did not become ready within ${READY_TIMEOUT_MS} ms`);
 }
 
+/** Checks the example as an operator would, and ends the demo if it has a finding. */
+function checkExample(): void {
+  const args = ['packages/cli/bin/run.js', 'config', 'check', EXAMPLE_FILE, '--strict'];
+  const { status } = spawnSync(process.execPath, args, { stdio: 'inherit' });
+  if (status !== 0) {
+    throw new Error(`turmerichoist config check ${EXAMPLE_FILE} ended with ${String(status)}`);
+  }
+}
+
 async function applyExample(): Promise<boolean> {
-  const documents = parseAllDocuments(await readFile('examples/fleet.yaml', 'utf8'));
+  const documents = parseAllDocuments(await readFile(EXAMPLE_FILE, 'utf8'));
   const list = Array.isArray(documents) ? documents : [];
   const res = await request(`http://${HOST}:${ENTRIES[0].port}/api/v1/apply`, {
     method: 'POST',
@@ -90,6 +102,7 @@
   return Promise.all(settingsTexts.map(startEntry));
 }
 
+checkExample();
 const entries = await startAll();
 await waitFor('the entries', () => Promise.resolve(entries.every(({ ready }) => ready)));
 await waitFor('the example resources', applyExample);
