--- a/packages/stand-ins/test/whole-path.test.ts
+++ b/packages/stand-ins/test/whole-path.test.ts
@@ -127,6 +127,23 @@
   expect(members.map(({ state }) => state)).toEqual(['in-force', 'in-force']);
 });
 
+test('a check against an entry compares with what it has in force, and a dry run warns', async () => {
+  const url = entries[0]?.url ?? '';
+  const file = join(folder, 'fleet.yaml');
+  const clean = await runCli(url, 'config', 'check', file, '--against', 'server', '--strict');
+  expect(clean).toMatchObject({ code: 0, stdout: '0 errors, 0 warnings, 0 differences\n' });
+  const team = join(folder, 'blue.yaml');
+  await writeFile(team, 'kind: team\nname: blue\nspec: { share: 2, limit: { requests: 4 } }\n');
+  const checked = await runCli(url, 'config', 'check', team, '--against', 'server', '--json');
+  const { differences } = JSON.parse(checked.stdout) as { differences: readonly unknown[] };
+  expect(differences).toContainEqual(
+    expect.objectContaining({ resource: 'team/blue', field: 'spec.limit.requests', after: 4 }),
+  );
+  const dryRun = await runCli(url, 'diff', '-f', team, '-o', 'json');
+  const { warnings } = JSON.parse(dryRun.stdout) as { warnings: readonly { rule: string }[] };
+  expect(warnings.map(({ rule }) => rule)).toContain('team-without-key');
+});
+
 test('the audit trail contains accepted and refused changes with their operator', async () => {
   const url = entries[1]?.url ?? '';
   const file = join(folder, 'bad.yaml');
