test(jobs): listeners of the simulated cell see what was decided

Cause: tests of decisions that no executor sees have nothing to check. Change: onHandled gets the decisions of the event; the durations of tasks are a function beside the settings. Result: no test changes.

--- a/packages/core/test/support/job-world-settings.ts
+++ b/packages/core/test/support/job-world-settings.ts
@@ -1,4 +1,12 @@
-import type { Millis, Resources } from '../../src/index.js';
+import type {
+  AcceptedJob,
+  JobDecider,
+  JobDecision,
+  JobEvent,
+  Millis,
+  Resources,
+  TaskRef,
+} from '../../src/index.js';
 import type { CallFaults } from './call-network.js';
 
 /** Probabilities of faults, each from 0 to 1. */
@@ -33,3 +41,16 @@
   /** Cap of the team of all jobs; unlimited by default. */
   readonly cap?: Resources;
 }
+
+/** Called with an event that a decider has handled and what it has decided. */
+export type HandledListener = (
+  decider: JobDecider,
+  event: JobEvent,
+  decisions: readonly JobDecision[],
+) => void;
+
+/** Time for which a task of a job runs. */
+export function durationOf(job: AcceptedJob | undefined, { step }: TaskRef): Millis {
+  const spec = job?.spec.steps[step];
+  return spec === undefined || spec.lasting ? Infinity : spec.estimateMs;
+}
--- a/packages/core/test/support/job-world.ts
+++ b/packages/core/test/support/job-world.ts
@@ -4,7 +4,6 @@
   taskKey,
   type AcceptedJob,
   type ExecutorInfo,
-  type JobDecider,
   type JobDecision,
   type JobEvent,
   type JobId,
@@ -30,6 +29,8 @@
   STORE_WRITE_MS,
   TAKEOVER_DELAY_MS,
   TICK_MS,
+  durationOf,
+  type HandledListener,
   type JobFaults,
   type JobWorldOptions,
 } from './job-world-settings.js';
@@ -45,7 +46,7 @@
   readonly progress = new Map<JobId, JobProgress>();
   faults: JobFaults = NO_FAULTS;
   /** Called after each event that a decider has handled. */
-  onHandled: ((decider: JobDecider, event: JobEvent) => void) | undefined;
+  onHandled: HandledListener | undefined;
   term: Term | undefined;
   #infos: readonly ExecutorInfo[];
   readonly #random: SeededRandom;
@@ -182,11 +183,12 @@
 
   deliver(term: Term, event: JobEvent): void {
     if (term.live) {
-      term.decider.handle(event, this.now).forEach((decision) => {
+      const decisions = term.decider.handle(event, this.now);
+      decisions.forEach((decision) => {
         this.#carryOut(term, decision);
       });
       this.#queueRound(term);
-      this.onHandled?.(term.decider, event);
+      this.onHandled?.(term.decider, event, decisions);
     }
   }
 
@@ -269,7 +271,7 @@
         fence: term.generation,
         deadline,
         now: this.now,
-        durationMs: this.#duration(task),
+        durationMs: durationOf(this.jobs.get(task.jobId), task),
         fails: this.#random.next() < this.faults.runFails,
       });
       if (outcome === 'started' && before === undefined) {
@@ -392,9 +394,4 @@
   #send<T>(id: string, apply: () => T, answered: (value: T) => void, unanswered: () => void): void {
     this.#network.send(id, this.faults, { apply, answered, unanswered });
   }
-
-  #duration(task: TaskRef): Millis {
-    const spec = this.jobs.get(task.jobId)?.spec.steps[task.step];
-    return spec === undefined || spec.lasting ? Infinity : spec.estimateMs;
-  }
 }
