feat(jobs): executors are reserved for large tasks that small ones keep waiting

Cause: a task that needs a large part of an executor never starts while small tasks fill all capacity that becomes free. Change: a task of at least twice the mean size that has waited for longer than a mean task gets the executor on which room is expected first. Until then only lasting tasks, tasks that are not smaller and tasks that end before that time start there. At most a tenth of a pool is reserved (one executor in any pool), each for at most 5 s; reservations end with their cause. The share of a team is an optional function of StartLimits. The class that counts ranked jobs has moved from a test to the folder of common parts.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -24,4 +24,6 @@
 } from './ordering.js';
 export type { ExecutorCounts, CellPoolLoad, CellPoolLoadView } from './pool-load.js';
 export type { RecoverySummary } from './recovery.js';
+export type { ReservationChange, ReservationEndReason } from './reservations.js';
+export { RESERVATION_TIMEOUT_MS, RESERVED_SHARE, REVIEW_PERIOD_MS } from './pool-reservations.js';
 export { TaskDurations } from './task-durations.js';
--- a/packages/core/src/jobs/messages.ts
+++ b/packages/core/src/jobs/messages.ts
@@ -12,6 +12,7 @@
   TaskRef,
 } from './model.js';
 import type { HeldInstance } from './order-handover.js';
+import type { ReservationChange } from './reservations.js';
 
 /** A job and its progress as read from the store. */
 export interface StoredJob {
@@ -142,5 +143,7 @@
       readonly state: 'running' | 'completed';
       readonly begun: readonly string[];
     }
+  /** A reservation of an executor was made or has ended; only recorded, there is nothing to carry out. */
+  | ({ readonly type: 'reservation' } & ReservationChange)
   /** A later owner has taken over; this one must stop. */
   | { readonly type: 'superseded' };
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -1,25 +1,53 @@
 import { add, fitsIn, maxResources, NO_RESOURCES, subtract } from '../tasks/resource-arithmetic.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, ZoneName } from '../types/index.js';
-import { footprint, type ExecutorInfo, type StepSpec } from './model.js';
+import type { ExecutorInfo, StepSpec } from './model.js';
 import type { ExecutorState, ExecutorTable } from './executor-table.js';
 import type { RunTable } from './run-table.js';
+import { ReservedCapacity } from './reserved-capacity.js';
 import type { TaskNeed } from './start-group.js';
 
+/** Added to the cost of a reserved executor, so that any other one is preferred. */
+const RESERVED_COST = 10;
+
+/** A task that an executor is chosen for. */
+export interface PlaceableTask {
+  readonly spec: StepSpec;
+  readonly need: TaskNeed;
+  /** Monotonic time at which it is expected to end if it starts now. */
+  readonly endsAt: Millis;
+}
+
 /** Candidate executors of one pool, with the capacity left as tasks are placed one by one. */
 export class PlacementRound {
   readonly #candidates: readonly ExecutorState[];
   readonly #runs: RunTable;
+  readonly #reserved: ReservedCapacity;
+  readonly #reservedCandidates: readonly ExecutorState[];
+  readonly #unreservedCandidates: readonly ExecutorState[];
   readonly #freeCapacity = new Map<string, Resources>();
   /**
-   * Maximum of each resource over the candidates with a label, or over all for the empty one, until
-   * the next reservation or release.
+   * Maximum of each resource over the candidates with a label that are not reserved, or over all of
+   * these for the empty one, until the next reservation or release.
    */
   readonly #maxFree = new Map<string, Resources>();
+  /** The same of the capacities of all candidates. */
+  readonly #maxCapacity = new Map<string, Resources>();
 
-  constructor(table: ExecutorTable, runs: RunTable, candidates: readonly ExecutorState[]) {
+  constructor(
+    table: ExecutorTable,
+    runs: RunTable,
+    candidates: readonly ExecutorState[],
+    reserved: ReservedCapacity = ReservedCapacity.NONE,
+  ) {
     this.#runs = runs;
     this.#candidates = candidates;
+    this.#reserved = reserved;
+    this.#reservedCandidates = candidates.filter(({ info }) => reserved.has(info.id));
+    this.#unreservedCandidates =
+      this.#reservedCandidates.length === 0
+        ? candidates
+        : candidates.filter(({ info }) => !reserved.has(info.id));
     candidates.forEach((state) => this.#freeCapacity.set(state.info.id, table.freeCapacity(state)));
   }
 
@@ -28,8 +56,40 @@
   }
 
   /** Whether a task may fit. If not, no candidate has the label and room for it. */
-  mayFit({ resources, requiredLabel }: TaskNeed): boolean {
-    return fitsIn(resources, this.#maxFreeWith(requiredLabel));
+  mayFit(need: TaskNeed): boolean {
+    return (
+      fitsIn(need.resources, this.#maxFreeWith(need.requiredLabel)) || this.#mayFitReserved(need)
+    );
+  }
+
+  #mayFitReserved(need: TaskNeed): boolean {
+    return (
+      this.#reservedCandidates.length > 0 &&
+      this.#reserved.mayAdmitAny(need) &&
+      this.#reservedCandidates.some(
+        ({ info }) =>
+          this.#reserved.mayAdmit(info.id, need) &&
+          hasLabel(info, need.requiredLabel) &&
+          fitsIn(need.resources, this.#freeCapacity.get(info.id) ?? NO_RESOURCES),
+      )
+    );
+  }
+
+  /** Whether a candidate with the label could run a task if it ran nothing else. */
+  couldFit({ resources, requiredLabel }: TaskNeed): boolean {
+    const known = this.#maxCapacity.get(requiredLabel);
+    const max = known ?? this.#maxWith(requiredLabel, this.#candidates, ({ capacity }) => capacity);
+    this.#maxCapacity.set(requiredLabel, max);
+    return fitsIn(resources, max);
+  }
+
+  /** Candidates without a reservation that satisfy the constraints of a step. */
+  unreserved(step: StepSpec, counts: ReadonlyMap<string, number>): readonly ExecutorState[] {
+    return this.#candidates.filter(
+      (state) =>
+        !this.#reserved.has(state.info.id) &&
+        satisfiesConstraints(step, state, counts.get(state.info.id) ?? 0, undefined),
+    );
   }
 
   #maxFreeWith(label: string): Resources {
@@ -37,36 +97,53 @@
     if (known !== undefined) {
       return known;
     }
-    const max = this.#candidates
-      .filter(({ info }) => hasLabel(info, label))
-      .map(({ info }) => this.#freeCapacity.get(info.id) ?? NO_RESOURCES)
-      .reduce(maxResources, NO_RESOURCES);
+    const max = this.#maxWith(
+      label,
+      this.#unreservedCandidates,
+      ({ id }) => this.#freeCapacity.get(id) ?? NO_RESOURCES,
+    );
     this.#maxFree.set(label, max);
     return max;
   }
 
+  #maxWith(
+    label: string,
+    states: readonly ExecutorState[],
+    resourcesOf: (info: ExecutorInfo) => Resources,
+  ): Resources {
+    return states
+      .filter(({ info }) => hasLabel(info, label))
+      .map(({ info }) => resourcesOf(info))
+      .reduce(maxResources, NO_RESOURCES);
+  }
+
   /**
    * Chooses the executor with the lowest cost for one more task, or undefined if none fits.
    * `counts`: the step's tasks by executor, where `needsCounts` holds for the step.
    */
   choose(
-    step: StepSpec,
+    { spec: step, need: taskNeed, endsAt }: PlaceableTask,
     counts: ReadonlyMap<string, number>,
     rack?: string,
   ): ExecutorState | undefined {
-    const need = footprint(step);
+    const need = taskNeed.resources;
     let best: { readonly state: ExecutorState; readonly cost: number } | undefined;
-    for (const state of this.#candidates) {
+    const candidates = this.#reserved.mayAdmitAny(taskNeed)
+      ? this.#candidates
+      : this.#unreservedCandidates;
+    for (const state of candidates) {
       const free = this.#freeCapacity.get(state.info.id);
       const taken = counts.get(state.info.id) ?? 0;
       if (
         free === undefined ||
         !fitsIn(need, free) ||
-        !satisfiesConstraints(step, state, taken, rack)
+        !satisfiesConstraints(step, state, taken, rack) ||
+        !this.#reserved.admits(state.info.id, taskNeed, endsAt)
       ) {
         continue;
       }
-      const cost = this.#cost(step, state, free, taken);
+      const extra = this.#reserved.has(state.info.id) ? RESERVED_COST : 0;
+      const cost = this.#cost(step, state, free, taken) + extra;
       if (best === undefined || cost < best.cost) {
         best = { state, cost };
       }
--- a/packages/core/src/jobs/ready-jobs.ts
+++ b/packages/core/src/jobs/ready-jobs.ts
@@ -31,6 +31,12 @@
   readonly heap: Heap<RankedEntry>;
 }
 
+/** A group of jobs with the one of them that is served first. */
+export interface FirstOfGroup {
+  readonly start: StartGroup;
+  readonly job: Job;
+}
+
 interface GroupHead {
   readonly group: Group;
   readonly entry: RankedEntry;
@@ -117,6 +123,32 @@
     }
   }
 
+  /** Yields each group with its first job as of the latest ranking, in no particular order. */
+  *groups(): Iterable<FirstOfGroup> {
+    for (const { start, heap } of this.#groups.values()) {
+      let entry = heap.peek();
+      while (entry !== undefined && this.#members.get(entry.ranked.job.id)?.entry !== entry) {
+        heap.pop();
+        entry = heap.peek();
+      }
+      if (entry !== undefined) {
+        yield { start, job: entry.ranked.job };
+      }
+    }
+  }
+
+  /** Sorts jobs into the order in which they are served. */
+  inServiceOrder(jobs: readonly Job[], now: Millis): readonly Job[] {
+    return jobs
+      .map((job) => ({
+        ranked: this.#order.rank(job, now),
+        rankedAt: now,
+        position: this.#members.get(job.id)?.position ?? Infinity,
+      }))
+      .sort((a, b) => (this.#comesBefore(a, b) ? -1 : 1))
+      .map(({ ranked }) => ranked.job);
+  }
+
   #heads(now: Millis, mayStart: (group: StartGroup) => boolean): Heap<GroupHead> {
     const heads = new Heap<GroupHead>((a, b) => this.#comesBefore(a.entry, b.entry));
     for (const group of this.#groups.values()) {
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,12 +1,13 @@
 import { add, fitsIn, scale } from '../tasks/resource-arithmetic.js';
 import type { CellTables } from './cell-tables.js';
 import type { Resources } from '../tasks/model.js';
-import type { Millis, PoolName, ZoneName } from '../types/index.js';
+import type { Millis, PoolName, TeamName, ZoneName } from '../types/index.js';
 import type { ExecutorState } from './executor-table.js';
-import type { Job } from './job.js';
+import type { Job, ReadyStep } from './job.js';
 import type { JobDecision } from './messages.js';
 import type { TaskRef, TeamPolicy } from './model.js';
-import { candidatesOf, needsCounts, PlacementRound } from './placement.js';
+import { candidatesOf, needsCounts, PlacementRound, type PlaceableTask } from './placement.js';
+import { Reservations, type ReservationRules } from './reservations.js';
 import { newRun } from './run-table.js';
 import type { StartGroup } from './start-group.js';
 import type { StepProgress } from './step-progress.js';
@@ -20,6 +21,8 @@
   readonly holdAdopted: boolean;
   /** What teams may have running that is not known yet; it counts towards their caps. */
   readonly unreported: UnreportedUsage;
+  /** Whether a team has less running in a pool than its share; every team counts so if absent. */
+  readonly belowShare?: (pool: PoolName, team: TeamName) => boolean;
 }
 
 interface PlacedTask {
@@ -30,21 +33,23 @@
 /** Places pending tasks on executors, job by job. */
 export class Scheduler {
   readonly #tables: CellTables;
+  readonly #reservations: Reservations;
 
   constructor(tables: CellTables) {
     this.#tables = tables;
+    this.#reservations = new Reservations(tables);
   }
 
   /** Starts as many pending tasks of a pool as fit now. */
   schedule(pool: PoolName, limits: StartLimits, now: Millis): readonly JobDecision[] {
     const { jobs, runs, executors } = this.#tables;
-    const round = new PlacementRound(
-      executors,
-      runs,
-      candidatesOf(executors, pool, limits.zonesOut, now),
-    );
+    const candidates = candidatesOf(executors, pool, limits.zonesOut, now);
+    const reservations = this.#reservations.ofPool(pool);
+    const rules = this.#reservationRules(pool, limits);
+    const reserved = reservations.begin(candidates, rules, now);
+    const round = new PlacementRound(executors, runs, candidates, reserved);
     if (round.empty) {
-      return [];
+      return this.#reservationDecisions();
     }
     const mayStart = ({ adopted, needs }: StartGroup): boolean =>
       !(limits.holdAdopted && adopted) && needs.some((need) => round.mayFit(need));
@@ -52,7 +57,25 @@
     for (const job of jobs.readyJobsIn(pool).take(now, mayStart)) {
       this.#startReadyTasks(job, round, limits, now, decisions);
     }
-    return decisions;
+    reservations.review(round, jobs.readyJobsIn(pool), rules, now);
+    return [...decisions, ...this.#reservationDecisions()];
+  }
+
+  #reservationDecisions(): readonly JobDecision[] {
+    return this.#reservations
+      .takeChanges()
+      .map((change) => ({ type: 'reservation', ...change }) as const);
+  }
+
+  #reservationRules(pool: PoolName, limits: StartLimits): ReservationRules {
+    return {
+      mayStart: ({ adopted }) => !(limits.holdAdopted && adopted),
+      withinCap: (job, resources) =>
+        withinCap(this.#usage(job, limits), resources, limits.teams.get(job.accepted.team)),
+      belowShare: (team) => limits.belowShare?.(pool, team) ?? true,
+      stepRuns: (job, { occurrence, number, step }) =>
+        this.#countStepRuns({ jobId: job.id, occurrence, step: number, index: 0 }, step),
+    };
   }
 
   #startReadyTasks(
@@ -62,14 +85,16 @@
     now: Millis,
     decisions: JobDecision[],
   ): void {
-    for (const { occurrence, number, step } of job.ready(now)) {
+    for (const ready of job.ready(now)) {
+      const { occurrence, number, step } = ready;
       if (!round.mayFit(step.need)) {
         continue;
       }
       const ref = { jobId: job.id, occurrence, step: number, index: 0 };
+      const task = this.#placeableTask(job, ready, now);
       const placed = step.spec.gang
-        ? this.#placeGang(job, ref, step, round, limits)
-        : this.#placeTasks(job, ref, step, round, limits);
+        ? this.#placeGang(job, ref, step, task, round, limits)
+        : this.#placeTasks(job, ref, step, task, round, limits);
       const gangAttempt = step.spec.gang
         ? step.nextAttempt(placed.map(({ index }) => index))
         : undefined;
@@ -80,10 +105,17 @@
     }
   }
 
+  #placeableTask(job: Job, { step }: ReadyStep, now: Millis): PlaceableTask {
+    const { spec, need } = step;
+    const expectedMs = this.#tables.durations.expectedMs(job.accepted.queue, spec.estimateMs);
+    return { spec, need, endsAt: now + expectedMs };
+  }
+
   #placeTasks(
     job: Job,
     ref: TaskRef,
     step: StepProgress,
+    task: PlaceableTask,
     round: PlacementRound,
     limits: StartLimits,
   ): readonly PlacedTask[] {
@@ -96,7 +128,7 @@
         agenda.heldByCap(job.accepted.team, job.policy.pool);
         break;
       }
-      const state = round.choose(step.spec, counts);
+      const state = round.choose(task, counts);
       if (state === undefined) {
         break;
       }
@@ -113,6 +145,7 @@
     job: Job,
     ref: TaskRef,
     step: StepProgress,
+    task: PlaceableTask,
     round: PlacementRound,
     limits: StartLimits,
   ): readonly PlacedTask[] {
@@ -130,7 +163,7 @@
     }
     const racks = spec.sameRack ? [...round.racks, undefined] : [undefined];
     for (const rack of racks) {
-      const placed = this.#tryPlaceGang(ref, step, round, rack);
+      const placed = this.#tryPlaceGang(ref, step, task, round, rack);
       if (placed.length === spec.taskCount) {
         return placed;
       }
@@ -141,6 +174,7 @@
   #tryPlaceGang(
     ref: TaskRef,
     step: StepProgress,
+    task: PlaceableTask,
     round: PlacementRound,
     rack: string | undefined,
   ): readonly PlacedTask[] {
@@ -148,7 +182,7 @@
     const need = step.need.resources;
     const counts = this.#countStepRuns(ref, step);
     for (const index of step.pending) {
-      const state = round.choose(step.spec, counts, rack);
+      const state = round.choose(task, counts, rack);
       if (state === undefined) {
         placed.forEach((one) => {
           round.release(one.state, need);
@@ -192,6 +226,7 @@
     step.markAssigned(task.index);
     job.markStarted();
     const executor = state.info.id;
+    this.#reservations.ofPool(job.policy.pool).onStarted(job, step, executor, now);
     this.#tables.runs.add(newRun(job, step, { task, attempt, executor, orderedAt: now }));
     return {
       type: 'start',
--- a/packages/core/src/jobs/start-group.ts
+++ b/packages/core/src/jobs/start-group.ts
@@ -10,19 +10,21 @@
   readonly requiredLabel: string;
   /** Whether it depends on other tasks of the step where one can start. */
   readonly dependsOnOthers: boolean;
+  readonly lasting: boolean;
   /** Equal for tasks that need the same. */
   readonly key: string;
 }
 
 export function taskNeed(spec: StepSpec): TaskNeed {
-  const { gang, maxPerExecutor, requiredLabel, fills } = spec;
+  const { gang, maxPerExecutor, requiredLabel, fills, lasting } = spec;
   const { processors, memoryMb, accelerators } = spec.resources;
   const dependsOnOthers = gang || maxPerExecutor > 0;
   return {
     resources: footprint(spec),
     requiredLabel,
     dependsOnOthers,
-    key: `${processors}/${memoryMb}/${accelerators}/${fills}/${dependsOnOthers}/${requiredLabel}`,
+    lasting,
+    key: `${processors}/${memoryMb}/${accelerators}/${fills}/${lasting}/${dependsOnOthers}/${requiredLabel}`,
   };
 }
 
--- a/packages/core/test/jobs-scheduling-cost.test.ts
+++ b/packages/core/test/jobs-scheduling-cost.test.ts
@@ -1,17 +1,13 @@
 import { expect, test } from '@jest/globals';
 import {
   JobDecider,
-  LeastWorkFirst,
   ManualClock,
-  TaskDurations,
   type EndedRun,
-  type Job,
   type JobDecision,
   type JobEvent,
-  type JobOrdering,
   type Millis,
-  type RankedJob,
 } from '../src/index.js';
+import { CountingOrder } from './support/counting-order.js';
 import { executor, job, step } from './support/job-fixtures.js';
 
 // Each test is named after the failure that it guards against. Work is counted in ranked jobs: a
@@ -20,20 +16,6 @@
 const EXECUTORS = Array.from({ length: 60 }, (_, index) => executor(`e${index}`));
 const REPORTS = 100;
 
-class CountingOrder implements JobOrdering {
-  ranked = 0;
-  readonly #order = new LeastWorkFirst(new TaskDurations());
-
-  rank(job: Job, now: Millis): RankedJob {
-    this.ranked += 1;
-    return this.#order.rank(job, now);
-  }
-
-  compare(a: RankedJob, b: RankedJob): number {
-    return this.#order.compare(a, b);
-  }
-}
-
 /** A full pool whose owner handles a queue of events before the round that they make due. */
 class FullPool {
   readonly order = new CountingOrder();
