feat(daemon): reservations of executors are logged and counted

Cause: that an executor is held for a large task, why and for how long shows nowhere. Change: one log line for each reservation made or ended, with the inputs and their age; the gauge reservations.active and the counter reservations.ended by reason.

--- a/packages/daemon/src/jobs/decision-dispatcher.ts
+++ b/packages/daemon/src/jobs/decision-dispatcher.ts
@@ -1,4 +1,4 @@
-import type { JobDecision } from '@turmerichoist/core';
+import type { JobDecision, ReservationChange } from '@turmerichoist/core';
 import type { Recipient, Logger, Metrics } from '@turmerichoist/runtime';
 import { DecisionLog } from './decision-log.js';
 import type { ExecutorLinks } from './executor-links.js';
@@ -70,8 +70,19 @@
       case 'wave-status':
         waveStatus.post(decision);
         return;
+      case 'reservation':
+        this.#countReservation(decision);
+        return;
       case 'superseded':
         onSuperseded();
     }
   }
+
+  #countReservation(change: ReservationChange): void {
+    const { metrics } = this.#options;
+    metrics.gauge('reservations.active', change.active);
+    if (change.change === 'ended') {
+      metrics.count('reservations.ended', 1, { reason: change.reason });
+    }
+  }
 }
--- a/packages/daemon/src/jobs/decision-log.ts
+++ b/packages/daemon/src/jobs/decision-log.ts
@@ -1,4 +1,4 @@
-import { taskKey, type JobDecision } from '@turmerichoist/core';
+import { taskKey, type JobDecision, type ReservationChange } from '@turmerichoist/core';
 import type { Logger } from '@turmerichoist/runtime';
 
 /** Logs the decisions of an owner: one line each, and one for all starts that an event leads to. */
@@ -43,7 +43,28 @@
         }
         return;
       }
+      case 'reservation':
+        this.#writeReservation(decision);
+        return;
       default:
     }
   }
+
+  #writeReservation(change: ReservationChange): void {
+    const { executor, job, team, pool, resources, availableAt, madeAt } = change.reservation;
+    const fields = { executor, job, team, pool, resources, active: change.active };
+    if (change.change === 'made') {
+      const { waitedMs, meanTaskMs, reportAgeMs } = change;
+      this.#log.info('reservation made', {
+        ...fields,
+        waitedMs: Math.round(waitedMs),
+        meanTaskMs: Math.round(meanTaskMs),
+        availableInMs: Math.round(availableAt - madeAt),
+        reportAgeMs: Math.round(reportAgeMs),
+      });
+      return;
+    }
+    const { reason, heldMs } = change;
+    this.#log.info('reservation ended', { ...fields, reason, heldMs: Math.round(heldMs) });
+  }
 }
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -158,6 +158,11 @@
       metrics,
       onSuperseded: options.onSuperseded,
     });
+    // Reservations end with the term.
+    const onEnd = (): void => {
+      metrics.gauge('reservations.active', 0);
+    };
+    this.signal.addEventListener('abort', onEnd, { once: true });
   }
 
   get bulletin(): Bulletin {
