--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -32,6 +32,8 @@
   PoolSharesLoad,
 } from './pool-load.js';
 export type { RecoverySummary } from './recovery.js';
+export type { ReservationChange, ReservationEndReason } from './reservations.js';
+export { RESERVATION_TIMEOUT_MS, RESERVED_SHARE, REVIEW_PERIOD_MS } from './pool-reservations.js';
 export {
   TeamShares,
   type PoolUse,
--- a/packages/core/test/support/job-world.ts
+++ b/packages/core/test/support/job-world.ts
@@ -4,15 +4,14 @@
   taskKey,
   type AcceptedJob,
   type ExecutorInfo,
-  type JobDecider,
   type JobDecision,
   type JobEvent,
   type JobId,
   type JobProgress,
   type Millis,
-  type Resources,
   type StartOutcome,
   type TaskRef,
+  type TeamPolicy,
 } from '../../src/index.js';
 import { ActionQueue } from './action-queue.js';
 import { CallNetwork } from './call-network.js';
@@ -30,6 +29,8 @@
   STORE_WRITE_MS,
   TAKEOVER_DELAY_MS,
   TICK_MS,
+  durationOf,
+  type HandledListener,
   type JobFaults,
   type JobWorldOptions,
 } from './job-world-settings.js';
@@ -45,7 +46,7 @@
   readonly progress = new Map<JobId, JobProgress>();
   faults: JobFaults = NO_FAULTS;
   /** Called after each event that a decider has handled. */
-  onHandled: ((decider: JobDecider, event: JobEvent) => void) | undefined;
+  onHandled: HandledListener | undefined;
   term: Term | undefined;
   #infos: readonly ExecutorInfo[];
   readonly #random: SeededRandom;
@@ -55,15 +56,16 @@
   /** Start time in the latest report of each executor. */
   readonly #incarnations = new Map<string, Millis>();
   readonly #checks: RunChecks;
-  readonly #cap: Resources | undefined;
+  /** Teams of the configuration that each owner gets. */
+  readonly #teams: readonly TeamPolicy[];
   #generation = -1;
 
   constructor(
     infos: readonly ExecutorInfo[],
     seed: number,
-    { maxListedEnds = MAX_LISTED_ENDS, cap }: JobWorldOptions = {},
+    { maxListedEnds = MAX_LISTED_ENDS, cap, teams = [] }: JobWorldOptions = {},
   ) {
-    this.#cap = cap;
+    this.#teams = cap === undefined ? teams : [...teams, { name: 't1', weight: 1, cap }];
     this.#checks = new RunChecks(this, cap);
     this.#infos = infos;
     this.#random = new SeededRandom(seed);
@@ -95,8 +97,8 @@
       const progress = this.progress.get(accepted.id);
       return { accepted, ...(progress === undefined ? {} : { progress }) };
     });
-    if (this.#cap !== undefined) {
-      const teams = new Map([['t1', { name: 't1', weight: 1, cap: this.#cap }]]);
+    if (this.#teams.length > 0) {
+      const teams = new Map(this.#teams.map((team) => [team.name, team]));
       const config = { queues: new Map(), pools: new Map(), teams };
       this.deliver(term, { type: 'config', config });
     }
@@ -182,11 +184,12 @@
 
   deliver(term: Term, event: JobEvent): void {
     if (term.live) {
-      term.decider.handle(event, this.now).forEach((decision) => {
+      const decisions = term.decider.handle(event, this.now);
+      decisions.forEach((decision) => {
         this.#carryOut(term, decision);
       });
       this.#queueRound(term);
-      this.onHandled?.(term.decider, event);
+      this.onHandled?.(term.decider, event, decisions);
     }
   }
 
@@ -269,7 +272,7 @@
         fence: term.generation,
         deadline,
         now: this.now,
-        durationMs: this.#duration(task),
+        durationMs: durationOf(this.jobs.get(task.jobId), task),
         fails: this.#random.next() < this.faults.runFails,
       });
       if (outcome === 'started' && before === undefined) {
@@ -392,9 +395,4 @@
   #send<T>(id: string, apply: () => T, answered: (value: T) => void, unanswered: () => void): void {
     this.#network.send(id, this.faults, { apply, answered, unanswered });
   }
-
-  #duration(task: TaskRef): Millis {
-    const spec = this.jobs.get(task.jobId)?.spec.steps[task.step];
-    return spec === undefined || spec.lasting ? Infinity : spec.estimateMs;
-  }
 }
