feat(platform): memory, connections and requests of callers are bounded

Cause: bodies were read before route, key and size were checked, and nothing bounded the bytes, connections and pipelined requests of callers. Change: a pure budget, table of connections and check of JSON shapes in the core, and a guard around the HTTP servers for callers, readiness and metrics. Route, key, id and declared size are checked before the body is read. Limits come from the settings and from the configuration in force.

--- a/packages/core/src/errors/kinds.ts
+++ b/packages/core/src/errors/kinds.ts
@@ -42,6 +42,17 @@
   'unknown-route': none(404, 'There is no such route.', 'See the API page.'),
   'not-found': none(404, 'There is no such resource.', 'List the resources of this kind.'),
   'body-too-large': notRun(413, 'The body exceeds the limit.', 'Send a smaller body.'),
+  'header-fields-too-large': notRun(
+    431,
+    'The request has too many header fields.',
+    'Send fewer header fields.',
+  ),
+  'request-too-slow': notRun(
+    408,
+    'The request was not received in time.',
+    'Send it again over a faster connection.',
+  ),
+  overloaded: notRun(503, 'The process has no room for the request.', RETRY_LATER),
   'unknown-queue': notRun(404, 'There is no such queue.', 'Check the queue name in the path.'),
   'key-missing': notRun(401, 'The queue requires a team key.', 'Send Authorization: Bearer <key>.'),
   'key-rejected': notRun(403, 'The key is unknown or withdrawn.', 'Ask an operator for a key.'),
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 export * from './errors/index.js';
 export * from './fleet/index.js';
 export * from './jobs/index.js';
+export * from './limits/index.js';
 export * from './requests/index.js';
 export * from './resources/index.js';
 export * from './tasks/index.js';
--- a/packages/core/src/jobs/directory.ts
+++ b/packages/core/src/jobs/directory.ts
@@ -1,3 +1,4 @@
+import type { CallerLimits } from '../limits/index.js';
 import type { QueueName, TeamName } from '../types/index.js';
 import type { QueuePolicy, SchedulingConfig } from './model.js';
 
@@ -14,6 +15,8 @@
 export interface CallerConfig {
   readonly routes: readonly QueueRoute[];
   readonly teamsByKey: ReadonlyMap<string, TeamName>;
+  /** Limits of requests; the defaults apply without them. */
+  readonly limits?: CallerLimits;
 }
 
 /** One revision of the configuration, decoded. */
--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -3,6 +3,7 @@
   JobDirectory,
   SeededRandom,
   type AppError,
+  type CallerLimits,
   type Clock,
   type Incarnation,
   type MemberId,
@@ -33,6 +34,7 @@
 import { JobService } from './job-service.js';
 import { LoadReporter } from './load-reporter.js';
 import type {
+  CallHead,
   CallerTables,
   ExecutorConnector,
   InstanceFleet,
@@ -150,6 +152,16 @@
     this.#loadReporter.start();
   }
 
+  /** The limits of requests in the configuration in force. */
+  get limits(): CallerLimits {
+    return this.#service.limits;
+  }
+
+  /** Checks a call for one job before its body is read. */
+  check(head: CallHead): Result<unknown, AppError> {
+    return this.#service.checkJob(head);
+  }
+
   handle(call: JobCall): Promise<Result<JobReply, AppError>> {
     return this.#service.handle(call);
   }
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -1,8 +1,10 @@
 import {
+  DEFAULT_CALLER_LIMITS,
   Ok,
   fail,
   type AcceptedJob,
   type AppError,
+  type CallerLimits,
   type Clock,
   type JobDirectory,
   type JobId,
@@ -18,7 +20,7 @@
 import { callTimeout, type JsonValue } from '@turmerichoist/coordination';
 import { WindowStats, type LogFields, type Logger, type Metrics } from '@turmerichoist/runtime';
 import type { JobIntake } from './intake.js';
-import type { CallerTables, JobCall, JobReply } from './ports.js';
+import type { CallHead, CallerTables, JobCall, JobReply } from './ports.js';
 import { RetryAdvice } from './retry-advice.js';
 import { WaitingCounts, type CountsRead } from './waiting-counts.js';
 
@@ -40,6 +42,15 @@
   readonly signal: AbortSignal;
 }
 
+/** A call whose route and key are valid. */
+export interface CheckedCall {
+  readonly directory: JobDirectory;
+  readonly route: QueueRoute;
+  readonly team: TeamName;
+  /** The path without the route's prefix. */
+  readonly rest: string;
+}
+
 /** Serves the calls of callers, on every member of a cell. Errors: as in `ERROR_TABLE`. */
 export class JobService {
   readonly #options: JobServiceOptions;
@@ -106,30 +117,52 @@
     };
   }
 
-  async handle(call: JobCall): Promise<Result<JobReply, AppError>> {
+  /** The limits of requests in the configuration in force. */
+  get limits(): CallerLimits {
+    return this.#directory?.config.callers.limits ?? DEFAULT_CALLER_LIMITS;
+  }
+
+  /** Checks route, key and id of a call for one job, before its body is read. */
+  checkJob(head: CallHead): Result<CheckedCall, AppError> {
+    return this.#check(head).andThen((checked) =>
+      JOB_ID.test(checked.rest)
+        ? Ok(checked)
+        : fail('bad-request', 'the job id must be 16 hexadecimal digits'),
+    );
+  }
+
+  #check(head: CallHead): Result<CheckedCall, AppError> {
     const directory = this.#directory;
     if (directory === undefined) {
       return fail('not-ready', 'no configuration has been loaded yet', RETRY_AFTER_MS);
     }
-    const match = directory.resolve(call.host, call.path);
+    const match = directory.resolve(head.host, head.path);
     if (match === undefined) {
-      return fail('unknown-queue', call.path);
-    }
-    const team = resolveTeam(directory, match.route, call.key);
-    if (team.isErr()) {
-      return team;
+      return fail('unknown-queue', head.path);
     }
     const { route, rest } = match;
-    if (rest === '' && call.action.type === 'read') {
-      return this.#countWaiting(route.queue);
+    return resolveTeam(directory, route, head.key).map((team) => ({
+      directory,
+      route,
+      team,
+      rest,
+    }));
+  }
+
+  async handle(call: JobCall): Promise<Result<JobReply, AppError>> {
+    const waiting = call.action.type === 'read' ? this.#check(call) : undefined;
+    if (waiting?.isOk() === true && waiting.value.rest === '') {
+      return this.#countWaiting(waiting.value.route.queue);
     }
-    if (!JOB_ID.test(rest)) {
-      return fail('bad-request', 'the job id must be 16 hexadecimal digits');
+    const checked = this.checkJob(call);
+    if (checked.isErr()) {
+      return checked;
     }
+    const { directory, route, team, rest } = checked.value;
     const advice = this.#adviceFor(route.queue, call.action.type);
     advice.observe(call.timeoutMs);
     const startedAt = this.#options.clock.now();
-    const reply = await this.#dispatch(directory, route, team.value, rest, call);
+    const reply = await this.#dispatch(directory, route, team, rest, call);
     const elapsedMs = this.#options.clock.now() - startedAt;
     this.#options.metrics.timing(`calls.${call.action.type}`, elapsedMs);
     this.#calls[call.action.type].add(elapsedMs);
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -122,14 +122,18 @@
 /** Opens the changes of all these parts of the cell, which the leader follows. */
 export type IntakeFeedOpener = (parts: readonly string[]) => ChangeFeed;
 
-/** A decoded call of a caller. */
-export interface JobCall {
+/** The parts of a call that are known before its body is read. */
+export interface CallHead {
   readonly host: string;
   readonly path: string;
   /** API key; undefined if the call has none. */
   readonly key: string | undefined;
   /** Time for which the caller waits for a response. */
   readonly timeoutMs: Millis;
+}
+
+/** A decoded call of a caller. */
+export interface JobCall extends CallHead {
   readonly action:
     | { readonly type: 'submit'; readonly spec: Result<JobSpec, AppError> }
     | { readonly type: 'read' }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
 export * from './buffered-line-writer.js';
 export * from './actor.js';
 export * from './event-loop-delay.js';
+export * from './http/index.js';
 export * from './logger.js';
 export * from './loop-lateness.js';
 export * from './mailbox.js';
