feat(daemon): the listeners of an entry and of its peers are bounded

Cause: bodies of tasks, documents and buffered requests had limits each but none together, /q/ read bodies of callers without a key, and connections were not bounded, those of peers that never authenticate included. Change: the front end uses the guard of the platform's listeners, with `limits` in its settings. Bodies of requests without a known key are not read. Both peer listeners close the oldest link that has not completed the handshake for a new one.

--- a/packages/coordination/src/io/peers/peer-mesh.ts
+++ b/packages/coordination/src/io/peers/peer-mesh.ts
@@ -35,11 +35,14 @@
 import { PeerRequests } from './peer-requests.js';
 import { StatusReports } from './status-reports.js';
 import type { PeerMember, PeerMeshOptions } from './types.js';
+import { UnauthenticatedLinks } from './unauthenticated-links.js';
 
 /** Interval at which missing links are dialed and requests are checked for time-outs. */
 const TICK_INTERVAL_MS: Millis = 100;
 /** Minimum time between two attempts to dial the same member. */
 const REDIAL_INTERVAL_MS: Millis = 500;
+/** Accepted links that have not completed the handshake. */
+const MAX_UNAUTHENTICATED_LINKS = 64;
 
 /** Owns the peer listener and all peer links of this member. */
 export class PeerMesh extends Actor<MeshMessage> {
@@ -51,6 +54,7 @@
   readonly #lastDialAt = new Map<MemberId, Millis>();
   readonly #reports: StatusReports;
   readonly #requests: PeerRequests;
+  readonly #unauthenticated = new UnauthenticatedLinks(MAX_UNAUTHENTICATED_LINKS);
   readonly #seenBroadcasts = new SeenBroadcasts();
   #members: ReadonlyMap<MemberId, PeerMember> = new Map();
   #neighbours: ReadonlySet<MemberId> = new Set();
@@ -140,7 +144,7 @@
         this.#requests.send(message, this.#links.get(message.member));
         break;
       case 'accepted':
-        this.#createLink(message.socket, 'acceptor');
+        this.#unauthenticated.add(this.#createLink(message.socket, 'acceptor'));
         break;
       case 'link-ready':
         this.#onReady(message.link, message.peer);
@@ -210,6 +214,7 @@
   }
 
   #onReady(link: PeerLink, peer: Peer): void {
+    this.#unauthenticated.remove(link);
     const previous = this.#links.get(peer.member);
     this.#links.set(peer.member, link);
     this.#dialingLinks.delete(peer.member);
@@ -221,14 +226,14 @@
   }
 
   #onClosed(link: PeerLink, reason: string): void {
-    for (const [member, dialing] of this.#dialingLinks) {
-      if (dialing === link) {
-        this.#dialingLinks.delete(member);
-      }
-    }
-    this.log.info('peer link closed', { peer: link.peer?.member, reason });
+    this.#unauthenticated.remove(link);
+    const dialed = this.#removeDialing(link);
     this.#options.metrics.count('peers.link_closed');
     const peer = link.peer;
+    // Any process can open links that never authenticate, so they are not logged one by one.
+    if (peer !== undefined || dialed) {
+      this.log.info('peer link closed', { peer: peer?.member, reason });
+    }
     if (peer === undefined || this.#links.get(peer.member) !== link) {
       return;
     }
@@ -238,6 +243,12 @@
     this.#options.listener.onLink(peer.member, peer.incarnation, false);
   }
 
+  /** Returns whether the link was being dialed. */
+  #removeDialing(link: PeerLink): boolean {
+    const found = [...this.#dialingLinks].find(([, dialing]) => dialing === link);
+    return found !== undefined && this.#dialingLinks.delete(found[0]);
+  }
+
   #onMessage(link: PeerLink, message: PeerMessage): void {
     const from = link.peer?.member;
     if (from === undefined || this.#links.get(from) !== link) {
--- a/packages/coordination/src/io/relay/relay-links.ts
+++ b/packages/coordination/src/io/relay/relay-links.ts
@@ -30,6 +30,7 @@
 } from '../../state/peers/index.js';
 import { RelayChoice, type RelayCandidate } from '../../state/relay/index.js';
 import { PeerLink, type LinkObserver } from '../peers/peer-link.js';
+import { UnauthenticatedLinks } from '../peers/unauthenticated-links.js';
 import type { StorePath } from '../store/store-path.js';
 import { RelayClient } from './relay-client.js';
 import { relayHeartbeat, type ServingStatus } from './relay-heartbeat.js';
@@ -43,8 +44,10 @@
 const RELAY_HEARTBEAT_MS: Millis = 250;
 /** A link that delivers no frame for this time has ended. */
 const RELAY_LINK_SILENT_MS: Millis = 750;
-/** Links of other members that are accepted at the same time. */
+/** Links of other members that are accepted at the same time, after the handshake. */
 const MAX_ACCEPTED_LINKS = 32;
+/** Accepted links that have not completed the handshake. */
+const MAX_UNAUTHENTICATED_LINKS = 16;
 
 export type RelayEvent =
   | { readonly type: 'relay-found'; readonly member: MemberId; readonly path: StorePath }
@@ -106,6 +109,7 @@
   readonly #accepted = new Map<PeerLink, Map<number, AbortController>>();
   /** Links that have completed the handshake and the check whether this member relays. */
   readonly #greeted = new WeakSet<PeerLink>();
+  readonly #unauthenticated = new UnauthenticatedLinks(MAX_UNAUTHENTICATED_LINKS);
   #asked: readonly AskedMember[] = [];
   #search: Search = { asked: [], until: 0 };
   #relay: RelayInUse | undefined;
@@ -187,11 +191,9 @@
   }
 
   #accept(socket: Socket): void {
-    if (this.#accepted.size >= MAX_ACCEPTED_LINKS) {
-      socket.destroy();
-      return;
-    }
-    this.#accepted.set(this.#open(socket, 'acceptor'), new Map());
+    const link = this.#open(socket, 'acceptor');
+    this.#accepted.set(link, new Map());
+    this.#unauthenticated.add(link);
   }
 
   #open(socket: Socket, role: LinkRole): PeerLink {
@@ -211,6 +213,11 @@
   /** Answers the question of the member that opened the link, whether this one relays. */
   async #onReady(link: PeerLink): Promise<void> {
     if (this.#accepted.has(link)) {
+      this.#unauthenticated.remove(link);
+      if (this.#accepted.size - this.#unauthenticated.size > MAX_ACCEPTED_LINKS) {
+        close(link, 'too many links');
+        return;
+      }
       const serving = await this.#options.server.check();
       if (!serving) {
         close(link, 'not in touch');
@@ -299,6 +306,7 @@
   }
 
   #onClosed(link: PeerLink, reason: string): void {
+    this.#unauthenticated.remove(link);
     this.#endServed(link);
     this.#endAsked(link);
     this.#released.get(link)?.close();
--- a/packages/daemon/src/api/operator-api.ts
+++ b/packages/daemon/src/api/operator-api.ts
@@ -7,8 +7,9 @@
   type ResourceKind,
   type Result,
 } from '@turmerichoist/core';
+import type { BodyReader } from '@turmerichoist/runtime';
 import { z } from 'zod';
-import { readJson, sendError, sendJson } from '../http/responses.js';
+import { readJson, sendError, sendJson, type BodySource } from '../http/responses.js';
 import { validateInput } from '../http/validate-input.js';
 import type { AuditFilter, ConfigurationAccess } from './configuration-access.js';
 import type { Operators } from './operators.js';
@@ -51,9 +52,7 @@
 const watchQuery = z.strictObject({ after: z.coerce.number().int().min(0).default(0) });
 const versionQuery = z.strictObject({ version: z.coerce.number().int().min(1) });
 
-interface OperatorCall {
-  readonly req: IncomingMessage;
-  readonly res: ServerResponse;
+interface OperatorCall extends BodySource {
   readonly actor: string;
   /** Segments of the path below `/api/v1`. */
   readonly path: readonly string[];
@@ -68,7 +67,7 @@
     this.#options = options;
   }
 
-  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  async handle(req: IncomingMessage, res: ServerResponse, bodies: BodyReader): Promise<void> {
     const actor = this.#options.operators.authenticate(req.headers);
     if (actor.isErr()) {
       sendError(res, actor.error);
@@ -77,7 +76,7 @@
     const url = new URL(req.url ?? '/', 'http://entry');
     const path = url.pathname.split('/').slice(3).map(decodeURIComponent);
     const query = Object.fromEntries(url.searchParams);
-    await this.#route({ req, res, actor: actor.value, path, query });
+    await this.#route({ req, res, bodies, actor: actor.value, path, query });
   }
 
   async #route(call: OperatorCall): Promise<void> {
@@ -143,7 +142,7 @@
   }
 
   async #apply(call: OperatorCall): Promise<void> {
-    const json = await readJson(call.req, MAX_APPLY_BYTES);
+    const json = await readJson(call, MAX_APPLY_BYTES);
     const body = json.andThen((value) => validateInput(applyBody, value));
     if (body.isErr()) {
       sendError(call.res, body.error);
--- a/packages/daemon/src/entry/entry-server.ts
+++ b/packages/daemon/src/entry/entry-server.ts
@@ -1,4 +1,5 @@
 import { fail, type AppError, type Result } from '@turmerichoist/core';
+import { ListenerGuard } from '@turmerichoist/runtime';
 import { OperatorApi, Operators } from '../api/index.js';
 import { isFleetKind } from '../fleet/index.js';
 import { HttpServer } from '../http/index.js';
@@ -9,7 +10,7 @@
 /** Creates the HTTP server for the callers and operators of an entry. */
 export function createEntryServer(
   components: EntryComponents,
-  { settings, log }: EntryOptions,
+  { settings, log, clock, metrics }: EntryOptions,
   signal: AbortSignal,
 ): HttpServer {
   const { configuration, pipeline, taskRouter } = components;
@@ -25,10 +26,12 @@
     route: (command, until) => taskRouter.route(command, until),
     signal,
   });
+  const { limits } = settings;
   return new HttpServer({
-    callers: (req, res) => pipeline.front.accept(req, res),
-    tasks: (req, res) => tasks.handle(req, res),
-    operators: (req, res) => operators.handle(req, res),
+    guard: new ListenerGuard({ limits, clock, metrics, log, signal }),
+    callers: (req, res, bodies) => pipeline.front.accept(req, res, bodies),
+    tasks: (req, res, bodies) => tasks.handle(req, res, bodies),
+    operators: (req, res, bodies) => operators.handle(req, res, bodies),
     ready: () => components.ready,
     onError: (err) => {
       log.error('request handler failed', { err: String(err) });
--- a/packages/daemon/src/http/http-server.ts
+++ b/packages/daemon/src/http/http-server.ts
@@ -1,23 +1,29 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import polka from 'polka';
-import { appError, type Millis } from '@turmerichoist/core';
+import { DEFAULT_CALLER_LIMITS, appError, type CallerLimits } from '@turmerichoist/core';
+import { GuardedServer, type BodyReader, type ListenerGuard } from '@turmerichoist/runtime';
 import { sendError, sendJson } from './responses.js';
 
 /**
  * Longer than the idle time-out of common load balancers, so that they close idle connections
  * first.
  */
-const KEEP_ALIVE_MS: Millis = 75_000;
+const KEEP_ALIVE_MS = 75_000;
 
-/** A caller must send all header fields within this time. */
-const HEADERS_TIMEOUT_MS: Millis = 10_000;
+const LIMITS: CallerLimits = { ...DEFAULT_CALLER_LIMITS, headerTimeoutMs: 10_000 };
 
-const MAX_HEADER_BYTES = 16_384;
+/** Connections of the listener for other entries. */
+const PEER_CONNECTIONS = 64;
 
-export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
+export type HttpHandler = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  bodies: BodyReader,
+) => Promise<void> | void;
 
 export interface HttpRoutes {
+  readonly guard: ListenerGuard;
   readonly callers: HttpHandler;
   readonly tasks: HttpHandler;
   readonly operators: HttpHandler;
@@ -31,19 +37,13 @@
   #stopping = false;
 
   constructor(routes: HttpRoutes) {
-    const http = createServer({
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      requestTimeout: 0,
-      maxHeaderSize: MAX_HEADER_BYTES,
-    });
+    const { guard } = routes;
     const app = polka({
-      server: http,
       onNoMatch: (_req, res) => {
         sendError(res, appError('unknown-route'));
       },
     });
-    const wrap = (handler: HttpHandler) => this.#withErrorHandling(handler, routes.onError);
+    const wrap = (handler: HttpHandler) => this.#withErrorHandling(handler, routes);
     app.all('/q/*', wrap(routes.callers));
     app.all('/tasks', wrap(routes.tasks));
     app.all('/tasks/*', wrap(routes.tasks));
@@ -55,10 +55,15 @@
       const ready = !this.#stopping && routes.ready();
       sendJson(res, ready ? 200 : 503, { ready });
     });
-    http.on('request', (req, res) => {
-      app.handler(req as never, res);
-    });
-    this.#server = http;
+    this.#server = new GuardedServer({
+      guard,
+      maxConnections: guard.bounds.connections - PEER_CONNECTIONS,
+      limits: () => LIMITS,
+      keepAliveMs: KEEP_ALIVE_MS,
+      onRequest: (req, res) => {
+        app.handler(req as never, res);
+      },
+    }).server;
   }
 
   /** Starts listening. Resolves with `host:port`. */
@@ -90,13 +95,16 @@
     this.#server.closeAllConnections();
   }
 
-  #withErrorHandling(handler: HttpHandler, onError: (err: unknown) => void): HttpHandler {
+  #withErrorHandling(
+    handler: HttpHandler,
+    { onError, guard }: HttpRoutes,
+  ): (req: IncomingMessage, res: ServerResponse) => Promise<void> {
     return async (req, res) => {
       if (this.#stopping) {
         res.setHeader('connection', 'close');
       }
       try {
-        await handler(req, res);
+        await handler(req, res, guard.bodies);
       } catch (err) {
         onError(err);
         if (res.headersSent) {
--- a/packages/daemon/src/requests/exchange.ts
+++ b/packages/daemon/src/requests/exchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { PassThrough, type Readable } from 'node:stream';
 import { fail, Ok, type AppError, type Result } from '@turmerichoist/core';
+import { expectsContinue, type BodyReader } from '@turmerichoist/runtime';
 import { sendError } from '../http/responses.js';
 import {
   forwardedRequestHeaders,
@@ -12,9 +13,6 @@
 /** Bodies up to this size are buffered, so that the request can be retried. */
 const BUFFER_LIMIT_BYTES = 65_536;
 
-/** A request is aborted when its caller sends nothing for this long while the body is read. */
-const BODY_PROGRESS_TIMEOUT_MS = 5_000;
-
 const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
   'GET',
   'HEAD',
@@ -29,11 +27,13 @@
 export class Exchange implements ResponseSink {
   readonly #req: IncomingMessage;
   readonly #res: ServerResponse;
+  readonly #bodies: BodyReader;
   #body: Body = null;
   #streamUsed = false;
   #isOverLimit = false;
 
-  constructor(req: IncomingMessage, res: ServerResponse) {
+  constructor(req: IncomingMessage, res: ServerResponse, bodies: BodyReader) {
+    this.#bodies = bodies;
     this.#req = req;
     this.#res = res;
   }
@@ -55,6 +55,12 @@
     return repeatable && (declared || IDEMPOTENT_METHODS.has(method));
   }
 
+  /** Leaves the body unread. If it has one, the request can't be sent upstream. */
+  skipBody(): void {
+    const { 'content-length': declared, 'transfer-encoding': encoding } = this.#req.headers;
+    this.#streamUsed = encoding !== undefined || Number(declared ?? 0) > 0;
+  }
+
   /** Buffers a small body, and prepares a large one or one of unknown length for streaming. */
   async prepareBody(maxBytes: number): Promise<Result<void, AppError>> {
     const declared = Number(this.#req.headers['content-length'] ?? Number.NaN);
@@ -126,24 +132,22 @@
   }
 
   async #bufferBody(): Promise<Result<void, AppError>> {
-    const chunks: Buffer[] = [];
-    this.#req.setTimeout(BODY_PROGRESS_TIMEOUT_MS, () => this.#req.destroy());
-    try {
-      for await (const chunk of this.#req) {
-        chunks.push(chunk as Buffer);
-      }
-    } catch {
-      return fail('caller-gone');
-    } finally {
-      this.#req.setTimeout(0);
+    const options = { maxBytes: BUFFER_LIMIT_BYTES, factor: 1 };
+    const body = await this.#bodies.read(this.#req, this.#res, options);
+    if (body.isErr()) {
+      return body;
     }
-    this.#body = Buffer.concat(chunks);
+    this.#res.once('close', body.value.release);
+    this.#body = body.value.bytes;
     return Ok(undefined);
   }
 
   #limitedStream(maxBytes: number): Readable {
     let total = 0;
     const limited = new PassThrough();
+    if (expectsContinue(this.#req)) {
+      this.#res.writeContinue();
+    }
     this.#req.on('data', (chunk: Buffer) => {
       total += chunk.length;
       if (total > maxBytes) {
--- a/packages/daemon/src/requests/frontend.ts
+++ b/packages/daemon/src/requests/frontend.ts
@@ -5,6 +5,7 @@
   Configuration,
   fail,
   Ok,
+  TeamKeyIndex,
   type AppError,
   type Clock,
   type Millis,
@@ -13,7 +14,13 @@
   type RequestId,
   type Result,
 } from '@turmerichoist/core';
-import { Actor, type ActorContext, type Metrics, type Recipient } from '@turmerichoist/runtime';
+import {
+  Actor,
+  type ActorContext,
+  type BodyReader,
+  type Metrics,
+  type Recipient,
+} from '@turmerichoist/runtime';
 import { sendError } from '../http/responses.js';
 import type { UpstreamMessage } from '../upstreams/index.js';
 import { parseCallerFields, type CallerFields } from './caller-fields.js';
@@ -66,6 +73,7 @@
   readonly #options: FrontendOptions;
   readonly #open = new Map<RequestId, OpenRequest>();
   #cfg = Configuration.empty;
+  #keys = new TeamKeyIndex(Configuration.empty);
   #lastId = 0;
   #idleWaiters: (() => void)[] = [];
   #idempotencyGuard: IdempotencyGuard | undefined;
@@ -93,7 +101,7 @@
   }
 
   /** Handles a request of a caller, whose path starts with `/q/<queue>`. */
-  async accept(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  async accept(req: IncomingMessage, res: ServerResponse, bodies: BodyReader): Promise<void> {
     const fields = parseCallerFields(req.headers);
     if (fields.isErr()) {
       sendError(res, fields.error);
@@ -105,10 +113,13 @@
     }
     const arrivedAt = this.#options.clock.now();
     const target = parseTarget(req.url ?? '/');
-    const exchange = new Exchange(req, res);
+    const exchange = new Exchange(req, res, bodies);
     const id = this.#register(exchange, target.path, res);
     const queue = this.#cfg.spec('queue', target.queue);
-    if (queue !== undefined) {
+    if (queue !== undefined && !queue.open && !this.#isKeyKnown(fields.value)) {
+      // The dispatcher refuses the request, so its body need not be read.
+      exchange.skipBody();
+    } else if (queue !== undefined) {
       const body = await exchange.prepareBody(queue.maxBodyBytes);
       if (body.isErr()) {
         this.#refuse(id, body.error);
@@ -127,6 +138,7 @@
     switch (message.type) {
       case 'config-changed':
         this.#cfg = message.cfg;
+        this.#keys = new TeamKeyIndex(message.cfg);
         break;
       case 'send':
         this.#send(message);
@@ -140,6 +152,10 @@
     }
   }
 
+  #isKeyKnown({ keySha256 }: CallerFields): boolean {
+    return keySha256 !== undefined && this.#keys.teamOf(keySha256) !== undefined;
+  }
+
   #register(exchange: Exchange, path: string, res: ServerResponse): RequestId {
     this.#lastId += 1;
     const id = String(this.#lastId);
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -4,6 +4,10 @@
 const DEFAULT_DRAIN_MS = 2_000;
 const DEFAULT_STOP_MS = 30_000;
 const DEFAULT_MAX_WAITING = 10_000;
+const MIN_MEMORY_MB = 128;
+const DEFAULT_MEMORY_MB = 256;
+const MIN_FILE_DESCRIPTORS = 512;
+const DEFAULT_FILE_DESCRIPTORS = 4_096;
 const MIN_SECRET_LENGTH = 16;
 
 const address = z
@@ -77,6 +81,23 @@
     .max(1_000_000)
     .default(DEFAULT_MAX_WAITING)
     .describe('Requests that may be open at this entry at once.'),
+  limits: z
+    .strictObject({
+      memoryMb: z
+        .int()
+        .min(MIN_MEMORY_MB)
+        .max(1_048_576)
+        .default(DEFAULT_MEMORY_MB)
+        .describe('Megabytes of memory that the process may use.'),
+      fileDescriptors: z
+        .int()
+        .min(MIN_FILE_DESCRIPTORS)
+        .max(1_048_576)
+        .default(DEFAULT_FILE_DESCRIPTORS)
+        .describe('Descriptors that the process may open.'),
+    })
+    .prefault({})
+    .describe('Limits of the process, from which those of its listeners are derived.'),
   traceFile: z
     .string()
     .optional()
@@ -88,8 +109,9 @@
 type Mutable = z.output<typeof settingsSchema>;
 
 /** The settings of a daemon with all defaults applied. */
-export type Settings = Readonly<Omit<Mutable, 'operators' | 'platform' | 'log'>> & {
+export type Settings = Readonly<Omit<Mutable, 'operators' | 'platform' | 'log' | 'limits'>> & {
   readonly operators: readonly Readonly<Mutable['operators'][number]>[];
   readonly platform: Readonly<Mutable['platform']>;
   readonly log: Readonly<Mutable['log']>;
+  readonly limits: Readonly<Mutable['limits']>;
 };
--- a/packages/daemon/src/tasks/task-api.ts
+++ b/packages/daemon/src/tasks/task-api.ts
@@ -11,7 +11,8 @@
   type PoolName,
   type TeamName,
 } from '@turmerichoist/core';
-import { readJson, sendError, sendJson } from '../http/responses.js';
+import type { BodyReader } from '@turmerichoist/runtime';
+import { readJson, sendError, sendJson, type BodySource } from '../http/responses.js';
 import { bearerToken, sha256Hex } from '../requests/caller-fields.js';
 import type { TaskCommand } from './messages.js';
 import { parseCancellation, parseSubmission, poolOfTask } from './task-requests.js';
@@ -41,14 +42,14 @@
     this.#options = options;
   }
 
-  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  async handle(req: IncomingMessage, res: ServerResponse, bodies: BodyReader): Promise<void> {
     const team = this.#authenticate(req);
     if (team.isErr()) {
       sendError(res, team.error);
       return;
     }
     const { pathname } = new URL(req.url ?? '/', 'http://entry');
-    const answer = await this.#route(req, pathname, team.value);
+    const answer = await this.#route({ req, res, bodies }, pathname, team.value);
     if (answer.isErr()) {
       sendError(res, answer.error);
     } else {
@@ -57,16 +58,17 @@
   }
 
   async #route(
-    req: IncomingMessage,
+    source: BodySource,
     pathname: string,
     team: TeamName,
   ): Promise<Result<unknown, AppError>> {
+    const { req } = source;
     const route = `${req.method ?? 'GET'} ${pathname}`;
     if (route === 'POST /tasks') {
-      return this.#submit(req, team);
+      return this.#submit(source, team);
     }
     if (route === 'POST /tasks/cancel') {
-      return this.#cancel(req, team);
+      return this.#cancel(source, team);
     }
     if (req.method === 'GET' && pathname.startsWith('/tasks/')) {
       const id = decodeURIComponent(pathname.slice('/tasks/'.length));
@@ -75,8 +77,8 @@
     return fail('unknown-route', route);
   }
 
-  async #submit(req: IncomingMessage, team: TeamName): Promise<Result<unknown, AppError>> {
-    const json = await readJson(req, MAX_BODY_BYTES);
+  async #submit(source: BodySource, team: TeamName): Promise<Result<unknown, AppError>> {
+    const json = await readJson(source, MAX_BODY_BYTES);
     const submission = json.andThen((body) => parseSubmission(body, team));
     if (submission.isErr()) {
       return submission;
@@ -85,8 +87,8 @@
     return this.#routeCommand({ type: 'submit', pool, task });
   }
 
-  async #cancel(req: IncomingMessage, team: TeamName): Promise<Result<unknown, AppError>> {
-    const json = await readJson(req, MAX_BODY_BYTES);
+  async #cancel(source: BodySource, team: TeamName): Promise<Result<unknown, AppError>> {
+    const json = await readJson(source, MAX_BODY_BYTES);
     const pools = json.andThen(parseCancellation);
     if (pools.isErr()) {
       return pools;
--- a/packages/daemon/test/request-path-fixture.ts
+++ b/packages/daemon/test/request-path-fixture.ts
@@ -6,7 +6,7 @@
   type Resource,
 } from '@turmerichoist/core';
 import { HttpServer, RequestPipeline, sha256Hex } from '@turmerichoist/daemon';
-import { NoMetrics, silentLogger, SystemClock } from '@turmerichoist/runtime';
+import { ListenerGuard, NoMetrics, silentLogger, SystemClock } from '@turmerichoist/runtime';
 import { startUpstream, type Upstream, type UpstreamOptions } from '@turmerichoist/stand-ins';
 
 export const KEY = 'key-of-team-a';
@@ -63,8 +63,16 @@
   const units = new Map([['a', 100]]);
   pipeline.post({ type: 'grants-changed', units, validUntil: Number.MAX_SAFE_INTEGER });
   const unused = (): void => undefined;
+  const guard = new ListenerGuard({
+    limits: { memoryMb: 1_024, fileDescriptors: 8_192 },
+    clock: new SystemClock(),
+    metrics: new NoMetrics(),
+    log: silentLogger,
+    signal: stop.signal,
+  });
   const server = new HttpServer({
-    callers: (req, res) => pipeline.front.accept(req, res),
+    guard,
+    callers: (req, res, bodies) => pipeline.front.accept(req, res, bodies),
     tasks: unused,
     operators: unused,
     ready: () => true,
--- a/packages/measure/src/pass-through/servers.ts
+++ b/packages/measure/src/pass-through/servers.ts
@@ -4,7 +4,7 @@
 import { Pool } from 'undici';
 import { Configuration, parseEndpoint, RequestDecider, SeededRandom } from '@turmerichoist/core';
 import { HttpServer, RequestPipeline, sha256Hex } from '@turmerichoist/daemon';
-import { NoMetrics, silentLogger, SystemClock } from '@turmerichoist/runtime';
+import { ListenerGuard, NoMetrics, silentLogger, SystemClock } from '@turmerichoist/runtime';
 import { parseResource } from '../requests/parse-resource.js';
 
 /** API key of the only team of the benchmark. */
@@ -83,8 +83,16 @@
   path.post({ type: 'freshness', until: Number.MAX_SAFE_INTEGER });
   const units = new Map([['t', SLOTS]]);
   path.post({ type: 'grants-changed', units, validUntil: Number.MAX_SAFE_INTEGER });
+  const guard = new ListenerGuard({
+    limits: { memoryMb: 1_024, fileDescriptors: 8_192 },
+    clock: new SystemClock(),
+    metrics: new NoMetrics(),
+    log: silentLogger,
+    signal,
+  });
   const server = new HttpServer({
-    callers: (req, res) => path.front.accept(req, res),
+    guard,
+    callers: (req, res, bodies) => path.front.accept(req, res, bodies),
     tasks: () => undefined,
     operators: () => undefined,
     ready: () => true,
--- a/packages/runtime/src/http/body-reader.ts
+++ b/packages/runtime/src/http/body-reader.ts
@@ -17,13 +17,19 @@
 const BODY_TIMEOUT_MS: Millis = 30_000;
 const RETRY_AFTER_MS: Millis = 1_000;
 const FIRST_BUFFER_BYTES = 4_096;
-/** Memory of a decoded body, as a multiple of its size. */
-const DECODED_FACTOR = 4;
+/** Memory of a body that is decoded from JSON, as a multiple of its size. */
+export const DECODED_FACTOR = 4;
+
+export interface ReadOptions {
+  readonly maxBytes: number;
+  /** Memory that the body takes once it is complete, as a multiple of its size. */
+  readonly factor: number;
+}
 
 /** A complete body, which counts towards the budget until it is released. */
 export interface HeldBody {
   readonly bytes: Buffer;
-  release(): void;
+  readonly release: () => void;
 }
 
 type BodyResult = Result<HeldBody, AppError>;
@@ -43,10 +49,14 @@
   }
 
   /**
-   * Reads a body of at most `maxBytes`. The rest of a refused body is not read. Errors:
+   * Reads a body. The rest of a refused body is not read. Errors:
    * `body-too-large`, `overloaded`, `request-too-slow`, `caller-gone`.
    */
-  async read(req: IncomingMessage, res: ServerResponse, maxBytes: number): Promise<BodyResult> {
+  async read(
+    req: IncomingMessage,
+    res: ServerResponse,
+    { maxBytes, factor }: ReadOptions,
+  ): Promise<BodyResult> {
     const tooLarge = this.check(req, maxBytes);
     if (tooLarge.isErr()) {
       return tooLarge;
@@ -65,7 +75,7 @@
       this.#countError(read.error);
       return read;
     }
-    const { evicted } = this.#budget.complete(id, read.value.length * DECODED_FACTOR);
+    const { evicted } = this.#budget.complete(id, read.value.length * factor);
     this.#evict(evicted);
     return Ok({
       bytes: read.value,
