--- a/packages/core/src/limits/connection-table.ts
+++ b/packages/core/src/limits/connection-table.ts
@@ -9,15 +9,15 @@
 
 /**
  * The connections of one listener. At the bound, the one that has been idle for longest is closed for
- * a new one, then the one that has received no body data for longest. A connection whose request is
- * complete is never closed for another one.
+ * a new one, then the one whose incomplete request or unread response has made no progress for
+ * longest. A connection with a complete request that is not answered is never closed for another one.
  */
 export class ConnectionTable {
   readonly #max: number;
   /** Connections without a request, in the order in which they became idle. */
   readonly #idle = new Set<ConnectionId>();
-  /** Connections with an incomplete request, in the order of their latest progress. */
-  readonly #receiving = new Set<ConnectionId>();
+  /** Connections that wait for their caller, in the order of their latest progress. */
+  readonly #waiting = new Set<ConnectionId>();
   readonly #busy = new Set<ConnectionId>();
 
   constructor(max: number) {
@@ -25,13 +25,13 @@
   }
 
   get size(): number {
-    return this.#idle.size + this.#receiving.size + this.#busy.size;
+    return this.#idle.size + this.#waiting.size + this.#busy.size;
   }
 
   open(id: ConnectionId): ConnectionDecision {
     let evicted: ConnectionId | undefined;
     if (this.size >= this.#max) {
-      evicted = first(this.#idle) ?? first(this.#receiving);
+      evicted = first(this.#idle) ?? first(this.#waiting);
       if (evicted === undefined) {
         return { admitted: false, evicted };
       }
@@ -48,14 +48,14 @@
     }
   }
 
-  /** Records progress of a request that is not complete. */
-  receiving(id: ConnectionId): void {
+  /** Records that a caller has sent more of a request, or read more of a response. */
+  waiting(id: ConnectionId): void {
     if (this.#remove(id)) {
-      this.#receiving.add(id);
+      this.#waiting.add(id);
     }
   }
 
-  /** Records that a complete request is being served. */
+  /** Records that a complete request is not answered yet. */
   busy(id: ConnectionId): void {
     if (this.#remove(id)) {
       this.#busy.add(id);
@@ -67,7 +67,7 @@
   }
 
   #remove(id: ConnectionId): boolean {
-    return this.#idle.delete(id) || this.#receiving.delete(id) || this.#busy.delete(id);
+    return this.#idle.delete(id) || this.#waiting.delete(id) || this.#busy.delete(id);
   }
 }
 
--- a/packages/core/src/limits/process-bounds.ts
+++ b/packages/core/src/limits/process-bounds.ts
@@ -27,7 +27,7 @@
 const FILE_DESCRIPTORS = 200;
 /** Share of the other descriptors for listeners; executors, the store and peers need the rest. */
 const LISTENER_DESCRIPTOR_SHARE = 0.5;
-const MIN_CONNECTIONS = 64;
+const MIN_CONNECTIONS = 256;
 
 /** Derives the bounds of the listeners from the limits of their process. */
 export function listenerBounds({ memoryMb, fileDescriptors }: ProcessLimits): ListenerBounds {
--- a/packages/runtime/src/http/guarded-server.ts
+++ b/packages/runtime/src/http/guarded-server.ts
@@ -43,8 +43,14 @@
 interface Connection {
   readonly id: ConnectionId;
   readonly socket: Socket;
-  /** Requests without a complete response. */
+  /** Requests whose response has not been sent. */
   open: number;
+  /** Complete requests that are not answered. */
+  working: number;
+  /** The latest response. */
+  response: ServerResponse | undefined;
+  /** Bytes received and sent at the last sweep. */
+  progress: number;
   /** Bytes received when the connection became idle. */
   idleBytes: number;
   /** When a sweep first found part of a request on the idle connection. */
@@ -68,8 +74,6 @@
     this.#table = new ConnectionTable(options.maxConnections);
     this.server = createServer({
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
-      // Node.js counts the time before the first request too, in which a connection is idle.
-      headersTimeout: options.keepAliveMs + KEEP_ALIVE_MARGIN_MS,
       requestTimeout: 0,
     });
     this.server.maxHeadersCount = MAX_HEADER_FIELDS + 1;
@@ -98,6 +102,7 @@
     for (const connection of this.#byId.values()) {
       this.#checkHeader(connection, now);
       this.#checkUnread(connection, now);
+      this.#noteProgress(connection);
     }
   }
 
@@ -109,6 +114,8 @@
       this.#options.keepAliveMs,
       idleTimeoutMs + KEEP_ALIVE_MARGIN_MS,
     );
+    // Node.js counts the time before the first request too, in which a connection is idle.
+    server.headersTimeout = server.keepAliveTimeout + KEEP_ALIVE_MARGIN_MS;
   }
 
   #onConnection(socket: Socket): void {
@@ -127,6 +134,9 @@
       id,
       socket,
       open: 0,
+      working: 0,
+      response: undefined,
+      progress: 0,
       idleBytes: 0,
       headerSince: undefined,
       unread: undefined,
@@ -148,6 +158,7 @@
       return;
     }
     connection.open += 1;
+    connection.response = res;
     if (connection.open > MAX_PIPELINED) {
       this.#close(connection, 'pipelined');
       return;
@@ -161,27 +172,51 @@
     this.#options.onRequest(req, res);
   }
 
-  /** Tells the table of connections how far a request is. */
+  /** Follows how far a request is. */
   #follow(connection: Connection, req: IncomingMessage, res: ServerResponse): void {
-    const { id, socket } = connection;
     const { 'content-length': declared, 'transfer-encoding': encoding } = req.headers;
-    if (encoding === undefined && !(Number(declared) > 0)) {
-      this.#table.busy(id);
-    } else {
-      this.#table.receiving(id);
-      req.once('end', () => {
-        this.#table.busy(id);
-      });
-    }
+    let isWorking = false;
+    const setWorking = (value: boolean): void => {
+      connection.working += Number(value) - Number(isWorking);
+      isWorking = value;
+      this.#classify(connection);
+    };
+    setWorking(encoding === undefined && !(Number(declared) > 0));
+    req.once('end', () => {
+      setWorking(!res.writableEnded);
+    });
+    // The whole response has been given, though the caller may not have read it.
+    res.once('prefinish', () => {
+      setWorking(false);
+    });
     res.once('close', () => {
       connection.open -= 1;
-      if (connection.open === 0) {
-        connection.idleBytes = socket.bytesRead;
-        this.#table.idle(id);
-      }
+      setWorking(false);
     });
   }
 
+  /** Tells the table of connections what the connection waits for. */
+  #classify(connection: Connection): void {
+    const { id, socket, open, working } = connection;
+    if (working > 0) {
+      this.#table.busy(id);
+    } else if (open > 0) {
+      this.#table.waiting(id);
+    } else {
+      connection.idleBytes = socket.bytesRead;
+      this.#table.idle(id);
+    }
+  }
+
+  #noteProgress(connection: Connection): void {
+    const { socket, open, working } = connection;
+    const progress = socket.bytesRead + socket.bytesWritten;
+    if (open > 0 && working === 0 && progress !== connection.progress) {
+      this.#table.waiting(connection.id);
+    }
+    connection.progress = progress;
+  }
+
   #checkHeader(connection: Connection, now: Millis): void {
     const { socket, open, idleBytes, headerSince } = connection;
     if (open > 0 || socket.bytesRead === idleBytes) {
@@ -227,10 +262,11 @@
     }
   }
 
-  /** Answers a request that could not be parsed, unless a response has begun, and closes. */
+  /** Answers a request that could not be parsed, unless another response is due, and closes. */
   #refuse(socket: Socket, status: number): void {
-    const idle = (this.#bySocket.get(socket)?.open ?? 0) === 0;
-    if (socket.writable && idle) {
+    const { open = 0, working = 0, response } = this.#bySocket.get(socket) ?? {};
+    const isBodyDue = open === 1 && working === 0 && response?.headersSent === false;
+    if (socket.writable && (open === 0 || isBodyDue)) {
       const line = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`;
       socket.write(`${line}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
     }
