--- a/packages/daemon/src/jobs/instance-control.ts
+++ b/packages/daemon/src/jobs/instance-control.ts
@@ -9,7 +9,7 @@
   type WaitingInstance,
 } from '@turmerichoist/core';
 import type { LeaderTerm, TableStore } from '@turmerichoist/coordination';
-import type { ActorContext, Recipient } from '@turmerichoist/runtime';
+import type { ActorContext, Metrics, Recipient } from '@turmerichoist/runtime';
 import type { Bulletin } from './bulletin.js';
 import { OrderAnnouncer } from './order-announcer.js';
 import type { InstanceFleet } from './ports.js';
@@ -36,6 +36,7 @@
   /** Whether the owner holds its lease now; checked directly before each order. */
   readonly mayAct: () => boolean;
   readonly clock: Clock;
+  readonly metrics: Metrics;
   readonly newId: () => string;
   readonly owner: Recipient<JobEvent>;
 }
@@ -156,9 +157,16 @@
     if (listed.isOk()) {
       owner.post({ type: 'instances', instances: listed.value, requestedAt: now });
     }
-    const waiting = status.waitingInstances;
-    if (waiting.length > 0) {
-      this.#context.log.info('maintenance is waiting', { waiting });
+    this.#logWaiting(status.waitingInstances);
+  }
+
+  /** Instances left for after a peak may be most of a wave, so they are only counted. */
+  #logWaiting(instances: readonly WaitingInstance[]): void {
+    const waiting = instances.filter(({ reason }) => reason !== 'peak');
+    const deferred = instances.length - waiting.length;
+    this.#options.metrics.gauge('maintenance.deferred', deferred);
+    if (instances.length > 0) {
+      this.#context.log.info('maintenance is waiting', { waiting, deferred });
     }
   }
 }
