fix(jobs): teams that lack their share for long are served before others below theirs

Where all tasks of an executor end in one report, every team is below its share at that moment, and the one with less work per job took everything each time. On one executor of 16 processors, with jobs of 16 tasks of one team and a job of 64 tasks of another, the second started nothing in eight rounds. The same order kept teams whose share is half a task from running while others had less work per job.

Teams that have lacked a whole task of their share, or have run nothing, for half a mean task are served first within their standing, the longest wait first. Nothing changes where no resource is used up or where one team uses the pool.

--- a/packages/core/src/jobs/ordering.ts
+++ b/packages/core/src/jobs/ordering.ts
@@ -73,6 +73,8 @@
   readonly value: JobValue;
   /** How its team's usage of the pool relates to its share. Always `below` for lasting jobs. */
   readonly standing: ShareStanding;
+  /** Since when its team lacks some of its share, if the team is overdue; monotonic. */
+  readonly overdueSince: Millis | undefined;
   /** Capacity that its next task takes. */
   readonly nextTask: Resources;
   readonly started: boolean;
@@ -86,14 +88,28 @@
   if (value === 'lasting') {
     return ranked;
   }
-  const standing = shares.standing(job.accepted.team, nextTask, value === 'worthless');
-  return standing === ranked.standing ? ranked : { ...ranked, standing };
+  const { team } = job.accepted;
+  const standing = shares.standing(team, nextTask, value === 'worthless');
+  const overdueSince =
+    value === 'worthless' || standing === 'reached' ? undefined : shares.overdueSince(team);
+  return standing === ranked.standing && overdueSince === ranked.overdueSince
+    ? ranked
+    : { ...ranked, standing, overdueSince };
+}
+
+/** Overdue teams come first, that which has waited longest before the others. */
+function compareOverdue(a: RankedJob, b: RankedJob): number {
+  if (a.overdueSince === b.overdueSince) {
+    return 0;
+  }
+  return (a.overdueSince ?? Infinity) < (b.overdueSince ?? Infinity) ? -1 : 1;
 }
 
 function compareRanked(a: RankedJob, b: RankedJob): number {
   const byRank =
     CLASS_RANK[a.value] - CLASS_RANK[b.value] ||
     STANDING_RANK[a.standing] - STANDING_RANK[b.standing] ||
+    compareOverdue(a, b) ||
     LATENESS_RANK[a.value] - LATENESS_RANK[b.value];
   if (byRank !== 0) {
     return byRank;
@@ -109,7 +125,7 @@
 
 /**
  * Sorts lasting jobs first and worthless ones last. Between them, jobs of teams below their share
- * come first; then jobs in time, by priority, started before new jobs, and least remaining work. Under
+ * come first, and of them the overdue ones; then jobs in time, by priority, started before new jobs, and least remaining work. Under
  * a load of several times the capacity, the order within a team completes the most jobs in time.
  */
 export class LeastWorkFirst implements JobOrdering {
@@ -124,6 +140,7 @@
       job,
       value: job.lasting ? 'lasting' : latenessOf(job, now),
       standing: 'below',
+      overdueSince: undefined,
       nextTask: job.ready(now)[0]?.step.need.resources ?? NO_RESOURCES,
       started: job.state === 'running',
       work: remainingWork(job, this.#durations),
--- a/packages/core/src/jobs/pool-reservations.ts
+++ b/packages/core/src/jobs/pool-reservations.ts
@@ -80,6 +80,11 @@
     this.#observer = observer;
   }
 
+  /** Mean expected duration of the finite tasks that the pool starts; 0 before the first. */
+  get meanTaskMs(): Millis {
+    return this.#starts.meanMs;
+  }
+
   /** Begins a round. When a review is due, releases reservations that no longer have a purpose. */
   begin(
     candidates: readonly ExecutorState[],
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,7 +1,7 @@
 import { add, fitsIn, NO_RESOURCES, scale } from '../tasks/resource-arithmetic.js';
 import type { CellTables } from './cell-tables.js';
 import type { Resources } from '../tasks/model.js';
-import type { Millis, PoolName, TeamName, ZoneName } from '../types/index.js';
+import type { Millis, PoolName, ZoneName } from '../types/index.js';
 import type { ExecutorState } from './executor-table.js';
 import type { Job, ReadyStep } from './job.js';
 import type { JobDecision } from './messages.js';
@@ -9,6 +9,7 @@
 import { candidatesOf, needsCounts, PlacementRound, type PlaceableTask } from './placement.js';
 import { Reservations, type ReservationRules } from './reservations.js';
 import { newRun } from './run-table.js';
+import { ShareWaits } from './share-waits.js';
 import type { StartGroup } from './start-group.js';
 import type { StepProgress } from './step-progress.js';
 import { TeamShares } from './team-shares.js';
@@ -33,6 +34,7 @@
 export class Scheduler {
   readonly #tables: CellTables;
   readonly #shares = new Map<PoolName, TeamShares>();
+  readonly #shareWaits = new Map<PoolName, ShareWaits>();
   readonly #reservations: Reservations;
 
   constructor(tables: CellTables) {
@@ -61,10 +63,20 @@
     const mayStart = ({ adopted, needs }: StartGroup): boolean =>
       !(limits.holdAdopted && adopted) && needs.some((need) => round.mayFit(need));
     const decisions: JobDecision[] = [];
-    for (const job of jobs.readyJobsIn(pool).take(now, mayStart, shares)) {
+    const ready = jobs.readyJobsIn(pool);
+    const waits = this.#shareWaitsOf(pool);
+    for (const job of ready.take(now, mayStart, shares)) {
+      const [next] = job.ready(now);
+      const before = decisions.length;
       this.#startReadyTasks(job, round, limits, now, decisions);
+      if (next !== undefined && decisions.length > before) {
+        waits.onStarted(job.accepted.team, next.step.need.resources, shares);
+      }
+    }
+    if (decisions.length > 0) {
+      waits.review(ready.groups(), shares, reservations.meanTaskMs, now);
     }
-    reservations.review(round, jobs.readyJobsIn(pool), rules, now);
+    reservations.review(round, ready, rules, now);
     return [...decisions, ...this.#reservationDecisions()];
   }
 
@@ -96,6 +108,8 @@
     const inherited = unreported.inPool(pool);
     const usage = runs.finiteUsage(pool);
     const known = [...usage.values()].reduce(add, NO_RESOURCES);
+    const waits = this.#shareWaitsOf(pool);
+    const { meanTaskMs } = this.#reservations.ofPool(pool);
     const shares = new TeamShares(
       {
         capacity: add(add(round.totalFree, known), unreported.totalInPool(pool)),
@@ -104,6 +118,7 @@
         waiting: (at) => jobs.readyJobsIn(pool).waiting(at, (need) => round.couldFit(need)),
         teams,
         chargedToCap: (team) => add(runs.teamUsage(team), unreported.of(team)),
+        overdueSince: (team) => waits.overdueSince(team, meanTaskMs, now),
       },
       now,
     );
@@ -111,6 +126,12 @@
     return shares;
   }
 
+  #shareWaitsOf(pool: PoolName): ShareWaits {
+    const waits = this.#shareWaits.get(pool) ?? new ShareWaits();
+    this.#shareWaits.set(pool, waits);
+    return waits;
+  }
+
   #startReadyTasks(
     job: Job,
     round: PlacementRound,
--- a/packages/core/src/jobs/team-shares.ts
+++ b/packages/core/src/jobs/team-shares.ts
@@ -33,6 +33,8 @@
   readonly teams: ReadonlyMap<TeamName, TeamPolicy>;
   /** What counts towards the cap of a team, in all pools. */
   readonly chargedToCap: (team: TeamName) => Resources;
+  /** Since when an overdue team lacks some of its share; undefined if it is not overdue. */
+  readonly overdueSince: (team: TeamName) => Millis | undefined;
 }
 
 /**
@@ -109,8 +111,7 @@
    * useful and the worthless work of all teams compete.
    */
   standing(team: TeamName, task: Resources, worthless = false): ShareStanding {
-    const { byTeam, lowest } = this.#levels(worthless);
-    const share = this.#weight(team) * (byTeam.get(team) ?? lowest);
+    const share = this.#share(team, worthless);
     const usage = this.#use.usage(team);
     if (this.#fraction(usage) + ROUNDING_TOLERANCE >= share) {
       return 'reached';
@@ -118,6 +119,28 @@
     return this.#fraction(add(usage, task)) <= share + ROUNDING_TOLERANCE ? 'below' : 'in-reach';
   }
 
+  /** Since when a team with useful work lacks some of its share, if it is overdue. */
+  overdueSince(team: TeamName): Millis | undefined {
+    return this.#use.overdueSince(team);
+  }
+
+  /** Whether a team lacks a whole task of its share, or runs nothing although it has one. */
+  lacks(team: TeamName, task: Resources): boolean {
+    const share = this.#share(team, false);
+    const usage = this.#use.usage(team);
+    const used = this.#fraction(usage);
+    if (share === Infinity || used + ROUNDING_TOLERANCE >= share) {
+      return false;
+    }
+    const idle = used <= ROUNDING_TOLERANCE;
+    return idle || this.#fraction(add(usage, task)) <= share + ROUNDING_TOLERANCE;
+  }
+
+  /** Whether shares decide nothing, since no more than one team uses or needs anything. */
+  get single(): boolean {
+    return this.#initialUsage.size <= 1;
+  }
+
   /** The teams with waiting work that are below their share of useful work as of now. */
   teamsBelow(now: Millis): readonly TeamStanding[] {
     const { byTeam, lowest } = this.#levels(false);
@@ -130,6 +153,11 @@
     });
   }
 
+  #share(team: TeamName, worthless: boolean): number {
+    const { byTeam, lowest } = this.#levels(worthless);
+    return this.#weight(team) * (byTeam.get(team) ?? lowest);
+  }
+
   #levels(worthless: boolean): FairLevels {
     return worthless
       ? (this.#allLevels ??= this.#computeLevels(({ useful, worthless: late }) =>
--- a/packages/core/test/jobs-team-shares.test.ts
+++ b/packages/core/test/jobs-team-shares.test.ts
@@ -51,6 +51,7 @@
         ),
       ),
       chargedToCap: usage,
+      overdueSince: () => undefined,
     },
     0,
   );
