fix(jobs): large tasks get reservations beside capped teams and tasks that can't run

A large task of a team at its share never got a reservation while another team below its share had only tasks that its cap forbids or that no executor could run. TeamShares.teamsBelow, which leaves such work out, now decides this. A wait also never began if one executor had the processors for the task and another one the memory, since mayFit compares with the maximum of each resource by itself; reviews now look at each executor. The order of waiting jobs takes the shares of their teams into account, as in a round.

--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -66,12 +66,20 @@
     return (
       this.#reservedCandidates.length > 0 &&
       this.#reserved.mayAdmitAny(need) &&
-      this.#reservedCandidates.some(
-        ({ info }) =>
-          this.#reserved.mayAdmit(info.id, need) &&
-          hasLabel(info, need.requiredLabel) &&
-          fitsIn(need.resources, this.#freeCapacity.get(info.id) ?? NO_RESOURCES),
-      )
+      this.#reservedCandidates.some((state) => this.#hasRoom(state, need))
+    );
+  }
+
+  /** Whether one candidate has the label and room for a task. Unlike `mayFit`, looks at each one. */
+  fits(need: TaskNeed): boolean {
+    return this.mayFit(need) && this.#candidates.some((state) => this.#hasRoom(state, need));
+  }
+
+  #hasRoom({ info }: ExecutorState, need: TaskNeed): boolean {
+    return (
+      this.#reserved.mayAdmit(info.id, need) &&
+      hasLabel(info, need.requiredLabel) &&
+      fitsIn(need.resources, this.#freeCapacity.get(info.id) ?? NO_RESOURCES)
     );
   }
 
--- a/packages/core/src/jobs/pool-reservations.ts
+++ b/packages/core/src/jobs/pool-reservations.ts
@@ -20,6 +20,7 @@
 import { RunEnds } from './run-ends.js';
 import type { TaskNeed } from './start-group.js';
 import type { StepProgress } from './step-progress.js';
+import type { TeamShares } from './team-shares.js';
 
 /** Fraction of a pool's executors that may be reserved; one of them may be in any pool. */
 export const RESERVED_SHARE = 0.1;
@@ -46,10 +47,11 @@
   readonly onEnded: (ended: Ended) => void;
 }
 
-/** What a review looks at. */
-interface Review {
+/** What a review looks at, as of the end of a round. */
+export interface Review {
   readonly round: PlacementRound;
   readonly ready: ReadyJobs;
+  readonly shares: TeamShares;
   readonly rules: ReservationRules;
   readonly now: Millis;
 }
@@ -133,11 +135,10 @@
   }
 
   /** Ends a round. When a review is due, tracks waits and makes reservations. */
-  review(round: PlacementRound, ready: ReadyJobs, rules: ReservationRules, now: Millis): void {
+  review(review: Review): void {
     if (!this.#reviewing) {
       return;
     }
-    const review = { round, ready, rules, now };
     this.#waits.retain((wait) => this.#findBlocked(wait, review) !== undefined);
     this.#trackWaits(review);
     this.#makeReservations(review);
@@ -151,7 +152,7 @@
       return;
     }
     const isBlocked = (need: TaskNeed): boolean =>
-      this.#isLarge(need) && !round.mayFit(need) && round.couldFit(need);
+      this.#isLarge(need) && !round.fits(need) && round.couldFit(need);
     for (const { start, job } of ready.groups()) {
       if (this.#waits.full) {
         return;
@@ -173,7 +174,7 @@
   #findBlocked({ job, needKey }: LargeTaskWait, { round, now }: Review): ReadyStep | undefined {
     const ready = this.#openJob(job)?.ready(now) ?? [];
     const found = ready.find(({ step }) => step.need.key === needKey);
-    return found === undefined || round.mayFit(found.step.need) ? undefined : found;
+    return found === undefined || round.fits(found.step.need) ? undefined : found;
   }
 
   #openJob(id: JobId): Job | undefined {
@@ -182,11 +183,11 @@
   }
 
   #makeReservations(review: Review): void {
-    const { ready, now } = review;
+    const { ready, shares, now } = review;
     const starved = this.#starvedJobs(review);
     const ends = new RunEnds(this.#tables, now);
     let attempts = 0;
-    for (const job of starved.length === 0 ? [] : ready.inServiceOrder(starved, now)) {
+    for (const job of starved.length === 0 ? [] : ready.inServiceOrder(starved, now, shares)) {
       if (this.#byExecutor.size >= this.#limit || attempts >= MAX_ATTEMPTS) {
         return;
       }
@@ -196,7 +197,7 @@
   }
 
   /** Jobs whose large task has waited longer than a mean task while smaller ones started. */
-  #starvedJobs({ ready, rules, now }: Review): readonly Job[] {
+  #starvedJobs({ shares, now }: Review): readonly Job[] {
     if (this.#byExecutor.size >= this.#limit) {
       return [];
     }
@@ -208,20 +209,11 @@
       .flatMap(({ job, since }) =>
         job === undefined || (isWorthless(job, now) && lastValuableAt > since) ? [] : [job],
       );
-    const below = starved.filter(({ accepted }) => rules.belowShare(accepted.team));
+    const below = starved.filter(({ accepted }) => shares.isBelowShare(accepted.team));
     if (below.length === starved.length) {
       return starved;
     }
-    return this.#teamBelowShareWaits(ready, rules) ? below : starved;
-  }
-
-  #teamBelowShareWaits(ready: ReadyJobs, rules: ReservationRules): boolean {
-    for (const { start, job } of ready.groups()) {
-      if (!job.lasting && rules.mayStart(start) && rules.belowShare(job.accepted.team)) {
-        return true;
-      }
-    }
-    return false;
+    return shares.teamsBelow(now).length > 0 ? below : starved;
   }
 
   #tryReserve(job: Job, ends: RunEnds, review: Review): void {
--- a/packages/core/src/jobs/ready-jobs.ts
+++ b/packages/core/src/jobs/ready-jobs.ts
@@ -164,10 +164,10 @@
   }
 
   /** Sorts jobs into the order in which they are served. */
-  inServiceOrder(jobs: readonly Job[], now: Millis): readonly Job[] {
+  inServiceOrder(jobs: readonly Job[], now: Millis, shares?: TeamShares): readonly Job[] {
     return jobs
       .map((job) => ({
-        ranked: this.#order.rank(job, now),
+        ranked: this.#order.rank(job, now, shares),
         rankedAt: now,
         position: this.#members.get(job.id)?.position ?? Infinity,
       }))
--- a/packages/core/src/jobs/reservations.ts
+++ b/packages/core/src/jobs/reservations.ts
@@ -66,8 +66,6 @@
   mayStart(group: StartGroup): boolean;
   /** Whether the cap of a job's team allows these resources on top of what is running. */
   withinCap(job: Job, resources: Resources): boolean;
-  /** Whether a team has less running than its share of the pool. */
-  belowShare(team: TeamName): boolean;
   /** The step's current tasks by executor, where the choice of an executor depends on them. */
   stepRuns(job: Job, step: ReadyStep): ReadonlyMap<ExecutorId, number>;
 }
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -52,7 +52,7 @@
     const { jobs, runs, executors } = this.#tables;
     const candidates = candidatesOf(executors, pool, limits.zonesOut, now);
     const reservations = this.#reservations.ofPool(pool);
-    const rules = this.#reservationRules(pool, limits);
+    const rules = this.#reservationRules(limits);
     const reserved = reservations.begin(candidates, rules, now);
     const round = new PlacementRound(executors, runs, candidates, reserved);
     if (round.empty) {
@@ -76,7 +76,7 @@
     if (decisions.length > 0) {
       waits.review(ready.groups(), shares, reservations.meanTaskMs, now);
     }
-    reservations.review(round, ready, rules, now);
+    reservations.review({ round, ready, shares, rules, now });
     return [...decisions, ...this.#reservationDecisions()];
   }
 
@@ -86,12 +86,11 @@
       .map((change) => ({ type: 'reservation', ...change }) as const);
   }
 
-  #reservationRules(pool: PoolName, limits: StartLimits): ReservationRules {
+  #reservationRules(limits: StartLimits): ReservationRules {
     return {
       mayStart: ({ adopted }) => !(limits.holdAdopted && adopted),
       withinCap: (job, resources) =>
         withinCap(this.#usage(job, limits), resources, limits.teams.get(job.accepted.team)),
-      belowShare: (team) => this.#shares.get(pool)?.isBelowShare(team) ?? true,
       stepRuns: (job, { occurrence, number, step }) =>
         this.#countStepRuns({ jobId: job.id, occurrence, step: number, index: 0 }, step),
     };
