perf(jobs): rounds leave out teams of which no task runs

RunTable kept an entry of finite usage for each team that had ever run a task in a pool, and each round read all of them to compute shares. An entry now ends with the team's last run there.

--- a/packages/core/src/jobs/run-table.ts
+++ b/packages/core/src/jobs/run-table.ts
@@ -1,4 +1,4 @@
-import { NO_RESOURCES, add, subtract } from '../tasks/resource-arithmetic.js';
+import { NO_RESOURCES, add, largest, subtract } from '../tasks/resource-arithmetic.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName, TeamName } from '../types/index.js';
 import type { Job } from './job.js';
@@ -186,7 +186,13 @@
   #changeFiniteUsage({ lasting, pool, team, footprint: taken }: Run, change: typeof add): void {
     if (!lasting) {
       const usage = getOrCreate(this.#finiteUsage, pool);
-      usage.set(team, change(usage.get(team) ?? NO_RESOURCES, taken));
+      const changed = change(usage.get(team) ?? NO_RESOURCES, taken);
+      if (largest(changed) > 0) {
+        usage.set(team, changed);
+      } else {
+        // Each round of the pool looks at all teams with usage.
+        usage.delete(team);
+      }
     }
   }
 
--- a/packages/core/test/jobs-share-waits.test.ts
+++ b/packages/core/test/jobs-share-waits.test.ts
@@ -68,3 +68,13 @@
   );
   expect(Math.min(...totals)).toBeGreaterThanOrEqual(0.6 * (100 / 8));
 });
+
+test('each round looks at teams whose runs have all ended', () => {
+  const teams = Array.from({ length: 8 }, (_, n) => `t${n}`);
+  const pool = poolOf(8, teams);
+  teams.forEach((team) => {
+    submitJobs(pool, team, 1, 1);
+  });
+  run(pool, 1, TASK_MS, 7);
+  expect([...pool.runs.finiteUsage('p1').keys()]).toEqual(['t7']);
+});
