perf(jobs): pools are not woken for large tasks while nothing starts

A review without a reservation has an effect only until a mean task after the last start, so that the wake-ups end then and begin again with a start.

--- a/packages/core/src/jobs/pool-reservations.ts
+++ b/packages/core/src/jobs/pool-reservations.ts
@@ -75,6 +75,8 @@
   #largest: Resources = NO_RESOURCES;
   #reviewing = false;
   #nextReviewAt: Millis = -Infinity;
+  /** Review that the agenda wakes the pool for. */
+  #wakesAt: Millis = -Infinity;
 
   constructor(pool: PoolName, tables: CellTables, observer: ReservationObserver) {
     this.#pool = pool;
@@ -136,13 +138,27 @@
 
   /** Ends a round. When a review is due, tracks waits and makes reservations. */
   review(review: Review): void {
-    if (!this.#reviewing) {
-      return;
+    if (this.#reviewing) {
+      this.#review(review);
     }
+    this.#wakeForReview(review.now);
+  }
+
+  #review(review: Review): void {
     this.#waits.retain((wait) => this.#findBlocked(wait, review) !== undefined);
     this.#trackWaits(review);
     this.#makeReservations(review);
-    if (this.#waits.size + this.#byExecutor.size > 0) {
+  }
+
+  /**
+   * Without a reservation, a review has an effect only while a wait can become longer than a mean
+   * task since which tasks have started.
+   */
+  #wakeForReview(now: Millis): void {
+    const starting = now - this.#starts.lastAt <= this.#starts.meanMs + REVIEW_PERIOD_MS;
+    const needed = this.#byExecutor.size > 0 || (this.#waits.size > 0 && starting);
+    if (needed && this.#wakesAt !== this.#nextReviewAt) {
+      this.#wakesAt = this.#nextReviewAt;
       this.#tables.agenda.wakeAt(this.#pool, this.#nextReviewAt);
     }
   }
--- a/packages/core/test/jobs-reservation-waits.test.ts
+++ b/packages/core/test/jobs-reservation-waits.test.ts
@@ -36,6 +36,25 @@
   return false;
 }
 
+test('rounds go on for a large task though the pool has started nothing for a mean task', () => {
+  const pool = poolOf();
+  const busy = { taskCount: 16, resources: SMALL, estimateMs: 1_000 };
+  pool.submit('a', [step({ ...busy, taskCount: 33 })]);
+  pool.round(0);
+  pool.submit('big', [step({ resources: LARGE, estimateMs: 1_000 })]);
+  pool.submit('small', [step({ ...busy, taskCount: 1 })]);
+  pool.end('a');
+  pool.round(100);
+  let rounds = 0;
+  for (const end = pool.now + 60_000; pool.now < end; pool.now += 10) {
+    if (pool.due) {
+      rounds += 1;
+      pool.round(0);
+    }
+  }
+  expect(rounds).toBeLessThanOrEqual(13);
+});
+
 describe('a large task never gets a reservation', () => {
   test('when one executor has the processors for it and another one the memory', () => {
     const pool = poolOf();
