--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -9,6 +9,7 @@
 import { candidatesOf, needsCounts, PlacementRound, type PlaceableTask } from './placement.js';
 import { Reservations, type ReservationRules } from './reservations.js';
 import { newRun } from './run-table.js';
+import { ShareWaits } from './share-waits.js';
 import type { StartGroup } from './start-group.js';
 import type { StepProgress } from './step-progress.js';
 import { TeamShares } from './team-shares.js';
@@ -33,6 +34,7 @@
 export class Scheduler {
   readonly #tables: CellTables;
   readonly #shares = new Map<PoolName, TeamShares>();
+  readonly #shareWaits = new Map<PoolName, ShareWaits>();
   readonly #reservations: Reservations;
 
   constructor(tables: CellTables) {
@@ -50,7 +52,7 @@
     const { jobs, runs, executors } = this.#tables;
     const candidates = candidatesOf(executors, pool, limits.zonesOut, now);
     const reservations = this.#reservations.ofPool(pool);
-    const rules = this.#reservationRules(pool, limits);
+    const rules = this.#reservationRules(limits);
     const reserved = reservations.begin(candidates, rules, now);
     const round = new PlacementRound(executors, runs, candidates, reserved);
     if (round.empty) {
@@ -61,10 +63,20 @@
     const mayStart = ({ adopted, needs }: StartGroup): boolean =>
       !(limits.holdAdopted && adopted) && needs.some((need) => round.mayFit(need));
     const decisions: JobDecision[] = [];
-    for (const job of jobs.readyJobsIn(pool).take(now, mayStart, shares)) {
+    const ready = jobs.readyJobsIn(pool);
+    const waits = this.#shareWaitsOf(pool);
+    for (const job of ready.take(now, mayStart, shares)) {
+      const [next] = job.ready(now);
+      const before = decisions.length;
       this.#startReadyTasks(job, round, limits, now, decisions);
+      if (next !== undefined && decisions.length > before) {
+        waits.onStarted(job.accepted.team, next.step.need.resources, shares);
+      }
+    }
+    if (decisions.length > 0) {
+      waits.review(ready.groups(), shares, reservations.meanTaskMs, now);
     }
-    reservations.review(round, jobs.readyJobsIn(pool), rules, now);
+    reservations.review({ round, ready, shares, rules, now });
     return [...decisions, ...this.#reservationDecisions()];
   }
 
@@ -74,12 +86,11 @@
       .map((change) => ({ type: 'reservation', ...change }) as const);
   }
 
-  #reservationRules(pool: PoolName, limits: StartLimits): ReservationRules {
+  #reservationRules(limits: StartLimits): ReservationRules {
     return {
       mayStart: ({ adopted }) => !(limits.holdAdopted && adopted),
       withinCap: (job, resources) =>
         withinCap(this.#usage(job, limits), resources, limits.teams.get(job.accepted.team)),
-      belowShare: (team) => this.#shares.get(pool)?.isBelowShare(team) ?? true,
       stepRuns: (job, { occurrence, number, step }) =>
         this.#countStepRuns({ jobId: job.id, occurrence, step: number, index: 0 }, step),
     };
@@ -96,6 +107,8 @@
     const inherited = unreported.inPool(pool);
     const usage = runs.finiteUsage(pool);
     const known = [...usage.values()].reduce(add, NO_RESOURCES);
+    const waits = this.#shareWaitsOf(pool);
+    const { meanTaskMs } = this.#reservations.ofPool(pool);
     const shares = new TeamShares(
       {
         capacity: add(add(round.totalFree, known), unreported.totalInPool(pool)),
@@ -104,6 +117,7 @@
         waiting: (at) => jobs.readyJobsIn(pool).waiting(at, (need) => round.couldFit(need)),
         teams,
         chargedToCap: (team) => add(runs.teamUsage(team), unreported.of(team)),
+        overdueSince: (team) => waits.overdueSince(team, meanTaskMs, now),
       },
       now,
     );
@@ -111,6 +125,12 @@
     return shares;
   }
 
+  #shareWaitsOf(pool: PoolName): ShareWaits {
+    const waits = this.#shareWaits.get(pool) ?? new ShareWaits();
+    this.#shareWaits.set(pool, waits);
+    return waits;
+  }
+
   #startReadyTasks(
     job: Job,
     round: PlacementRound,
