--- a/packages/daemon/test/instance-control.test.ts
+++ b/packages/daemon/test/instance-control.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals';
 import { CELL_OWNER_KEY, MemoryTableStore } from '@turmerichoist/coordination';
 import { ManualClock, type JobEvent } from '@turmerichoist/core';
-import { silentLogger, sleep } from '@turmerichoist/runtime';
+import { NoMetrics, silentLogger, sleep } from '@turmerichoist/runtime';
 import { withoutCounts, type Bulletin } from '../src/jobs/bulletin.js';
 import {
   InstanceControl,
@@ -85,6 +85,7 @@
       orderHandoverMs: HANDOVER_MS,
       mayAct: () => leading,
       clock,
+      metrics: new NoMetrics(),
       newId: () => `txn-${(ids += 1)}`,
       owner: {
         post: (event) => {
