perf(fleet): needs of a plan are counted once for all pools

The bound of a plan looked at all of its instances again for each pool and each zone budget, so `config check` on 900 plans over 900 pools with five zone budgets each did not end within 60 s. Instances are now grouped by pool and zone once.

--- a/packages/core/src/fleet/plan-bound.ts
+++ b/packages/core/src/fleet/plan-bound.ts
@@ -1,5 +1,5 @@
 import type { Millis, PoolName } from '../types/index.js';
-import { groupBy, type FleetInstance, type FleetView } from './fleet-view.js';
+import { groupBy, type FleetView } from './fleet-view.js';
 import { isInWindow, windowMinutes } from './maintenance-window.js';
 import type { PlanDefinition } from './plan-definition.js';
 import { groupsOf, type PlanGroup } from './plan-groups.js';
@@ -50,30 +50,31 @@
 }
 
 function budgetLimits(groups: readonly PlanGroup[], view: FleetView): readonly BudgetLimit[] {
-  const instances = groups.flatMap((group) => group.instances);
-  const pools = [...groupBy(instances, (instance) => instance.spec.pool).keys()];
-  return pools.flatMap((pool) => {
-    const spec = view.pool(pool);
-    const whole = {
-      pool,
-      limit: spec?.budget.maxUnavailable ?? 0,
-      needs: groupNeeds(groups, pool),
-    };
-    const zones = (spec?.zoneBudgets ?? []).map(({ zone, maxUnavailable }) => {
-      return { pool, zone, limit: maxUnavailable, needs: groupNeeds(groups, pool, zone) };
+  const members = groups.flatMap(({ instances }, group) =>
+    instances.map(({ spec: { pool, zone } }) => ({ group, pool, zone })),
+  );
+  const byPool = groupBy(members, ({ pool }) => pool);
+  return [...byPool].flatMap(([pool, inPool]) => {
+    const { budget, zoneBudgets = [] } = view.pool(pool) ?? {};
+    const whole = { pool, limit: budget?.maxUnavailable ?? 0, needs: groupNeeds(inPool) };
+    if (zoneBudgets.length === 0) {
+      return [whole];
+    }
+    const byZone = groupBy(inPool, ({ zone }) => zone);
+    const zones = zoneBudgets.map(({ zone, maxUnavailable }) => {
+      return { pool, zone, limit: maxUnavailable, needs: groupNeeds(byZone.get(zone) ?? []) };
     });
     return [whole, ...zones];
   });
 }
 
-function groupNeeds(
-  groups: readonly PlanGroup[],
-  pool: PoolName,
-  zone?: string,
-): readonly number[] {
-  const counts = ({ spec }: FleetInstance): boolean =>
-    spec.pool === pool && (zone === undefined || spec.zone === zone);
-  return groups.map((group) => group.instances.filter(counts).length).filter((need) => need > 0);
+/** How many of the given instances each group takes down; groups without any are left out. */
+function groupNeeds(members: readonly { readonly group: number }[]): readonly number[] {
+  const counts = new Map<number, number>();
+  for (const { group } of members) {
+    counts.set(group, (counts.get(group) ?? 0) + 1);
+  }
+  return [...counts.values()];
 }
 
 function impossibleReasons({ pool, zone, limit, needs }: BudgetLimit): readonly FleetWaitReason[] {
