fix(checks): effects of a difference are bounded

One change can affect all queues or plans. A comparison of 4,000 queues and as many upstreams, or of 4,000 plans over 4,000 instances, ran out of memory (1.5 GB allowed) and ended with a native stack trace. The plans of an instance are now looked up for each difference in place of a table of all pairs, and a difference lists at most 100 effects of each kind and counts the others.

--- a/packages/cli/src/config-check/check-files.ts
+++ b/packages/cli/src/config-check/check-files.ts
@@ -46,7 +46,7 @@
 }
 
 function toReported(difference: ExplainedDifference): ReportedDifference {
-  const { op, field, effects } = difference;
+  const { op, field, effects, omittedEffects } = difference;
   return {
     op,
     resource: resourceOf(difference),
@@ -54,6 +54,7 @@
     ...('before' in difference ? { before: difference.before } : {}),
     ...('after' in difference ? { after: difference.after } : {}),
     effects,
+    omittedEffects,
   };
 }
 
--- a/packages/cli/src/config-check/render-report.ts
+++ b/packages/cli/src/config-check/render-report.ts
@@ -36,7 +36,8 @@
   ];
 }
 
-function renderDifference({ op, resource, field, before, after, effects }: ReportedDifference) {
+function renderDifference(difference: ReportedDifference): readonly string[] {
+  const { op, resource, field, before, after, effects, omittedEffects } = difference;
   const values =
     op === 'changed' ? `${toText(before)} -> ${toText(after)}` : toText(after ?? before);
   const subject = [resource, field].filter((part) => part !== '').join(' ');
@@ -45,6 +46,7 @@
     ...effects.map(
       (effect) => INDENT + clean(`${effect.kind} ${effect.resource}: ${effect.message}`),
     ),
+    ...(omittedEffects > 0 ? [`${INDENT}${omittedEffects} more effects are not shown`] : []),
   ];
 }
 
--- a/packages/core/src/checks/effect-rule.ts
+++ b/packages/core/src/checks/effect-rule.ts
@@ -1,7 +1,7 @@
-import { FleetView, groupBy } from '../fleet/fleet-view.js';
-import { selectInstances } from '../fleet/plan-groups.js';
-import { resourceKey, type Configuration } from '../resources/index.js';
+import { groupBy } from '../fleet/fleet-view.js';
+import type { Configuration } from '../resources/index.js';
 import type { ConfigurationDifference } from './differences.js';
+import { PlanMembers } from './plan-members.js';
 
 /** What a difference affects. */
 export type EffectKind = 'team' | 'queue' | 'key-withdrawn' | 'running-work' | 'plan';
@@ -21,7 +21,7 @@
   readonly #queuesByPool: ReadonlyMap<string, readonly string[]>;
   readonly #poolsByZone: ReadonlyMap<string, readonly string[]>;
   #teamsByKey: ReadonlyMap<string, string> | undefined;
-  #plansByMember: ReadonlyMap<string, readonly string[]> | undefined;
+  #planMembers: readonly PlanMembers[] | undefined;
 
   constructor(before: Configuration, after: Configuration) {
     this.before = before;
@@ -58,28 +58,11 @@
 
   /** Names of the plans that select this instance, or an instance of this pool, before or after. */
   plansOf(kind: 'instance' | 'pool', name: string): readonly string[] {
-    this.#plansByMember ??= namesByGroup(
-      [...plannedMembers(this.before), ...plannedMembers(this.after)],
-      (entry) => entry,
-    );
-    return this.#plansByMember.get(resourceKey(kind, name)) ?? [];
+    this.#planMembers ??= [new PlanMembers(this.before), new PlanMembers(this.after)];
+    return [...new Set(this.#planMembers.flatMap((members) => members.plansOf(kind, name)))];
   }
 }
 
-/** Pairs of an instance or pool and a plan that takes it down. */
-function plannedMembers(cfg: Configuration): readonly (readonly [string, string])[] {
-  const view = new FleetView();
-  view.configure(cfg);
-  return cfg
-    .list('plan')
-    .flatMap(({ name: plan, spec: { select } }) =>
-      selectInstances(view, select).flatMap(({ name, spec }) => [
-        [resourceKey('instance', name), plan] as const,
-        [resourceKey('pool', spec.pool), plan] as const,
-      ]),
-    );
-}
-
 function namesByGroup<T>(
   items: readonly T[],
   entryOf: (item: T) => readonly [group: string, name: string],
--- a/packages/core/src/checks/effects.ts
+++ b/packages/core/src/checks/effects.ts
@@ -15,9 +15,14 @@
   new PlanEffects(),
 ];
 
+/** Effects of one kind that are listed for one difference, which bounds the size of a report. */
+const MAX_EFFECTS = 100;
+
 /** A difference with what it affects. */
 export interface ExplainedDifference extends ConfigurationDifference {
   readonly effects: readonly Effect[];
+  /** Effects beyond the bound of each kind, which are counted only. */
+  readonly omittedEffects: number;
 }
 
 /** Returns the differences between two configurations, each with what it affects. */
@@ -27,7 +32,9 @@
 ): readonly ExplainedDifference[] {
   const context = new EffectContext(before, after);
   return findDifferences(before, after).map((difference) => {
-    const effects = EFFECT_RULES.flatMap((rule) => rule.effects(difference, context));
-    return { ...difference, effects };
+    const all = EFFECT_RULES.map((rule) => rule.effects(difference, context));
+    const effects = all.flatMap((found) => found.slice(0, MAX_EFFECTS));
+    const total = all.reduce((sum, found) => sum + found.length, 0);
+    return { ...difference, effects, omittedEffects: total - effects.length };
   });
 }
--- a/packages/core/src/fleet/plan-groups.ts
+++ b/packages/core/src/fleet/plan-groups.ts
@@ -1,4 +1,4 @@
-import type { PlanSpec } from '../resources/index.js';
+import type { InstanceSpec, PlanSpec } from '../resources/index.js';
 import type { InstanceName, PoolName } from '../types/index.js';
 import { compareNames, groupBy, type FleetInstance, type FleetView } from './fleet-view.js';
 
@@ -13,16 +13,26 @@
   view: FleetView,
   select: PlanSpec['select'],
 ): readonly FleetInstance[] {
-  const { racks, zones, labels } = select;
-  if (racks === undefined && zones === undefined && labels === undefined) {
-    return [];
-  }
-  return view.instances().filter(({ spec }) => {
-    const inRack = racks?.includes(spec.rack) ?? true;
-    const inZone = zones?.includes(spec.zone) ?? true;
-    const wanted = Object.entries(labels ?? {});
-    return inRack && inZone && wanted.every(([name, value]) => spec.labels[name] === value);
-  });
+  return view.instances().filter(({ spec }) => isSelected(spec, select));
+}
+
+/** Whether an instance matches all given criteria of a selection. */
+export function isSelected(
+  { rack, zone, labels }: InstanceSpec,
+  select: PlanSpec['select'],
+): boolean {
+  const isEmpty =
+    select.racks === undefined && select.zones === undefined && select.labels === undefined;
+  return (
+    !isEmpty &&
+    (select.racks?.includes(rack) ?? true) &&
+    (select.zones?.includes(zone) ?? true) &&
+    (select.labels === undefined || hasLabels(labels, select.labels))
+  );
+}
+
+function hasLabels(labels: InstanceSpec['labels'], wanted: InstanceSpec['labels']): boolean {
+  return Object.entries(wanted).every(([name, value]) => labels[name] === value);
 }
 
 /** A plan for racks takes whole racks; any other plan takes single instances. */
--- a/packages/core/test/checks-differences.test.ts
+++ b/packages/core/test/checks-differences.test.ts
@@ -130,3 +130,12 @@
     ['added instance/i1 spec.labels.toString', 'plan plan/p'],
   ]);
 });
+
+test('a difference that affects very many queues lists some and counts the others', () => {
+  const names = Array.from({ length: 150 }, (_, index) => `queue/q${index}`);
+  const queues = Object.fromEntries(names.map((name) => [name, { pool: 'web' }]));
+  const size = { size: 2, budget: { maxUnavailable: 1 } };
+  const [difference] = explainDifferences(fleet(queues), fleet({ ...queues, 'pool/web': size }));
+  expect(difference?.effects).toHaveLength(100);
+  expect(difference?.omittedEffects).toBe(51);
+});
