--- a/packages/core/src/checks/plan-rules.ts
+++ b/packages/core/src/checks/plan-rules.ts
@@ -92,6 +92,7 @@
 /** Reports plans whose criteria each match instances, but no instance matches all of them. */
 export class PlanSelectionRule implements ConfigurationRule {
   readonly id = 'plan-selects-nothing';
+  readonly comparesPlans = true;
 
   check(cfg: Configuration): readonly Finding[] {
     const view = viewOf(cfg);
@@ -120,6 +121,7 @@
 /** Reports plans that never end because a budget is smaller than what one step takes of it. */
 export class ForbiddenPlanRule implements ConfigurationRule {
   readonly id = 'budget-forbids-plan';
+  readonly comparesPlans = true;
 
   check(cfg: Configuration): readonly Finding[] {
     const view = viewOf(cfg);
--- a/packages/core/test/checks-rules.test.ts
+++ b/packages/core/test/checks-rules.test.ts
@@ -1,5 +1,10 @@
 import { expect, test } from '@jest/globals';
-import { CONFIGURATION_RULES, checkConfiguration, formatField } from '@turmerichoist/core';
+import {
+  CONFIGURATION_RULES,
+  checkConfiguration,
+  checkWithin,
+  formatField,
+} from '@turmerichoist/core';
 import { configuration } from './fleet-fixtures.js';
 
 type Spec = Readonly<Record<string, unknown>>;
@@ -197,3 +202,12 @@
   expect(finding).toMatchObject({ rule: 'budget-forbids-plan' });
   expect(finding?.message).toContain('pool/web in zone z1, which is 0');
 });
+
+test('rules that need too many comparisons are named, and not left out silently', () => {
+  const cfg = changed(plan({ select: { labels: { os: 'none' }, zones: ['z1'] } }));
+  const within = checkWithin(cfg, { maxComparisons: 6, maxFindings: 1 });
+  expect(within).toMatchObject({ findings: [{ rule: 'plan-unknown-label' }], skippedRules: [] });
+  const beyond = checkWithin(cfg, { maxComparisons: 5, maxFindings: 0 });
+  expect(beyond.skippedRules).toEqual(['plan-selects-nothing', 'budget-forbids-plan']);
+  expect(beyond).toMatchObject({ findings: [], omitted: 1 });
+});
--- a/packages/daemon/src/api/configuration-access.ts
+++ b/packages/daemon/src/api/configuration-access.ts
@@ -27,6 +27,10 @@
 /** The outcome of a dry run, with what the rules report about the resulting configuration. */
 export interface CheckedOutcome extends ApplyOutcome {
   readonly warnings: readonly Finding[];
+  /** Number of findings that the response leaves out to bound its size. */
+  readonly omittedWarnings: number;
+  /** Rules that were not checked, since they would block the entry for too long. */
+  readonly skippedRules: readonly string[];
 }
 
 export interface AuditFilter {
--- a/packages/daemon/src/api/operator-api.ts
+++ b/packages/daemon/src/api/operator-api.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   appError,
-  checkConfiguration,
+  checkWithin,
   RESOURCE_KINDS,
   type AppError,
   type Resource,
@@ -21,6 +21,8 @@
 import { watch } from './watch.js';
 
 const MAX_APPLY_BYTES = 4_194_304;
+/** The entry serves no other request while it checks a dry run. */
+const DRY_RUN_BOUNDS = { maxComparisons: 1_000_000, maxFindings: 1_000 };
 const DEFAULT_AUDIT_ROWS = 100;
 const MAX_AUDIT_ROWS = 10_000;
 
@@ -164,7 +166,8 @@
   /** Adds the findings about the configuration that the change would lead to. */
   #check(outcome: ApplyOutcome): CheckedOutcome {
     const next = this.#options.access.current().with(outcome.revision, outcome.changes);
-    return { ...outcome, warnings: checkConfiguration(next) };
+    const { findings, omitted, skippedRules } = checkWithin(next, DRY_RUN_BOUNDS);
+    return { ...outcome, warnings: findings, omittedWarnings: omitted, skippedRules };
   }
 
   #watch(call: OperatorCall): void {
