fix(cli): aliases without a value or within themselves are syntax errors

An alias of another document was reported as `alias-limit`, without its position. An object that contains itself passed the parser: `apply` then failed to encode it and blamed the server. Both are now reported as `yaml-syntax` at the alias. An empty field name after a field name that is an object is no longer reported as repeated.

--- a/packages/cli/src/documents/parse-documents.ts
+++ b/packages/cli/src/documents/parse-documents.ts
@@ -43,7 +43,10 @@
   /** Returns the document, or undefined if it is empty. */
   read(): Result<SourceDocument | undefined, readonly SourceProblem[]> {
     const doc = this.#doc;
-    const problems = doc.errors.length > 0 ? this.#syntaxProblems() : this.#keyProblems();
+    const problems =
+      doc.errors.length > 0
+        ? this.#syntaxProblems()
+        : [...this.#keyProblems(), ...this.#aliasProblems()].slice(0, MAX_DOCUMENT_PROBLEMS);
     if (problems.length > 0) {
       return Err(problems);
     }
@@ -82,12 +85,33 @@
           if (problem !== undefined) {
             problems.push(problem);
           }
-          seen.add(text ?? '');
+          if (text !== undefined) {
+            seen.add(text);
+          }
         }
         return problems.length < MAX_DOCUMENT_PROBLEMS ? undefined : visit.BREAK;
       },
     });
-    return problems.slice(0, MAX_DOCUMENT_PROBLEMS);
+    return problems;
+  }
+
+  /** Aliases without a value, and aliases that contain themselves, which have no JSON form. */
+  #aliasProblems(): readonly SourceProblem[] {
+    const problems: SourceProblem[] = [];
+    visit(this.#doc, {
+      Alias: (_, alias, parents) => {
+        const target = alias.resolve(this.#doc);
+        if (target === undefined || parents.includes(target)) {
+          const reason =
+            target === undefined
+              ? `there is no anchor ${alias.source} before this alias in the document`
+              : `the alias ${alias.source} stands for an object or list that contains it`;
+          const nextStep = 'Write the value out, or correct the name of the anchor.';
+          problems.push(this.#problem('yaml-syntax', offsetOf(alias) ?? 0, reason, nextStep));
+        }
+      },
+    });
+    return problems;
   }
 
   #keyProblem(key: unknown, text: string | undefined, seen: boolean): SourceProblem | undefined {
--- a/packages/cli/test/documents.test.ts
+++ b/packages/cli/test/documents.test.ts
@@ -30,6 +30,9 @@
   ['a list', `${ZONE}---\n- kind: zone\n`, ['f.yaml:5:1 not-an-object']],
   ['a single value', 'hello\n', ['f.yaml:1:1 not-an-object']],
   ['an object as a field name', '? { a: 1 }\n: b\n', ['f.yaml:1:3 yaml-syntax']],
+  ['an empty field name after it', '? { a: 1 }\n: b\n"": c\n', ['f.yaml:1:3 yaml-syntax']],
+  ['an alias of another document', `a: &a 1\n---\nb: *a\n`, ['f.yaml:3:4 yaml-syntax']],
+  ['an object that contains itself', 'a: &a { b: *a }\n', ['f.yaml:1:12 yaml-syntax']],
   ['a quote that is not closed', 'kind: "zone\n', ['f.yaml:2:1 yaml-syntax']],
 ])('%s ends in an error with file and line', (_, text, expected) => {
   expect(problemsOf(text)).toEqual(expected);
