--- a/packages/cli/src/base-command.ts
+++ b/packages/cli/src/base-command.ts
@@ -3,7 +3,7 @@
 import type { Result } from '@turmerichoist/core';
 import { ApiClient, EXIT_CODES, exitCodeFor, type ApiError } from './client/index.js';
 import { formatPosition, readDocumentFile } from './documents/index.js';
-import { OUTPUT_FORMATS, render, type OutputFormat } from './output/index.js';
+import { OUTPUT_FORMATS, cleanText, render, type OutputFormat } from './output/index.js';
 
 export interface CommonFlags {
   readonly server: string;
@@ -72,9 +72,10 @@
   protected async readDocuments(file: string): Promise<readonly unknown[]> {
     const { documents, problems } = await readDocumentFile(file);
     if (problems.length > 0) {
-      const lines = problems.map(
-        ({ position, message }) => `${formatPosition(position)}: ${message}`,
-      );
+      const lines = problems.flatMap(({ position, message, nextStep }) => [
+        cleanText(`${formatPosition(position)}: ${message}`),
+        `Next step: ${nextStep}`,
+      ]);
       this.logToStderr(lines.join('\n'));
       this.exit(EXIT_CODES.usage);
     }
--- a/packages/cli/src/commands/config/check.ts
+++ b/packages/cli/src/commands/config/check.ts
@@ -11,6 +11,7 @@
   type Comparison,
 } from '../../config-check/index.js';
 import { readDocumentFile } from '../../documents/index.js';
+import { cleanText } from '../../output/index.js';
 
 /** Value of `--against` for the entry that `--server` names. */
 const SERVER = 'server';
@@ -65,7 +66,9 @@
       against === SERVER ? new ServerVersion(this.client(flags)) : new FileVersion(against);
     const version = await source.read();
     if (version.isErr()) {
-      this.logToStderr(`cannot read the version in force: ${version.error}`);
+      const { message, nextStep } = version.error;
+      this.logToStderr(cleanText(`cannot read the version in force: ${message}`));
+      this.logToStderr(`Next step: ${nextStep}`);
       this.exit(CHECK_EXIT_CODES.errors);
     }
     return { inForce: version.value, complete };
--- a/packages/cli/src/config-check/render-report.ts
+++ b/packages/cli/src/config-check/render-report.ts
@@ -1,7 +1,7 @@
 import { formatPosition } from '../documents/index.js';
+import { cleanText } from '../output/index.js';
 import type { CheckReport, LocatedFinding, ReportedDifference } from './report.js';
 
-const MAX_TEXT_CHARS = 300;
 const INDENT = '    ';
 
 /** Formats a report for the terminal: findings, differences and a summary. */
@@ -28,11 +28,11 @@
   const position = { file, ...(line && { line }), ...(column && { column }) };
   const subject = [resource, field].filter((part) => part !== '').join(' ');
   return [
-    clean(
+    cleanText(
       `${formatPosition(position)}: ${severity} ${rule}${subject === '' ? '' : `: ${subject}`}`,
     ),
-    INDENT + clean(finding.message),
-    `${INDENT}Next step: ${clean(finding.nextStep)}`,
+    INDENT + cleanText(finding.message),
+    `${INDENT}Next step: ${cleanText(finding.nextStep)}`,
   ];
 }
 
@@ -42,9 +42,9 @@
     op === 'changed' ? `${toText(before)} -> ${toText(after)}` : toText(after ?? before);
   const subject = [resource, field].filter((part) => part !== '').join(' ');
   return [
-    clean(`${op} ${subject}: ${values}`),
+    cleanText(`${op} ${subject}: ${values}`),
     ...effects.map(
-      (effect) => INDENT + clean(`${effect.kind} ${effect.resource}: ${effect.message}`),
+      (effect) => INDENT + cleanText(`${effect.kind} ${effect.resource}: ${effect.message}`),
     ),
     ...(omittedEffects > 0 ? [`${INDENT}${omittedEffects} more effects are not shown`] : []),
   ];
@@ -53,11 +53,3 @@
 function toText(value: unknown): string {
   return typeof value === 'string' ? value : JSON.stringify(value);
 }
-
-/** Escapes control characters, which a file could use to change the terminal, and bounds the length. */
-function clean(text: string): string {
-  const bounded = text.length > MAX_TEXT_CHARS ? `${text.slice(0, MAX_TEXT_CHARS)}…` : text;
-  return bounded.replace(/\p{Cc}/gu, (char) => {
-    return `\\x${(char.codePointAt(0) ?? 0).toString(16).padStart(2, '0')}`;
-  });
-}
--- a/packages/cli/src/config-check/version-in-force.ts
+++ b/packages/cli/src/config-check/version-in-force.ts
@@ -4,6 +4,7 @@
   Ok,
   RESOURCE_KINDS,
   checkDocument,
+  formatField,
   type Resource,
   type Result,
 } from '@turmerichoist/core';
@@ -14,10 +15,15 @@
 /** Reads of a configuration that changes meanwhile, before the comparison is given up. */
 const MAX_READ_ATTEMPTS = 3;
 
+/** Why the version in force can't be read. */
+export interface ReadError {
+  readonly message: string;
+  readonly nextStep: string;
+}
+
 /** Where the version in force comes from. */
 export interface VersionInForce {
-  /** Fails with a message for the operator. */
-  read(): Promise<Result<Configuration, string>>;
+  read(): Promise<Result<Configuration, ReadError>>;
 }
 
 /** A file with all resources in force. */
@@ -28,13 +34,14 @@
     this.#file = file;
   }
 
-  async read(): Promise<Result<Configuration, string>> {
+  async read(): Promise<Result<Configuration, ReadError>> {
     const declared = new DeclaredResources([await readDocumentFile(this.#file)]);
     const [first] = declared.errors;
     if (first !== undefined) {
-      const { line, column, message } = first;
+      const { line, column, resource, field, message, nextStep } = first;
       const position = { file: this.#file, ...(line && { line }), ...(column && { column }) };
-      return Err(`${formatPosition(position)}: ${message}`);
+      const place = [formatPosition(position), resource ?? '', field].filter((part) => part !== '');
+      return Err({ message: `${place.join(' ')}: ${message}`, nextStep });
     }
     return Ok(Configuration.empty.with(1, declared.changes(Configuration.empty)));
   }
@@ -48,18 +55,19 @@
     this.#client = client;
   }
 
-  async read(): Promise<Result<Configuration, string>> {
+  async read(): Promise<Result<Configuration, ReadError>> {
     for (let attempt = 0; attempt < MAX_READ_ATTEMPTS; attempt += 1) {
       const read = await this.#readOnce();
       if (read.isErr() || read.value !== undefined) {
         return read.andThen((values) => toConfiguration(values ?? []));
       }
     }
-    return Err('the configuration changed during each read; repeat the check');
+    const message = 'the configuration changed during each read';
+    return Err({ message, nextStep: 'Repeat the check.' });
   }
 
   /** Reads all resources; undefined if the configuration changed meanwhile. */
-  async #readOnce(): Promise<Result<readonly unknown[] | undefined, string>> {
+  async #readOnce(): Promise<Result<readonly unknown[] | undefined, ReadError>> {
     const before = await this.#list('');
     const resources = await this.#listAll();
     const after = await this.#list('');
@@ -70,7 +78,7 @@
     return resources.map((values) => (isUnchanged ? values : undefined));
   }
 
-  async #listAll(): Promise<Result<readonly unknown[], string>> {
+  async #listAll(): Promise<Result<readonly unknown[], ReadError>> {
     const lists: unknown[] = [];
     for (const kind of RESOURCE_KINDS) {
       const list = await this.#list(`/${kind}`);
@@ -82,24 +90,31 @@
     return Ok(lists);
   }
 
-  async #list(suffix: string): Promise<Result<readonly unknown[], string>> {
+  async #list(suffix: string): Promise<Result<readonly unknown[], ReadError>> {
     const result = await this.#client.get(`/api/v1/resources${suffix}`);
     if (result.isErr()) {
-      const { error, text, detail } = result.error;
-      return Err(`${error}: ${text}${detail === undefined ? '' : ` (${detail})`}`);
+      const { error, text, detail, nextStep } = result.error;
+      const message = `${error}: ${text}${detail === undefined ? '' : ` (${detail})`}`;
+      return Err({ message, nextStep });
     }
-    return Array.isArray(result.value) ? Ok(result.value) : Err('the response is not a list');
+    return Array.isArray(result.value)
+      ? Ok(result.value)
+      : Err({ message: 'the response is not a list', nextStep: 'Check --server.' });
   }
 }
 
 /** Validates the resources of a server, which may be of another release. */
-function toConfiguration(values: readonly unknown[]): Result<Configuration, string> {
+function toConfiguration(values: readonly unknown[]): Result<Configuration, ReadError> {
   const resources: Resource[] = [];
   for (const value of values) {
     const checked = checkDocument(value);
     if (checked.isErr()) {
       const [issue] = checked.error;
-      return Err(`the server has a resource that this release can't read: ${issue?.message ?? ''}`);
+      const place = [issue?.resource ?? '', formatField(issue?.path ?? [])].join(' ').trim();
+      return Err({
+        message: `the server has a resource that this release can't read: ${place}: ${issue?.message ?? ''}`,
+        nextStep: 'Use the release of the command line that the server has.',
+      });
     }
     resources.push({ ...checked.value, version: checked.value.version ?? 0 });
   }
--- a/packages/cli/src/output/index.ts
+++ b/packages/cli/src/output/index.ts
@@ -1,1 +1,2 @@
+export * from './clean-text.js';
 export * from './format.js';
--- a/packages/cli/test/config-check.test.ts
+++ b/packages/cli/test/config-check.test.ts
@@ -40,12 +40,17 @@
   return file;
 }
 
-function check(...args: readonly string[]) {
-  const command = ['packages/cli/bin/run.js', 'config', 'check', ...args];
-  const { status, stdout, stderr } = spawnSync(process.execPath, command, { encoding: 'utf8' });
+function run(args: readonly string[], input = '') {
+  const command = ['packages/cli/bin/run.js', ...args];
+  const options = { encoding: 'utf8', input } as const;
+  const { status, stdout, stderr } = spawnSync(process.execPath, command, options);
   return { status, stdout, stderr };
 }
 
+function check(...args: readonly string[]) {
+  return run(['config', 'check', ...args]);
+}
+
 function report(...args: readonly string[]): CheckReport {
   return JSON.parse(check('--json', ...args).stdout) as CheckReport;
 }
@@ -116,6 +121,24 @@
   const { stdout } = check(write('escape.yaml', '"\\e[31mred": 1\n'));
   expect(stdout).toContain('\\x1b[31mred');
   expect(stdout).not.toContain('\u001b');
+  const file = write('escape-twice.yaml', '"\\e[31mred": 1\n"\\e[31mred": 2\n');
+  const sound = write('sound.yaml', SOUND);
+  for (const args of [
+    ['config', 'check', sound, '--against', file],
+    ['apply', '-f', file],
+  ]) {
+    const { stderr } = run(args);
+    expect(stderr).toContain('\\x1b[31mred');
+    expect(stderr).toContain('\nNext step: Delete one of the two fields.\n');
+    expect(stderr).not.toContain('\u001b');
+  }
+});
+
+test('an unreadable version in force is reported with its field', () => {
+  const file = write('sound.yaml', SOUND);
+  const inForce = write('in-force.yaml', SOUND.replace('size: 1', 'size: x'));
+  const { stderr } = check(file, '--against', inForce);
+  expect(stderr).toContain(`${inForce}:7:9 pool/web spec.size: Invalid input`);
 });
 
 test('a file with some resources is compared as apply would change the version in force', () => {
