fix(cli): read standard input that is a socket

Commands opened /dev/stdin, which fails with ENXIO for a socket, such as the standard input of a process that Node.js starts. Standard input and files are now both read as streams, up to the same bound.

--- a/packages/cli/src/documents/read-text.ts
+++ b/packages/cli/src/documents/read-text.ts
@@ -1,10 +1,10 @@
 import { isUtf8 } from 'node:buffer';
-import { open, type FileHandle } from 'node:fs/promises';
+import { createReadStream } from 'node:fs';
+import type { Readable } from 'node:stream';
 import { Err, Ok, type Result } from '@turmerichoist/core';
 import { MAX_FILE_BYTES } from './limits.js';
 import type { SourceProblem } from './source-problem.js';
 
-const STDIN_PATH = '/dev/stdin';
 const LINE_FEED = 0x0a;
 const SAVE_AS_UTF8 = 'Save the file as UTF-8.';
 
@@ -20,8 +20,7 @@
 export async function readText(file: string): Promise<Result<string, SourceProblem>> {
   let bytes: Buffer;
   try {
-    const handle = await open(file === '-' ? STDIN_PATH : file);
-    bytes = await readBounded(handle).finally(() => handle.close());
+    bytes = await readBounded(file === '-' ? process.stdin : createReadStream(file));
   } catch (err) {
     const nextStep = 'Check the path and its permissions.';
     const message = `the file can't be read: ${(err as Error).message}`;
@@ -35,18 +34,18 @@
   return decodeText(file, bytes);
 }
 
-/** Reads at most one byte more than the limit, so that pipes and devices are bounded as well. */
-async function readBounded(handle: FileHandle): Promise<Buffer> {
-  const buffer = Buffer.alloc(MAX_FILE_BYTES + 1);
+/** Stops after the first block beyond the limit, so that pipes and devices are bounded as well. */
+async function readBounded(stream: Readable): Promise<Buffer> {
+  const blocks: Buffer[] = [];
   let length = 0;
-  while (length < buffer.length) {
-    const { bytesRead } = await handle.read(buffer, length, buffer.length - length, null);
-    if (bytesRead === 0) {
+  for await (const block of stream as AsyncIterable<Buffer>) {
+    blocks.push(block);
+    length += block.length;
+    if (length > MAX_FILE_BYTES) {
       break;
     }
-    length += bytesRead;
   }
-  return buffer.subarray(0, length);
+  return Buffer.concat(blocks);
 }
 
 /** Decodes UTF-8. Fails with the first line that is in another encoding. */
--- a/packages/cli/test/config-check.test.ts
+++ b/packages/cli/test/config-check.test.ts
@@ -134,6 +134,11 @@
   }
 });
 
+test('standard input that is a socket, as of a process started by Node.js, can be read', () => {
+  const result = run(['config', 'check', '-'], SOUND);
+  expect(result).toEqual({ status: 0, stdout: '0 errors, 0 warnings\n', stderr: '' });
+});
+
 test('an unreadable version in force is reported with its field', () => {
   const file = write('sound.yaml', SOUND);
   const inForce = write('in-force.yaml', SOUND.replace('size: 1', 'size: x'));
