fix(checks): missing and false findings about plans, queues and teams

Not reported: a plan for labels that no single instance has together, a plan with an empty list of racks or zones, and a closed queue whose only keys belong to teams without any limit of requests. Reported without use: racks, labels and budgets of plans that were aborted. The next step for a team that can run neither requests nor tasks told to lower other limits, which are 0 already.

--- a/packages/core/src/checks/plan-rules.ts
+++ b/packages/core/src/checks/plan-rules.ts
@@ -11,13 +11,18 @@
 const SELECT: FieldPath = ['spec', 'select'];
 const NO_DURATIONS = { drainMs: 0, rebootMs: 0 };
 
+/** Aborted plans do nothing, and often name instances that no longer exist. */
+function activePlans(cfg: Configuration) {
+  return cfg.list('plan').filter(({ spec }) => spec.state !== 'aborted');
+}
+
 /** Reports racks in plans that no instance has. */
 export class PlanRackRule implements ConfigurationRule {
   readonly id = 'plan-unknown-rack';
 
   check(cfg: Configuration): readonly Finding[] {
     const racks = new Set(cfg.list('instance').map(({ spec }) => spec.rack));
-    return cfg.list('plan').flatMap(({ name, spec }) =>
+    return activePlans(cfg).flatMap(({ name, spec }) =>
       (spec.select.racks ?? []).flatMap((rack, index) =>
         racks.has(rack)
           ? []
@@ -41,7 +46,7 @@
 
   check(cfg: Configuration): readonly Finding[] {
     const zones = new Set(cfg.list('instance').map(({ spec }) => spec.zone));
-    return cfg.list('plan').flatMap(({ name, spec }) =>
+    return activePlans(cfg).flatMap(({ name, spec }) =>
       (spec.select.zones ?? []).flatMap((zone, index) =>
         zones.has(zone) || cfg.get('zone', zone) === undefined
           ? []
@@ -67,7 +72,7 @@
     const labels = new Set(
       cfg.list('instance').flatMap(({ spec }) => Object.entries(spec.labels).map(labelKey)),
     );
-    return cfg.list('plan').flatMap(({ name, spec }) =>
+    return activePlans(cfg).flatMap(({ name, spec }) =>
       Object.entries(spec.select.labels ?? {}).flatMap(([label, value]) =>
         labels.has(labelKey([label, value]))
           ? []
@@ -96,8 +101,7 @@
 
   check(cfg: Configuration): readonly Finding[] {
     const view = viewOf(cfg);
-    return cfg
-      .list('plan')
+    return activePlans(cfg)
       .filter(({ spec }) => selectInstances(view, spec.select).length === 0)
       .filter(({ spec }) => eachCriterionMatches(view, spec.select))
       .map(({ name }) =>
@@ -112,9 +116,19 @@
   }
 }
 
-/** True for an empty selection too, which has no criterion and selects no instance. */
-function eachCriterionMatches(view: FleetView, select: PlanSpec['select']): boolean {
-  const criteria = Object.entries(select).map(([name, value]) => ({ [name]: value }));
+/**
+ * True for a selection without any criterion too, which selects no instance. A list without
+ * elements counts as none, since no other rule reports it.
+ */
+function eachCriterionMatches(
+  view: FleetView,
+  { racks = [], zones = [], labels = {} }: PlanSpec['select'],
+): boolean {
+  const criteria: readonly PlanSpec['select'][] = [
+    ...(racks.length > 0 ? [{ racks }] : []),
+    ...(zones.length > 0 ? [{ zones }] : []),
+    ...Object.entries(labels).map(([label, value]) => ({ labels: { [label]: value } })),
+  ];
   return criteria.every((criterion) => selectInstances(view, criterion).length > 0);
 }
 
@@ -125,7 +139,7 @@
 
   check(cfg: Configuration): readonly Finding[] {
     const view = viewOf(cfg);
-    return cfg.list('plan').flatMap(({ name }) => this.#checkPlan(declaredPlan(view, name), view));
+    return activePlans(cfg).flatMap(({ name }) => this.#checkPlan(declaredPlan(view, name), view));
   }
 
   #checkPlan(plan: PlanDefinition | undefined, view: FleetView): readonly Finding[] {
@@ -158,8 +172,7 @@
   readonly id = 'plan-window-empty';
 
   check(cfg: Configuration): readonly Finding[] {
-    return cfg
-      .list('plan')
+    return activePlans(cfg)
       .filter(({ spec }) => windowMinutes(spec.window) === 0)
       .map(({ name }) =>
         warning({
--- a/packages/core/src/checks/queue-rules.ts
+++ b/packages/core/src/checks/queue-rules.ts
@@ -6,14 +6,15 @@
 /** A request crosses two links, to the entry and to the upstream, and the answer both again. */
 const MIN_DEADLINE_MS: Millis = 10;
 
-/** Reports closed queues for which no team has a valid key. */
+/** Reports closed queues that no team with a valid key may send requests to. */
 export class UnreachableQueueRule implements ConfigurationRule {
   readonly id = 'queue-unreachable';
 
   check(cfg: Configuration): readonly Finding[] {
     const hasKey = cfg
       .list('team')
-      .some((team) => team.spec.keys.some(({ withdrawn }) => !withdrawn));
+      .filter(({ spec }) => spec.limit.requests > 0)
+      .some(({ spec }) => spec.keys.some(({ withdrawn }) => !withdrawn));
     if (hasKey) {
       return [];
     }
@@ -25,8 +26,9 @@
           rule: this.id,
           resource: `queue/${name}`,
           field: ['spec', 'open'],
-          message: 'no caller can reach this queue: it requires a key, and no team has a valid one',
-          nextStep: 'Add a key to a team, or set `open: true`.',
+          message:
+            'no caller can reach this queue: it requires a key, and no team that may send requests has one',
+          nextStep: 'Add a key to a team, raise its limit of requests, or set `open: true`.',
         }),
       );
   }
--- a/packages/core/src/checks/team-rules.ts
+++ b/packages/core/src/checks/team-rules.ts
@@ -23,7 +23,7 @@
           resource: `team/${name}`,
           field: ['spec', 'limit', problem.field],
           message: problem.message,
-          nextStep: 'Raise this limit, or set the other limits of tasks to 0 as well.',
+          nextStep: problem.nextStep,
         }),
       ];
     });
@@ -33,6 +33,7 @@
 interface LimitProblem {
   readonly field: LimitField;
   readonly message: string;
+  readonly nextStep: string;
 }
 
 function smallLimit({
@@ -44,13 +45,16 @@
   const tasksAllowed = processors > 0 || memoryMb > 0 || accelerators > 0;
   if (!tasksAllowed) {
     const message = 'the team can run neither requests nor tasks';
-    return requests === 0 ? { field: 'requests', message } : undefined;
+    const nextStep = 'Raise this limit, or the limits of tasks.';
+    return requests === 0 ? { field: 'requests', message, nextStep } : undefined;
   }
   if (processors > 0 && memoryMb > 0) {
     return undefined;
   }
   const field = processors === 0 ? 'processors' : 'memoryMb';
-  return { field, message: `the limit is below one task: ${field} is 0, but other limits are not` };
+  const message = `the limit is below one task: ${field} is 0, but other limits are not`;
+  const nextStep = 'Raise this limit, or set the other limits of tasks to 0 as well.';
+  return { field, message, nextStep };
 }
 
 /** Reports teams whose limit is below the part of the declared capacity that their weight gives. */
--- a/packages/core/test/checks-rules.test.ts
+++ b/packages/core/test/checks-rules.test.ts
@@ -45,6 +45,11 @@
   return configuration([...merged, ...changes.values()].map((each) => ({ ...each })));
 }
 
+/** Rules with findings, in their order. */
+function rulesOf(cfg: ReturnType<typeof changed>): readonly string[] {
+  return checkConfiguration(cfg).map(({ rule }) => rule);
+}
+
 const team = (name: string, spec: Spec): Document => ({ kind: 'team', name, spec });
 const plan = (spec: Spec): Document => ({ kind: 'plan', name: 'p', spec });
 const pool = (spec: Spec): Document => ({ kind: 'pool', name: 'web', spec });
@@ -211,3 +216,30 @@
   expect(beyond.skippedRules).toEqual(['plan-selects-nothing', 'budget-forbids-plan']);
   expect(beyond).toMatchObject({ findings: [], omitted: 1 });
 });
+
+test('labels that no single instance has together, and lists without elements, are reported', () => {
+  const other = { kind: 'instance', name: 'i1', spec: { labels: { disk: 'ssd' } } };
+  const labels = { os: 'old', disk: 'ssd' };
+  for (const select of [{ racks: undefined, labels }, { racks: [] }]) {
+    expect(rulesOf(changed(other, plan({ select })))).toEqual(['plan-selects-nothing']);
+  }
+});
+
+test('a plan that was aborted is not reported for racks that no longer exist', () => {
+  const spec = { select: { racks: ['r9'], labels: { os: 'none' } }, state: 'aborted' };
+  expect(rulesOf(changed(plan(spec)))).toEqual([]);
+});
+
+test('a key of a team that may send no requests does not make a queue reachable', () => {
+  expect(rulesOf(changed(team('a', { limit: { ...limit, requests: 0 } })))).toEqual([
+    'queue-unreachable',
+  ]);
+});
+
+test('the next step for a team without any limit is not to lower other limits', () => {
+  const [finding] = checkConfiguration(changed(team('b', { share: 1, limit: { requests: 0 } })));
+  expect(finding).toMatchObject({
+    rule: 'limit-below-task',
+    nextStep: 'Raise this limit, or the limits of tasks.',
+  });
+});
