feat(jobs): expected starts by team and the decision to refuse a job

Cause: nothing was refused for lack of capacity, so callers paid for overload with late work and were never told when to retry.

Change: WorkAhead computes on the leader when a job submitted now would start, by queue and team, under weighted max-min shares, with capacity that is on its way or can be lent. decideAdmission refuses a job whose expected end is past the end of its value by a factor of 1.5. ExpectedStarts adds what a member has accepted since. A test guards that a cancelled job starts nothing.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -1,9 +1,11 @@
+export * from './admission.js';
 export {
   AnnouncedOrders,
   ORDER_SETTLE_MS,
   type AnnouncedOrdersOptions,
   type OrdersRecord,
 } from './announced-orders.js';
+export { ExpectedStarts } from './expected-starts.js';
 export { ExecutorClock, type CallTimes } from './executor-clock.js';
 export type { ExecutorState } from './executor-table.js';
 export { Job } from './job.js';
@@ -25,3 +27,4 @@
 export type { ExecutorCounts, CellPoolLoad, CellPoolLoadView } from './pool-load.js';
 export type { RecoverySummary } from './recovery.js';
 export { TaskDurations } from './task-durations.js';
+export type { WorkAheadLane } from './work-ahead.js';
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -18,6 +18,7 @@
 import { Scheduler } from './scheduler.js';
 import { TaskDurations } from './task-durations.js';
 import { UnreportedUsage } from './unreported-usage.js';
+import { WorkAhead, type WorkAheadLane } from './work-ahead.js';
 
 export interface JobDeciderOptions
   extends RecoveryOptions, InstanceOrdersOptions, LeaseExpiryOptions {
@@ -36,6 +37,7 @@
 export class JobDecider implements Decider<JobEvent, JobDecision> {
   /** Capacity and waiting work of the pools, for the log. */
   readonly poolLoad: CellPoolLoadView;
+  readonly #workAhead: WorkAhead;
   readonly #options: JobDeciderOptions;
   readonly #runs = new RunTable();
   readonly #agenda = new SchedulingAgenda();
@@ -77,6 +79,7 @@
     this.#instanceOrders = new InstanceOrders({ ...parts, reconciler: this.#reconciler }, options);
     this.#paceController = new PaceController(this.#runs);
     this.poolLoad = new CellPoolLoadView(parts, this.#instanceOrders.lender);
+    this.#workAhead = new WorkAhead(parts, this.#instanceOrders.lender);
   }
 
   /** Number of jobs by queue of which no executor is known to have begun a task. */
@@ -84,6 +87,15 @@
     return this.#jobs.waitingByQueue();
   }
 
+  /**
+   * When jobs would start that are submitted now, for queues that are short of capacity. Undefined
+   * while runs of earlier owners are not known, as the work that waits may be running.
+   */
+  get workAhead(): readonly WorkAheadLane[] | undefined {
+    const now = this.#options.clock.now();
+    return this.#recovery.isPending(now) ? undefined : this.#workAhead.describe(this.#config, now);
+  }
+
   /** Whether a maintenance wave is unfinished, so that instances should be listed more often. */
   get maintaining(): boolean {
     return this.#instanceOrders.maintenance.active;
--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -1,3 +1,4 @@
+import { NO_RESOURCES, add } from '../tasks/resource-arithmetic.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName } from '../types/index.js';
 import type { CellTables } from './cell-tables.js';
@@ -89,6 +90,38 @@
     return ordered.length + inherited.length;
   }
 
+  /** Capacity that is on its way to a pool, is being maintained there or can be lent to it now. */
+  comingCapacity(pool: PoolName, pools: ReadonlyMap<PoolName, PoolPolicy>, now: Millis): Resources {
+    const coming = this.#instances.filter(({ name, pool: present, state }) => {
+      const to = this.#pendingMoves.get(name)?.to;
+      return to === undefined
+        ? present === pool && (state === 'moving' || state === 'maintenance')
+        : to === pool;
+    });
+    const lendable = this.#lendable(pool, pools, now);
+    return [...coming, ...lendable].reduce((sum, one) => add(sum, one.capacity), NO_RESOURCES);
+  }
+
+  /** Instances that could be moved to a pool now. */
+  #lendable(
+    to: PoolName,
+    pools: ReadonlyMap<PoolName, PoolPolicy>,
+    now: Millis,
+  ): readonly PoolInstance[] {
+    const unmoved = this.#instances.filter(
+      ({ name, pool, state }) => state === 'up' && pool !== to && !this.#pendingMoves.has(name),
+    );
+    const left = new Map<PoolName, number>();
+    return this.#donors(unmoved, to, pools, now).filter(({ pool }) => {
+      if (pools.get(pool)?.standby === true) {
+        return true;
+      }
+      const count = left.get(pool) ?? this.#remainingCount(pool) - this.#leastSize(pool);
+      left.set(pool, count - 1);
+      return count > 0;
+    });
+  }
+
   /** The executor that ran on an instance when the order to move it was sent. */
   orderedExecutor(instance: string): ExecutorId | undefined {
     return this.#pendingMoves.get(instance)?.executor;
@@ -212,11 +245,15 @@
       .length;
   }
 
+  /** Number of instances down to which a pool lends. */
+  #leastSize(pool: PoolName): number {
+    return (this.#initialSizes?.get(pool) ?? 0) * MIN_POOL_SHARE + 1;
+  }
+
   /** Takes an idle instance from what its pool can lend in this plan; false if none is left. */
   #tryTakeFromPool({ pool, capacity }: PoolInstance, now: Millis): boolean {
-    const least = (this.#initialSizes?.get(pool) ?? 0) * MIN_POOL_SHARE + 1;
     const spare = this.#spareProcessors(pool, now) - capacity.processors;
-    if (spare < 0 || this.#remainingCount(pool) <= least) {
+    if (spare < 0 || this.#remainingCount(pool) <= this.#leastSize(pool)) {
       return false;
     }
     this.#spare.set(pool, spare);
