feat(daemon): refuse submissions that could not end with value

Cause: a member stored every submission, whatever waited in the pool.

Change: the leader publishes the expected starts in its bulletin, with the age of its read. The order and the age of publications, which WaitingCounts knew, are PublicationOrder now and serve both. A job that this member has begun to store, and a call of a caller that has used part of its time, are not refused, as the job may be stored.

--- a/packages/daemon/src/jobs/job-cell.ts
+++ b/packages/daemon/src/jobs/job-cell.ts
@@ -105,6 +105,7 @@
       intake,
       cell: callerTables.cell,
       clock,
+      random,
       log,
       metrics,
       signal,
@@ -210,8 +211,8 @@
 
   #onPublished({ bulletin, epoch, beat, sentAt }: LeaderPublication): void {
     this.#bulletin = bulletin as unknown as Bulletin;
-    const { waiting } = this.#bulletin;
-    this.#service.observeCounts({ epoch, beat, waiting, sentAt });
+    const { waiting, workAhead } = this.#bulletin;
+    this.#service.observePublication({ epoch, beat, waiting, workAhead, sentAt });
   }
 
   #startTerm(term: LeaderTerm): void {
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -163,8 +163,10 @@
   get bulletin(): Bulletin {
     const now = this.#options.clock.now();
     const waiting = this.#countInputs.publish(this.#decider.waiting, now);
+    const lanes = waiting && this.#decider.workAhead;
     return {
       ...(waiting && { waiting }),
+      ...(lanes && { workAhead: { lanes, ageMs: waiting.ageMs } }),
       executors: this.#decider.executorIds,
       poolSizes: Object.fromEntries(this.#decider.poolSizes ?? []),
       mayOrder: this.#instances.mayOrder,
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -1,4 +1,5 @@
 import {
+  Err,
   Ok,
   fail,
   type AcceptedJob,
@@ -12,6 +13,7 @@
   type Millis,
   type QueueName,
   type QueueRoute,
+  type Random,
   type Result,
   type TeamName,
 } from '@turmerichoist/core';
@@ -20,6 +22,7 @@
 import type { JobIntake } from './intake.js';
 import type { CallerTables, JobCall, JobReply } from './ports.js';
 import { RetryAdvice } from './retry-advice.js';
+import { SubmissionGate, type WorkAheadRead } from './submission-gate.js';
 import { WaitingCounts, type CountsRead } from './waiting-counts.js';
 
 const JOB_ID = /^[0-9a-f]{16}$/;
@@ -35,11 +38,19 @@
   /** Holds the progress of jobs. */
   readonly cell: CallerTables['cell'];
   readonly clock: Clock;
+  readonly random: Random;
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly signal: AbortSignal;
 }
 
+interface SubmissionTime {
+  /** Time that the store may take. */
+  readonly storeTimeoutMs: Millis;
+  /** Whether the caller can't have submitted the job to another member before. */
+  readonly isFirstTry: boolean;
+}
+
 /** Serves the calls of callers, on every member of a cell. Errors: as in `ERROR_TABLE`. */
 export class JobService {
   readonly #options: JobServiceOptions;
@@ -47,6 +58,7 @@
   /** Aborted while the store doesn't answer this process. */
   #contact = new AbortController();
   readonly #counts: WaitingCounts;
+  readonly #gate: SubmissionGate;
   /** By queue and type of call, since how much time callers give depends on both. */
   readonly #advice = new Map<string, RetryAdvice>();
   /** Latest known state of jobs. A final state never changes. */
@@ -60,6 +72,7 @@
   constructor(options: JobServiceOptions) {
     this.#options = options;
     this.#counts = new WaitingCounts(options.clock);
+    this.#gate = new SubmissionGate(options);
     options.signal.addEventListener('abort', () => {
       this.#contact.abort();
     });
@@ -92,17 +105,21 @@
     }
   }
 
-  observeCounts(read: CountsRead): void {
+  /** Processes what the leader has published, as read from its lease row. */
+  observePublication(read: CountsRead & WorkAheadRead): void {
     this.#counts.observe(read);
+    this.#gate.observe(read);
   }
 
   /** Takes the figures of the calls since the last call; durations in milliseconds. */
   takeLoad(): LogFields {
     const { submit, read, cancel } = this.#calls;
     const { ageMs } = this.#counts;
+    const aheadAgeMs = this.#gate.ageMs;
     return {
       calls: { submit: submit.take(), read: read.take(), cancel: cancel.take() },
       waitingCountAgeMs: ageMs && Math.round(ageMs),
+      workAheadAgeMs: aheadAgeMs && Math.round(aheadAgeMs),
     };
   }
 
@@ -129,7 +146,8 @@
     const advice = this.#adviceFor(route.queue, call.action.type);
     advice.observe(call.timeoutMs);
     const startedAt = this.#options.clock.now();
-    const reply = await this.#dispatch(directory, route, team.value, rest, call);
+    const isFirstTry = advice.isFirstTry(call.timeoutMs);
+    const reply = await this.#dispatch(directory, route, team.value, rest, call, isFirstTry);
     const elapsedMs = this.#options.clock.now() - startedAt;
     this.#options.metrics.timing(`calls.${call.action.type}`, elapsedMs);
     this.#calls[call.action.type].add(elapsedMs);
@@ -157,13 +175,17 @@
     team: TeamName,
     id: JobId,
     { action, timeoutMs }: JobCall,
+    isFirstTry: boolean,
   ): Promise<Result<JobReply, AppError>> {
     const storeTimeoutMs = Math.max(0, Math.min(MAX_CALL_MS, timeoutMs - ANSWER_RESERVE_MS));
     switch (action.type) {
       case 'submit':
         return action.spec.isErr()
           ? Promise.resolve(action.spec)
-          : this.#submit(directory, route, team, id, action.spec.value, storeTimeoutMs);
+          : this.#submit(directory, route, team, id, action.spec.value, {
+              storeTimeoutMs,
+              isFirstTry,
+            });
       case 'read':
         return this.#readState(id, storeTimeoutMs);
       case 'cancel':
@@ -177,23 +199,25 @@
     team: TeamName,
     id: JobId,
     spec: JobSpec,
-    timeoutMs: Millis,
+    { storeTimeoutMs, isFirstTry }: SubmissionTime,
   ): Promise<Result<JobReply, AppError>> {
-    const { intake, clock, log } = this.#options;
+    const { intake, clock } = this.#options;
     const policy = directory.policyOf(queue);
     if (policy === undefined) {
       return fail('unknown-queue', queue);
     }
     const job: AcceptedJob = { id, queue, team, acceptedWallMs: clock.wall(), policy, spec };
+    // Without the store, the figures are not renewed.
+    const checked = this.#isReachable() && !this.#cachedStates.has(id);
+    const refusal = checked ? this.#gate.check(job, isFirstTry) : undefined;
+    if (refusal !== undefined) {
+      this.#logSubmission(job, refusal.error.kind, refusal.fields);
+      return Err(refusal.error);
+    }
+    this.#gate.markKnown(id);
     const row = job as unknown as JsonValue;
-    const stored = await intake.accept('jobs', id, row, clock.now() + timeoutMs);
-    log.info('job submitted', {
-      job: id,
-      queue,
-      team,
-      revision: directory.config.revision,
-      outcome: stored.isOk() ? 'accepted' : stored.error.kind,
-    });
+    const stored = await intake.accept('jobs', id, row, clock.now() + storeTimeoutMs);
+    this.#logSubmission(job, stored.isOk() ? 'accepted' : stored.error.kind);
     if (stored.isErr()) {
       return stored.error.kind === 'store-unavailable'
         ? fail('store-unavailable', stored.error.detail, RETRY_AFTER_MS)
@@ -201,11 +225,18 @@
     }
     if (!this.#cachedStates.has(id)) {
       this.#counts.recordAccepted(queue);
+      this.#gate.recordAccepted(job);
     }
     this.#cacheState(id, this.#cachedStates.get(id) ?? 'queued');
     return Ok({ type: 'accepted' });
   }
 
+  #logSubmission({ id, queue, team }: AcceptedJob, outcome: string, fields: LogFields = {}): void {
+    const revision = this.#directory?.config.revision;
+    const identity = { job: id, queue, team, revision };
+    this.#options.log.info('job submitted', { ...identity, outcome, ...fields });
+  }
+
   async #readState(id: JobId, timeoutMs: Millis): Promise<Result<JobReply, AppError>> {
     const state = await this.#getState(id, timeoutMs);
     return state.map((value) => ({ type: 'state', state: value }));
--- a/packages/daemon/src/jobs/retry-advice.ts
+++ b/packages/daemon/src/jobs/retry-advice.ts
@@ -20,9 +20,13 @@
     this.#longestMs = Math.max(this.#longestMs, timeoutMs);
   }
 
+  /** Whether a caller that has `timeoutMs` left can't have called another member before. */
+  isFirstTry(timeoutMs: Millis): boolean {
+    return timeoutMs >= FIRST_TRY_SHARE * this.#longestMs;
+  }
+
   /** Time after which a caller that has `timeoutMs` left is to call another member. */
   retryAfterMs(timeoutMs: Millis): Millis {
-    const firstTry = timeoutMs >= FIRST_TRY_SHARE * this.#longestMs;
-    return firstTry ? RETRY_ELSEWHERE_MS : RETRY_LATER_MS;
+    return this.isFirstTry(timeoutMs) ? RETRY_ELSEWHERE_MS : RETRY_LATER_MS;
   }
 }
--- a/packages/daemon/src/jobs/waiting-counts.ts
+++ b/packages/daemon/src/jobs/waiting-counts.ts
@@ -1,5 +1,6 @@
 import type { Clock, JobDirectory, Millis, QueueName } from '@turmerichoist/core';
 import type { PublishedCounts } from './bulletin.js';
+import { PublicationOrder, type LeaseRead } from './publication-order.js';
 
 /**
  * Oldest counts that are answered: 2 s as agreed with callers, and the 3 s after which an accepted
@@ -9,15 +10,9 @@
 /** Bounds the memory for accepted jobs; older ones are dropped first. */
 const MAX_ACCEPTED = 10_000;
 
-/** One read of the leader's lease row. */
-export interface CountsRead {
-  /** Fencing token of the leader that wrote the row; undefined if the row does not tell. */
-  readonly epoch: number | undefined;
-  /** Number of the renewal, which increases within one epoch. */
-  readonly beat: number;
+/** One read of the leader's lease row, with its counts. */
+export interface CountsRead extends LeaseRead {
   readonly waiting: PublishedCounts | undefined;
-  /** Monotonic time of this member at which the read was sent. */
-  readonly sentAt: Millis;
 }
 
 export type CountAnswer =
@@ -46,8 +41,7 @@
 export class WaitingCounts {
   readonly #clock: Clock;
   #known: KnownCounts | undefined;
-  #publication: { readonly epoch: number; readonly beat: number } | undefined;
-  #lastReadAt: Millis | undefined;
+  readonly #order = new PublicationOrder();
   /** Jobs accepted by this member that the published counts may not include, oldest first. */
   readonly #accepted: OwnJob[] = [];
   /** Revision of the configuration since which this member knows each queue. */
@@ -70,17 +64,11 @@
   }
 
   /** Processes a successful read of the lease row. Reads are passed on in the order of their send. */
-  observe({ epoch, beat, waiting, sentAt }: CountsRead): void {
-    const previousReadAt = this.#lastReadAt;
-    this.#lastReadAt = sentAt;
-    if (epoch === undefined || !this.#isNew(epoch, beat)) {
-      return;
-    }
-    this.#publication = { epoch, beat };
-    // Any row may be older than the first read. A later one was written after the read before.
-    if (waiting !== undefined && previousReadAt !== undefined) {
-      const { byQueue, revision, ageMs } = waiting;
-      const readAt = previousReadAt - ageMs;
+  observe(read: CountsRead): void {
+    const writtenAfter = this.#order.observe(read)?.writtenAfter;
+    if (read.waiting !== undefined && writtenAfter !== undefined) {
+      const { byQueue, revision, ageMs } = read.waiting;
+      const readAt = writtenAfter - ageMs;
       this.#known = { byQueue: new Map(Object.entries(byQueue)), revision, readAt };
       this.#dropCounted();
     }
@@ -111,12 +99,6 @@
     return { type: 'count', count: (published ?? 0) + own, ageMs };
   }
 
-  /** A renewal that the store carried out late may follow newer ones. */
-  #isNew(epoch: number, beat: number): boolean {
-    const last = this.#publication;
-    return last === undefined || epoch > last.epoch || (epoch === last.epoch && beat > last.beat);
-  }
-
   /** Drops jobs that the counts include, or that all counts include that are still answered. */
   #dropCounted(): void {
     const oldest = this.#clock.now() - MAX_COUNT_AGE_MS;
--- a/packages/daemon/test/job-state-reads.test.ts
+++ b/packages/daemon/test/job-state-reads.test.ts
@@ -48,7 +48,15 @@
   );
   const cell = openNoted('c0');
   const metrics = new NoMetrics();
-  const service = new JobService({ intake, cell, clock, log: silentLogger, metrics, signal });
+  const service = new JobService({
+    intake,
+    cell,
+    clock,
+    random,
+    log: silentLogger,
+    metrics,
+    signal,
+  });
   service.setDirectory(new JobDirectory(JOB_CONFIG));
   return service;
 }
--- a/packages/daemon/test/job-states.test.ts
+++ b/packages/daemon/test/job-states.test.ts
@@ -49,12 +49,13 @@
   };
   const log = silentLogger;
   const { signal } = controller;
+  const random = new SeededRandom(1);
   const intake = new JobIntake(
-    { tables: { openIntake: () => store }, clock, random: new SeededRandom(1), newId },
+    { tables: { openIntake: () => store }, clock, random, newId },
     { log, signal },
   );
   const metrics = new NoMetrics();
-  const service = new JobService({ intake, cell: { read }, clock, log, metrics, signal });
+  const service = new JobService({ intake, cell: { read }, clock, random, log, metrics, signal });
   service.setDirectory(new JobDirectory(JOB_CONFIG));
   return service;
 }
--- a/packages/daemon/test/silent-store.test.ts
+++ b/packages/daemon/test/silent-store.test.ts
@@ -188,6 +188,7 @@
       intake,
       cell: store,
       clock,
+      random: new SeededRandom(1),
       log: silentLogger,
       metrics,
       signal,
