fix(jobs): expected starts leave out large jobs that yield to usual ones

Cause: all work of a team and priority counted as ahead of a job, so one very large job of the team that had not started turned away jobs which the order serves before it.

Change: PoolWork sorts waiting work by size class. Starts are published by queue.

--- a/packages/core/src/jobs/expected-starts.ts
+++ b/packages/core/src/jobs/expected-starts.ts
@@ -37,10 +37,10 @@
   apply(lanes: readonly WorkAheadLane[], readAt: Millis): void {
     this.#readAt = readAt;
     this.#lanes = new Map(
-      lanes.flatMap(({ queues, processors, clearMs, teams }) => {
-        const lane = { processors, clearMs, teams: new Map(Object.entries(teams)) };
-        return queues.map((queue) => [queue, lane] as const);
-      }),
+      lanes.map(({ queue, processors, clearMs, teams }) => [
+        queue,
+        { processors, clearMs, teams: new Map(Object.entries(teams)) },
+      ]),
     );
     this.#accepted = this.#accepted
       .filter(({ acceptedAt }) => acceptedAt >= readAt)
--- a/packages/core/src/jobs/fair-backlog.ts
+++ b/packages/core/src/jobs/fair-backlog.ts
@@ -1,5 +1,6 @@
 import { waterFill } from '../requests/water-fill.js';
 import type { Millis, TeamName } from '../types/index.js';
+import type { WorkRank } from './pool-work.js';
 
 /** Difference of shares that is taken for rounding. */
 const SHARE_TOLERANCE = 1e-9;
@@ -12,10 +13,12 @@
   readonly demand: number;
   /** Rest of what runs. */
   readonly runningMs: Millis;
-  /** Work of the tasks that wait of jobs that can still have value, by priority of their queues. */
-  readonly waitingMs: ReadonlyMap<number, Millis>;
-  /** That of the jobs among them that are in time. */
-  readonly inTimeMs: ReadonlyMap<number, Millis>;
+  /** Work of the tasks that wait, of jobs that can still have value. */
+  readonly waiting: readonly RankedWork[];
+}
+
+export interface RankedWork extends WorkRank {
+  readonly workMs: Millis;
 }
 
 /** When work of a team would start that is added now. */
@@ -30,7 +33,7 @@
 interface Competitor {
   readonly team: TeamName;
   readonly weight: number;
-  /** What is done before the work of the priority in question, and all that competes with others. */
+  /** What is done before the job in question, and all that competes with other teams. */
   readonly aheadMs: Millis;
   readonly totalMs: Millis;
 }
@@ -53,28 +56,29 @@
   }
 
   /**
-   * Starts by team, for work of this priority. Only of teams that have more demand than their share.
-   * Late work of other teams is taken to yield to work in time: that is the earliest possible start.
+   * Starts by team, for jobs of this priority and up to this size that have not started. Only of teams
+   * that have more demand than their share. Late work of other teams is taken to yield to work in
+   * time: that is the earliest possible start.
    */
-  startsMs(priority: number): ReadonlyMap<TeamName, FairStart> {
-    const inTime = this.#startsBehind(priority, ({ inTimeMs }) => inTimeMs);
-    const late = this.#startsBehind(priority, ({ waitingMs }) => waitingMs);
+  startsMs(priority: number, size: number): ReadonlyMap<TeamName, FairStart> {
+    const isAhead = (work: RankedWork): boolean =>
+      work.priority < priority || (work.priority === priority && work.size <= size);
+    const inTime = this.#startsBehind(isAhead, (work) => work.inTime);
+    const late = this.#startsBehind(isAhead, () => true);
     return new Map(
       [...late].map(([team, lateMs]) => [team, { inTimeMs: inTime.get(team) ?? 0, lateMs }]),
     );
   }
 
   #startsBehind(
-    priority: number,
-    waitingOf: (backlog: TeamBacklog) => ReadonlyMap<number, Millis>,
+    isAhead: (work: RankedWork) => boolean,
+    counts: (work: RankedWork) => boolean,
   ): ReadonlyMap<TeamName, Millis> {
-    const competitors = this.#competing.map((backlog) => {
-      const { team, weight, runningMs } = backlog;
-      const waiting = [...waitingOf(backlog)];
-      const sum = (all: typeof waiting): Millis =>
-        all.reduce((total, [, workMs]) => total + workMs, runningMs) / weight;
-      const ahead = waiting.filter(([other]) => other <= priority);
-      return { team, weight, aheadMs: sum(ahead), totalMs: sum(waiting) };
+    const competitors = this.#competing.map(({ team, weight, runningMs, waiting }) => {
+      const counted = waiting.filter(counts);
+      const sum = (works: readonly RankedWork[]): Millis =>
+        works.reduce((total, { workMs }) => total + workMs, runningMs) / weight;
+      return { team, weight, aheadMs: sum(counted.filter(isAhead)), totalMs: sum(counted) };
     });
     return new Map([...doneAtMs(competitors)].map(([team, doneMs]) => [team, doneMs / this.#room]));
   }
--- a/packages/core/src/jobs/work-ahead.ts
+++ b/packages/core/src/jobs/work-ahead.ts
@@ -3,7 +3,6 @@
   add,
   dominantShare,
   maxResources,
-  scale,
   subtract,
 } from '../tasks/resource-arithmetic.js';
 import type { Resources } from '../tasks/model.js';
@@ -12,22 +11,20 @@
 import type { CellTables } from './cell-tables.js';
 import type { ExecutorState } from './executor-table.js';
 import { FairBacklog, type FairStart, type TeamBacklog } from './fair-backlog.js';
-import type { Job } from './job.js';
 import type { InstanceLender } from './lending.js';
-import { footprint, type SchedulingConfig, type TeamPolicy } from './model.js';
-import { latenessOf } from './ordering.js';
-import type { Run } from './run-table.js';
+import type { QueuePolicy, SchedulingConfig, TeamPolicy } from './model.js';
+import { collectPoolWork, type TeamWork } from './pool-work.js';
 
 /** Bounds the size of what is published; teams with a later start come first. */
-const MAX_TEAMS_PUBLISHED = 24;
+const MAX_TEAMS_PUBLISHED = 32;
 const DEFAULT_WEIGHT = 1;
 /** Weight of a team whose own is not a positive number. */
 const MIN_WEIGHT = 1e-6;
 const PERCENT = 100;
 
-/** When jobs would start that are submitted now to any of these queues, which share a pool. */
+/** When jobs would start that are submitted now to a queue. */
 export interface WorkAheadLane {
-  readonly queues: readonly QueueName[];
+  readonly queue: QueueName;
   /** Processors of the pool for finite tasks, with those that are on their way or can be lent. */
   readonly processors: number;
   /** Latest start for any team. */
@@ -39,16 +36,6 @@
   readonly teams: Readonly<Record<TeamName, readonly [inTime: number, late: number]>>;
 }
 
-/** What one team has in a pool. Work is the product of resources and milliseconds. */
-interface TeamWork {
-  running: Resources;
-  ready: Resources;
-  runningWork: Resources;
-  /** By priority, of jobs that can still have value, and of those among them that are in time. */
-  readonly waitingWork: Map<number, Resources>;
-  readonly inTimeWork: Map<number, Resources>;
-}
-
 /** Finds out when jobs would start that were submitted now, for queues that are short of capacity. */
 export class WorkAhead {
   readonly #tables: CellTables;
@@ -66,8 +53,8 @@
   }
 
   #lanesOf(pool: PoolName, config: SchedulingConfig, now: Millis): readonly WorkAheadLane[] {
-    const works = this.#worksIn(pool, now);
-    if (![...works.values()].some(({ ready }) => isAny(ready))) {
+    const { teams, usualSizes } = collectPoolWork(this.#tables, pool, now);
+    if (![...teams.values()].some(({ ready }) => isAny(ready))) {
       return [];
     }
     const room = this.#roomOf(pool, config, now);
@@ -75,80 +62,15 @@
       return [];
     }
     const backlog = new FairBacklog(
-      [...works].map(([team, work]) => this.#backlogOf(team, work, room, config)),
+      [...teams].map(([team, work]) => this.#backlogOf(team, work, room, config)),
     );
-    const longestMs = clearMsOf(works, room);
-    return [...queuesByPriority(pool, config)].flatMap(([priority, queues]) => {
-      const starts = [...backlog.startsMs(priority)].map(
-        ([team, { inTimeMs, lateMs }]) =>
-          [
-            team,
-            { inTimeMs: Math.min(inTimeMs, longestMs), lateMs: Math.min(lateMs, longestMs) },
-          ] as const,
-      );
-      return newLane(queues, config, starts, room.processors);
+    const longestMs = clearMsOf(teams, room);
+    return queuesOf(pool, config).flatMap(([queue, policy]) => {
+      const starts = backlog.startsMs(policy.priority, usualSizes.get(queue) ?? 0);
+      return newLane(queue, policy, starts, longestMs, room.processors);
     });
   }
 
-  #worksIn(pool: PoolName, now: Millis): ReadonlyMap<TeamName, TeamWork> {
-    const { jobs, executors, runs } = this.#tables;
-    const works = new Map<TeamName, TeamWork>();
-    for (const job of jobs.openJobsIn(pool)) {
-      const lateness = latenessOf(job, now);
-      // Jobs without value are served after those that are submitted now.
-      if (lateness !== 'worthless') {
-        this.#addWaiting(job, workOf(works, job.accepted.team), lateness === 'in-time', now);
-      }
-    }
-    for (const { info } of executors.ofPool(pool)) {
-      for (const run of runs.at(info.id)) {
-        if (!run.lasting && run.phase !== 'stopping') {
-          this.#addRunning(run, workOf(works, run.team), now);
-        }
-      }
-    }
-    return works;
-  }
-
-  #addWaiting(job: Job, work: TeamWork, inTime: boolean, now: Millis): void {
-    const { priority } = job.policy;
-    const waiting = this.#waitingWork(job, now);
-    addTo(work.waitingWork, priority, waiting);
-    if (inTime) {
-      addTo(work.inTimeWork, priority, waiting);
-    }
-    for (const { step } of job.ready(now)) {
-      if (!step.spec.lasting) {
-        work.ready = add(work.ready, scale(step.need.resources, step.pending.size));
-      }
-    }
-  }
-
-  #waitingWork({ accepted, occurrences }: Job, now: Millis): Resources {
-    let sum = NO_RESOURCES;
-    for (const { steps } of occurrences.filter(({ dueAt }) => dueAt <= now)) {
-      for (const { spec, pending } of steps) {
-        if (!spec.lasting && pending.size > 0) {
-          const durationMs = this.#tables.durations.expectedMs(accepted.queue, spec.estimateMs);
-          sum = add(sum, scale(footprint(spec), pending.size * durationMs));
-        }
-      }
-    }
-    return sum;
-  }
-
-  #addRunning(run: Run, work: TeamWork, now: Millis): void {
-    work.running = add(work.running, run.footprint);
-    const { jobs, durations } = this.#tables;
-    const job = jobs.get(run.task.jobId);
-    const step = job?.step(run.task);
-    if (job !== undefined && step !== undefined) {
-      const expectedMs = durations.expectedMs(job.accepted.queue, step.spec.estimateMs);
-      const leftMs = Math.max(0, expectedMs - (now - (run.startedAt ?? run.orderedAt)));
-      work.runningWork = add(work.runningWork, scale(run.footprint, leftMs));
-    }
-  }
-
   #backlogOf(
     team: TeamName,
     work: TeamWork,
@@ -163,8 +85,10 @@
       weight: weightOf(policy),
       demand: dominantShare(needed, room) * partWithin(needed, allowed),
       runningMs: dominantShare(work.runningWork, room),
-      waitingMs: inPoolMs(work.waitingWork, room),
-      inTimeMs: inPoolMs(work.inTimeWork, room),
+      waiting: work.waiting.map(({ work: sum, ...rank }) => ({
+        ...rank,
+        workMs: dominantShare(sum, room),
+      })),
     };
   }
 
@@ -200,32 +124,12 @@
 /** Time after which all work is done if no capacity is idle. */
 function clearMsOf(works: ReadonlyMap<TeamName, TeamWork>, room: Resources): Millis {
   let all = NO_RESOURCES;
-  works.forEach(({ runningWork, waitingWork }) => {
-    all = [...waitingWork.values()].reduce(add, add(all, runningWork));
+  works.forEach(({ runningWork, waiting }) => {
+    all = waiting.reduce((sum, { work }) => add(sum, work), add(all, runningWork));
   });
   return dominantShare(all, room);
 }
 
-function workOf(works: Map<TeamName, TeamWork>, team: TeamName): TeamWork {
-  const known = works.get(team);
-  if (known !== undefined) {
-    return known;
-  }
-  const created: TeamWork = {
-    running: NO_RESOURCES,
-    ready: NO_RESOURCES,
-    runningWork: NO_RESOURCES,
-    waitingWork: new Map(),
-    inTimeWork: new Map(),
-  };
-  works.set(team, created);
-  return created;
-}
-
-function addTo(sums: Map<number, Resources>, priority: number, more: Resources): void {
-  sums.set(priority, add(sums.get(priority) ?? NO_RESOURCES, more));
-}
-
 /** Part of an amount that is within a limit in each resource. */
 function partWithin(amount: Resources, limit: Resources): number {
   const part = (used: number, allowed: number): number =>
@@ -238,14 +142,6 @@
   );
 }
 
-/** Time that a pool would take for each work. */
-function inPoolMs(
-  works: ReadonlyMap<number, Resources>,
-  room: Resources,
-): ReadonlyMap<number, Millis> {
-  return new Map([...works].map(([priority, work]) => [priority, dominantShare(work, room)]));
-}
-
 function weightOf(policy: TeamPolicy | undefined): number {
   const weight = policy?.weight ?? DEFAULT_WEIGHT;
   return Number.isFinite(weight) && weight > 0 ? weight : MIN_WEIGHT;
@@ -255,45 +151,36 @@
   return processors > 0 || memoryMb > 0 || accelerators > 0;
 }
 
-function queuesByPriority(
+function queuesOf(
   pool: PoolName,
   { queues }: SchedulingConfig,
-): ReadonlyMap<number, readonly QueueName[]> {
-  const groups = new Map<number, QueueName[]>();
-  queues.forEach((policy, queue) => {
-    if (policy.pool === pool && startLimitMs(policy) !== undefined) {
-      groups.set(policy.priority, [...(groups.get(policy.priority) ?? []), queue]);
-    }
-  });
-  return groups;
+): readonly (readonly [QueueName, QueuePolicy])[] {
+  return [...queues].filter(([, policy]) => policy.pool === pool);
 }
 
-/** Returns a lane with the queues and teams of which jobs may be refused; none if there are none. */
+/** Returns a lane with the teams of which jobs may be refused; none if there are none. */
 function newLane(
-  queues: readonly QueueName[],
-  config: SchedulingConfig,
-  starts: readonly (readonly [TeamName, FairStart])[],
+  queue: QueueName,
+  policy: QueuePolicy,
+  starts: ReadonlyMap<TeamName, FairStart>,
+  longestMs: Millis,
   processors: number,
 ): readonly WorkAheadLane[] {
-  const clearMs = Math.floor(Math.max(0, ...starts.map(([, { lateMs }]) => lateMs)));
-  const limitOf = (queue: QueueName): Millis => {
-    const policy = config.queues.get(queue);
-    return (policy && startLimitMs(policy)) ?? Infinity;
-  };
-  const short = queues.filter((queue) => clearMs > limitOf(queue));
-  const leastMs = Math.min(...short.map(limitOf));
-  const late = starts.filter(([, { lateMs }]) => lateMs > leastMs);
-  if (short.length === 0 || late.length === 0) {
+  const limitMs = startLimitMs(policy) ?? Infinity;
+  const late = [...starts].filter(([, { lateMs }]) => Math.min(lateMs, longestMs) > limitMs);
+  if (late.length === 0) {
     return [];
   }
-  const percent = (startMs: Millis): number => Math.floor((PERCENT * startMs) / clearMs);
+  const latestMs = Math.max(...late.map(([, { lateMs }]) => lateMs));
+  const clearMs = Math.floor(Math.min(latestMs, longestMs));
+  const percent = (startMs: Millis): number =>
+    Math.floor((PERCENT * Math.min(startMs, clearMs)) / clearMs);
   const teams = Object.fromEntries(
-    late.map(([team, { inTimeMs, lateMs }]) => [
-      team,
-      [percent(inTimeMs), percent(lateMs)] as const,
-    ]),
+    late.map(
+      ([team, { inTimeMs, lateMs }]) => [team, [percent(inTimeMs), percent(lateMs)]] as const,
+    ),
   );
-  return [{ queues: short, processors: Math.round(processors), clearMs, teams }];
+  return [{ queue, processors: Math.max(1, Math.round(processors)), clearMs, teams }];
 }
 
 /** Leaves out the teams with the earliest starts if there are too many. */
