--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -12,6 +12,7 @@
 export { JobDecider, type JobDeciderOptions } from './job-decider.js';
 export * from './directory.js';
 export type { LeaseBounds } from './lease-expiry.js';
+export { deferrableUntil } from './maintenance-window.js';
 export type { WaitingInstance } from './maintenance.js';
 export * from './messages.js';
 export * from './model.js';
@@ -20,11 +21,27 @@
   LeastWorkFirst,
   remainingWork,
   objectiveAt,
+  withShare,
   type JobOrdering,
+  type JobValue,
   type Lateness,
   type RankedJob,
 } from './ordering.js';
-export type { ExecutorCounts, CellPoolLoad, CellPoolLoadView } from './pool-load.js';
+export type {
+  ExecutorCounts,
+  CellPoolLoad,
+  CellPoolLoadView,
+  PoolSharesLoad,
+} from './pool-load.js';
 export type { RecoverySummary } from './recovery.js';
+export type { ReservationChange, ReservationEndReason } from './reservations.js';
+export { RESERVATION_TIMEOUT_MS, RESERVED_SHARE, REVIEW_PERIOD_MS } from './pool-reservations.js';
+export {
+  TeamShares,
+  type PoolUse,
+  type ShareStanding,
+  type TeamStanding,
+  type WaitingWork,
+} from './team-shares.js';
 export { TaskDurations } from './task-durations.js';
 export type { WorkAheadLane } from './work-ahead.js';
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -17,6 +17,7 @@
 import { SchedulingAgenda } from './scheduling-agenda.js';
 import { Scheduler } from './scheduler.js';
 import { TaskDurations } from './task-durations.js';
+import type { TeamShares } from './team-shares.js';
 import { UnreportedUsage } from './unreported-usage.js';
 import { WorkAhead, type WorkAheadLane } from './work-ahead.js';
 
@@ -78,10 +79,17 @@
     this.#scheduler = new Scheduler(parts);
     this.#instanceOrders = new InstanceOrders({ ...parts, reconciler: this.#reconciler }, options);
     this.#paceController = new PaceController(this.#runs);
-    this.poolLoad = new CellPoolLoadView(parts, this.#instanceOrders.lender);
+    this.poolLoad = new CellPoolLoadView(parts, this.#instanceOrders.lender, (pool) =>
+      this.#scheduler.shares(pool),
+    );
     this.#workAhead = new WorkAhead(parts, this.#instanceOrders.lender);
   }
 
+  /** Shares of a pool as of its latest round; undefined if no executor could get tasks then. */
+  teamShares(pool: PoolName): TeamShares | undefined {
+    return this.#scheduler.shares(pool);
+  }
+
   /** Number of jobs by queue of which no executor is known to have begun a task. */
   get waiting(): ReadonlyMap<string, number> {
     return this.#jobs.waitingByQueue();
@@ -190,7 +198,7 @@
         return [];
       case 'silent':
         this.#executors.updateContact(event.executor, { leaseEndsAt: event.leaseEndsAt }, now);
-        this.#executors.unanswered(event.executor, now);
+        this.#executors.unanswered(event.executor, event.sentAt ?? now);
         return [];
       case 'start-answer': {
         const run = this.#reconciler.current(event.task, event.attempt, event.executor);
--- a/packages/core/test/support/job-world-settings.ts
+++ b/packages/core/test/support/job-world-settings.ts
@@ -1,4 +1,13 @@
-import type { Millis, Resources } from '../../src/index.js';
+import type {
+  AcceptedJob,
+  JobDecider,
+  JobDecision,
+  JobEvent,
+  Millis,
+  Resources,
+  TaskRef,
+  TeamPolicy,
+} from '../../src/index.js';
 import type { CallFaults } from './call-network.js';
 
 /** Probabilities of faults, each from 0 to 1. */
@@ -32,4 +41,19 @@
   readonly maxListedEnds?: number;
   /** Cap of the team of all jobs; unlimited by default. */
   readonly cap?: Resources;
+  /** Other teams of the configuration. */
+  readonly teams?: readonly TeamPolicy[];
+}
+
+/** Called with an event that a decider has handled and what it has decided. */
+export type HandledListener = (
+  decider: JobDecider,
+  event: JobEvent,
+  decisions: readonly JobDecision[],
+) => void;
+
+/** Time for which a task of a job runs. */
+export function durationOf(job: AcceptedJob | undefined, { step }: TaskRef): Millis {
+  const spec = job?.spec.steps[step];
+  return spec === undefined || spec.lasting ? Infinity : spec.estimateMs;
 }
--- a/packages/daemon/src/jobs/intake.ts
+++ b/packages/daemon/src/jobs/intake.ts
@@ -10,7 +10,7 @@
  * after another, so the rows that every member writes are kept out of the leader's part. All
  * members must use the same number: the same job must meet the same row at each of them.
  */
-export const INTAKE_PARTS = 8;
+export const INTAKE_PARTS = 64;
 
 /** Names of the parts, within a cell. */
 export const INTAKE_PART_NAMES: readonly string[] = Array.from(
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -58,9 +58,10 @@
    */
   readonly process: number;
   poll(req: PollRequest, signal: AbortSignal): Promise<PollResponse>;
-  start(order: StartOrder, signal: AbortSignal): Promise<StartOutcome>;
-  /** Resolves to whether the executor confirmed the stop. */
-  stop(task: TaskRef, attempt: number, signal: AbortSignal): Promise<boolean>;
+  /** `timeoutMs`: time after which the outcome is `unknown`. */
+  start(order: StartOrder, timeoutMs: Millis, signal: AbortSignal): Promise<StartOutcome>;
+  /** Resolves to whether the executor confirmed the stop within `timeoutMs`. */
+  stop(task: TaskRef, attempt: number, timeoutMs: Millis, signal: AbortSignal): Promise<boolean>;
   /** Throttles a task to a share of its speed. Resolves to whether the executor confirmed it. */
   pace(task: TaskRef, attempt: number, percent: number, signal: AbortSignal): Promise<boolean>;
 }
@@ -91,8 +92,16 @@
   readonly config: JobConfig | undefined;
   /** Availability zones that operators have taken out of service. */
   readonly zonesOut: ReadonlySet<ZoneName>;
-  /** Requested maintenance waves, without the progress that the owner stores. */
-  readonly waves: readonly Omit<MaintenanceWave, 'begun' | 'completed'>[];
+  readonly waves: readonly RequestedWave[];
+}
+
+/** A maintenance wave as operators request it, without the progress that the owner stores. */
+export interface RequestedWave extends Pick<
+  MaintenanceWave,
+  'number' | 'instances' | 'maxParallel' | 'window'
+> {
+  /** Time within which the maintenance of all instances must have begun. */
+  readonly durationMs: Millis;
 }
 
 /** Decodes and encodes the rows that are shared with the platform and its operators. */
