feat(jobs): refuse by what the order of jobs serves before a job of its size

Cause: refusals did not look at the size of a job, and turned away small jobs that the order would have served. Change: the leader publishes for each team above its share when jobs of some sizes would start, by the order of jobs, the shares of the latest round and what arrives. Members look up the size of a job.

--- a/packages/core/src/jobs/admission.ts
+++ b/packages/core/src/jobs/admission.ts
@@ -1,5 +1,6 @@
 import type { Millis } from '../types/index.js';
 import { criticalPathMs } from './critical-path.js';
+import type { ArrivalTimes } from './fair-backlog.js';
 import type { JobSpec, QueuePolicy } from './model.js';
 
 /** Times its latency objective after which a job has no value, as in the order of jobs. */
@@ -11,6 +12,8 @@
 export const CERTAINTY_FACTOR = 1.5;
 /** Age from which figures decide nothing: that of counts that callers accept, see `WaitingCounts`. */
 const MAX_FIGURES_AGE_MS: Millis = 3_500;
+/** Between the leader's read of the jobs and a member's decision, in which work goes on arriving. */
+const USUAL_FIGURES_AGE_MS: Millis = 1_000;
 const MIN_RETRY_MS: Millis = 1_000;
 /** Longer ones would keep callers away after the end of most peaks. */
 const MAX_RETRY_MS: Millis = 30_000;
@@ -80,6 +83,18 @@
   return isShortestFirst ? endLimitMs(policy, 0) : 0;
 }
 
+/**
+ * Times from the read of the jobs until a job of a queue with this critical path, which a member
+ * receives when the figures are usually used, is late, and until it has lost its value.
+ */
+export function arrivalTimes(policy: QueuePolicy, pathMs: Millis): ArrivalTimes {
+  const objective = objectiveMs(policy, pathMs);
+  return {
+    inTimeMs: USUAL_FIGURES_AGE_MS + objective,
+    lateMs: USUAL_FIGURES_AGE_MS + VALUE_FACTOR * objective,
+  };
+}
+
 function mayBeRefused(
   { steps, firstAtWallMs, occurrences }: JobSpec,
   policy: QueuePolicy,
--- a/packages/core/src/jobs/expected-starts.ts
+++ b/packages/core/src/jobs/expected-starts.ts
@@ -1,17 +1,16 @@
 import type { Millis, QueueName, TeamName } from '../types/index.js';
 import type { ExpectedStart } from './admission.js';
 import type { JobSpec } from './model.js';
-import type { WorkAheadLane } from './work-ahead.js';
+import { START_UNIT_MS, type SizedStart, type WorkAheadLane } from './work-ahead.js';
 
 /** Bounds the memory for accepted jobs; older ones are dropped first. */
 const MAX_ACCEPTED = 10_000;
 const PERCENT = 100;
-const NO_WORK = [0, 0] as const;
 
 interface Lane {
   readonly processors: number;
-  readonly clearMs: Millis;
-  readonly teams: ReadonlyMap<TeamName, readonly [inTime: number, late: number]>;
+  readonly workPercent: number;
+  readonly teams: ReadonlyMap<TeamName, readonly SizedStart[]>;
 }
 
 interface OwnJob {
@@ -37,9 +36,9 @@
   apply(lanes: readonly WorkAheadLane[], readAt: Millis): void {
     this.#readAt = readAt;
     this.#lanes = new Map(
-      lanes.map(({ queue, processors, clearMs, teams }) => [
+      lanes.map(({ queue, teams, ...lane }) => [
         queue,
-        { processors, clearMs, teams: new Map(Object.entries(teams)) },
+        { ...lane, teams: new Map(Object.entries(teams)) },
       ]),
     );
     this.#accepted = this.#accepted
@@ -62,20 +61,29 @@
   }
 
   /**
-   * Undefined if there are no figures, or none of the queue. What has been served since the read is
-   * deducted. Own jobs count as if the whole pool were to serve them first.
+   * Undefined if there are no figures, or none of the queue, the team or such a small job. What has been
+   * served since the read is deducted. Own jobs up to the same size count as if the whole pool were to
+   * serve them first.
    */
-  startOf(queue: QueueName, team: TeamName, now: Millis): ExpectedStart | undefined {
+  startOf(queue: QueueName, team: TeamName, spec: JobSpec, now: Millis): ExpectedStart | undefined {
     const lane = this.#lanes.get(queue);
     if (this.#readAt === undefined || lane === undefined) {
       return undefined;
     }
+    const work = declaredWork(spec);
+    const expected = (work * lane.workPercent) / PERCENT;
+    const start = lane.teams.get(team)?.findLast(([fromWork]) => expected >= fromWork);
+    if (start === undefined) {
+      return undefined;
+    }
+    const [, inTime, late] = start;
     const ageMs = now - this.#readAt;
-    const own = this.#accepted.filter((one) => one.lane === lane && one.team === team);
-    const ownMs = own.reduce((sum, { work }) => sum + work, 0) / lane.processors;
-    const startMs = (percent: number): Millis =>
-      Math.max(0, (lane.clearMs * percent) / PERCENT + ownMs - ageMs);
-    const [inTime, late] = lane.teams.get(team) ?? NO_WORK;
+    const own = this.#accepted.filter(
+      (one) => one.lane === lane && one.team === team && one.work <= work,
+    );
+    const ownWork = (own.reduce((sum, one) => sum + one.work, 0) * lane.workPercent) / PERCENT;
+    const ownMs = ownWork / lane.processors;
+    const startMs = (units: number): Millis => Math.max(0, units * START_UNIT_MS + ownMs - ageMs);
     return { inTimeMs: startMs(inTime), lateMs: startMs(late), ageMs };
   }
 
--- a/packages/core/src/jobs/fair-backlog.ts
+++ b/packages/core/src/jobs/fair-backlog.ts
@@ -1,108 +1,140 @@
-import { waterFill } from '../requests/water-fill.js';
 import type { Millis, TeamName } from '../types/index.js';
-import type { WorkRank } from './pool-work.js';
+import type { JobOrdering, ServiceRank } from './ordering.js';
+import { FairService } from './fair-service.js';
+import type { ContendingTeam } from './team-shares.js';
 
-/** Difference of shares that is taken for rounding. */
-const SHARE_TOLERANCE = 1e-9;
-
-/** Work of one team in one pool. Work is the time that the whole pool would take for it. */
-export interface TeamBacklog {
-  readonly team: TeamName;
-  readonly weight: number;
-  /** Share of the pool that the team could use now. */
-  readonly demand: number;
+/** Work of a contending team in one pool. Work is the time that the whole pool would take for it. */
+export interface TeamBacklog extends ContendingTeam {
   /** Rest of what runs. */
   readonly runningMs: Millis;
   /** Work of the tasks that wait, of jobs that can still have value. */
   readonly waiting: readonly RankedWork[];
 }
 
-export interface RankedWork extends WorkRank {
+export interface RankedWork {
+  readonly rank: ServiceRank;
   readonly workMs: Millis;
+  /** Work that arrives in each millisecond. */
+  readonly arrivalRate: number;
 }
 
-/** When work of a team would start that is added now. */
-export interface FairStart {
-  /** For work that is in time: when the team's present work that is in time has been done. */
+/** Times for which work is expected to arrive as it did lately. */
+export interface ArrivalTimes {
+  /** While a job is in time. */
   readonly inTimeMs: Millis;
-  /** For work that has become late: when the team's present work has been done. */
+  /** While it has value. */
   readonly lateMs: Millis;
 }
 
-/** Work of one competing team, in relation to its weight. */
-interface Competitor {
-  readonly team: TeamName;
-  readonly weight: number;
-  /** What is done before the job in question, and all that competes with other teams. */
-  readonly aheadMs: Millis;
-  readonly totalMs: Millis;
+/** When a job would start that is submitted now. */
+export interface FairStart {
+  /** While it is in time: late jobs of its team are served after it. */
+  readonly inTimeMs: Millis;
+  /** If it becomes late: what waits now is then late, too, and what arrives is served first. */
+  readonly lateMs: Millis;
 }
 
-/**
- * Time after which work of a team would start if the pool is shared fairly (weighted max-min). Teams
- * whose whole demand fits into their share compete for nothing, and their work starts at once. The
- * others share the rest in proportion to their weights, each until its work is done.
- */
+/** The contending teams of a pool, which share what the others leave by weight until their work is done. */
 export class FairBacklog {
-  readonly #competing: readonly TeamBacklog[];
-  /** Share of the pool that the competing teams have together. */
-  readonly #room: number;
+  readonly #backlogs: ReadonlyMap<TeamName, TeamBacklog>;
+  readonly #order: JobOrdering;
+  readonly #services = new Map<Millis, FairService>();
 
-  constructor(backlogs: readonly TeamBacklog[]) {
-    const { shares } = waterFill(1, backlogs);
-    const shareOf = ({ team }: TeamBacklog): number => shares.get(team) ?? 0;
-    this.#competing = backlogs.filter((one) => one.demand > shareOf(one) + SHARE_TOLERANCE);
-    this.#room = this.#competing.reduce((sum, one) => sum + shareOf(one), 0);
+  constructor(backlogs: readonly TeamBacklog[], order: JobOrdering) {
+    this.#backlogs = new Map(backlogs.map((one) => [one.team, one]));
+    this.#order = order;
   }
 
-  /**
-   * Starts by team, for jobs of this priority and up to this size that have not started. Only of teams
-   * that have more demand than their share. Late work of other teams is taken to yield to work in
-   * time: that is the earliest possible start.
-   */
-  startsMs(priority: number, size: number): ReadonlyMap<TeamName, FairStart> {
-    const isAhead = (work: RankedWork): boolean =>
-      work.priority < priority || (work.priority === priority && work.size <= size);
-    const inTime = this.#startsBehind(isAhead, (work) => work.inTime);
-    const late = this.#startsBehind(isAhead, () => true);
-    return new Map(
-      [...late].map(([team, lateMs]) => [team, { inTimeMs: inTime.get(team) ?? 0, lateMs }]),
+  get teams(): readonly TeamName[] {
+    return [...this.#backlogs.keys()];
+  }
+
+  /** Sizes of jobs at which the start changes, in processor-milliseconds, from 0. */
+  sizes(team: TeamName): readonly number[] {
+    const works = this.#backlogs.get(team)?.waiting.map(({ rank }) => rank.work) ?? [];
+    return [...new Set([0, ...works])].sort((a, b) => a - b);
+  }
+
+  /** Start of a job of a team that has not started: after all that the order serves before it. */
+  startOf(
+    team: TeamName,
+    job: Pick<ServiceRank, 'job' | 'work'>,
+    arrivals: ArrivalTimes,
+  ): FairStart {
+    const backlog = this.#backlogs.get(team);
+    if (backlog === undefined) {
+      return { inTimeMs: 0, lateMs: 0 };
+    }
+    const inTime = { ...job, value: 'in-time', standing: 'below', started: false } as const;
+    const late = { ...inTime, value: 'late' } as const;
+    const ahead = (works: readonly RankedWork[], rank: ServiceRank): readonly RankedWork[] =>
+      works.filter((one) => this.#order.compare(one.rank, rank) <= 0);
+    const { waiting } = backlog;
+    const arriving = asOf(waiting, 'in-time', false);
+    const lateMs = this.#startMs(
+      backlog,
+      ahead(asOf(waiting, 'late'), late),
+      ahead(arriving, late),
+      arrivals.lateMs,
     );
+    const inTimeMs = this.#startMs(
+      backlog,
+      ahead(waiting, inTime),
+      ahead(arriving, inTime),
+      arrivals.inTimeMs,
+    );
+    return { inTimeMs, lateMs };
   }
 
-  #startsBehind(
-    isAhead: (work: RankedWork) => boolean,
-    counts: (work: RankedWork) => boolean,
-  ): ReadonlyMap<TeamName, Millis> {
-    const competitors = this.#competing.map(({ team, weight, runningMs, waiting }) => {
-      const counted = waiting.filter(counts);
-      const sum = (works: readonly RankedWork[]): Millis =>
-        works.reduce((total, { workMs }) => total + workMs, runningMs) / weight;
-      return { team, weight, aheadMs: sum(counted.filter(isAhead)), totalMs: sum(counted) };
-    });
-    return new Map([...doneAtMs(competitors)].map(([team, doneMs]) => [team, doneMs / this.#room]));
+  /** When the work ahead has been done, with what arrives of the same rank for a time. */
+  #startMs(
+    { weight, share, runningMs }: TeamBacklog,
+    ahead: readonly RankedWork[],
+    arriving: readonly RankedWork[],
+    arrivalsMs: Millis,
+  ): Millis {
+    const aheadMs = workOf(ahead, runningMs);
+    const rate = rateOf(arriving);
+    const doneMs = this.#service(arrivalsMs).doneAtMs((aheadMs + rate * arrivalsMs) / weight);
+    if (rate >= share) {
+      return doneMs;
+    }
+    // The team catches up with what arrives, perhaps before it ceases to arrive.
+    const caughtUpMs = this.#service(0).doneAtMs(aheadMs / weight) / (1 - rate / share);
+    return Math.min(doneMs, caughtUpMs);
   }
-}
 
-/** Times at which teams have done what is ahead, in the time that all capacity would take. */
-function doneAtMs(competitors: readonly Competitor[]): ReadonlyMap<TeamName, Millis> {
-  const byTotal = [...competitors].sort((a, b) => a.totalMs - b.totalMs);
-  const byAhead = [...competitors].sort((a, b) => a.aheadMs - b.aheadMs);
-  const times = new Map<TeamName, Millis>();
-  let doneMs = 0;
-  let weightLeft = competitors.reduce((sum, { weight }) => sum + weight, 0);
-  let next = 0;
-  for (const { team, aheadMs } of byAhead) {
-    // Teams whose work is done by then have left their share to the others.
-    for (; ; next += 1) {
-      const other = byTotal[next];
-      if (other === undefined || other.totalMs > aheadMs) {
-        break;
-      }
-      doneMs += other.totalMs * other.weight;
-      weightLeft -= other.weight;
+  #service(arrivalsMs: Millis): FairService {
+    const known = this.#services.get(arrivalsMs);
+    if (known !== undefined) {
+      return known;
     }
-    times.set(team, doneMs + Math.max(0, weightLeft) * aheadMs);
+    const created = new FairService(
+      [...this.#backlogs.values()].map(({ weight, share, runningMs, waiting }) => {
+        return { weight, share, workMs: workOf(waiting, runningMs) + rateOf(waiting) * arrivalsMs };
+      }),
+    );
+    this.#services.set(arrivalsMs, created);
+    return created;
   }
-  return times;
+}
+
+/** The same work as of a time when its jobs are all in time or late. */
+function asOf(
+  works: readonly RankedWork[],
+  value: 'in-time' | 'late',
+  started?: boolean,
+): readonly RankedWork[] {
+  return works.map((one) => ({
+    ...one,
+    rank: { ...one.rank, value, started: started ?? one.rank.started },
+  }));
+}
+
+function workOf(works: readonly RankedWork[], initialMs: Millis): Millis {
+  return works.reduce((sum, { workMs }) => sum + workMs, initialMs);
+}
+
+function rateOf(works: readonly RankedWork[]): number {
+  return works.reduce((sum, { arrivalRate }) => sum + arrivalRate, 0);
 }
--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -26,6 +26,7 @@
   type JobValue,
   type Lateness,
   type RankedJob,
+  type ServiceRank,
 } from './ordering.js';
 export type {
   ExecutorCounts,
@@ -44,4 +45,4 @@
   type WaitingWork,
 } from './team-shares.js';
 export { TaskDurations } from './task-durations.js';
-export type { WorkAheadLane } from './work-ahead.js';
+export type { SizedStart, WorkAheadLane } from './work-ahead.js';
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -79,10 +79,10 @@
     this.#scheduler = new Scheduler(parts);
     this.#instanceOrders = new InstanceOrders({ ...parts, reconciler: this.#reconciler }, options);
     this.#paceController = new PaceController(this.#runs);
-    this.poolLoad = new CellPoolLoadView(parts, this.#instanceOrders.lender, (pool) =>
-      this.#scheduler.shares(pool),
-    );
-    this.#workAhead = new WorkAhead(parts, this.#instanceOrders.lender);
+    const { lender } = this.#instanceOrders;
+    const sharesOf = (pool: PoolName): TeamShares | undefined => this.teamShares(pool);
+    this.poolLoad = new CellPoolLoadView(parts, lender, sharesOf);
+    this.#workAhead = new WorkAhead({ tables: parts, lender, order, sharesOf });
   }
 
   /** Shares of a pool as of its latest round; undefined if no executor could get tasks then. */
--- a/packages/core/src/jobs/ordering.ts
+++ b/packages/core/src/jobs/ordering.ts
@@ -16,7 +16,7 @@
    */
   rank(job: Job, now: Millis, shares?: TeamShares): RankedJob;
   /** Negative if `a` is served before `b`; jobs that compare equal are served by arrival. */
-  compare(a: RankedJob, b: RankedJob): number;
+  compare(a: ServiceRank, b: ServiceRank): number;
 }
 
 /** Estimated work that a job has left, in processor-milliseconds. */
@@ -67,19 +67,24 @@
   reached: 2,
 };
 
-/** What the order of a job depends on, as of one time. */
-export interface RankedJob {
-  readonly job: Job;
+/** What the place in the order depends on, also of a job that has not been submitted. */
+export interface ServiceRank {
+  readonly job: Pick<Job, 'policy'>;
   readonly value: JobValue;
   /** How its team's usage of the pool relates to its share. Always `below` for lasting jobs. */
   readonly standing: ShareStanding;
-  /** Capacity that its next task takes. */
-  readonly nextTask: Resources;
   readonly started: boolean;
   /** Estimated work that is left, in processor-milliseconds. */
   readonly work: number;
 }
 
+/** Rank of a job as of one time. */
+export interface RankedJob extends ServiceRank {
+  readonly job: Job;
+  /** Capacity that its next task takes. */
+  readonly nextTask: Resources;
+}
+
 /** The same rank as of the present usage of the job's team. */
 export function withShare(ranked: RankedJob, shares: TeamShares): RankedJob {
   const { job, value, nextTask } = ranked;
@@ -90,7 +95,7 @@
   return standing === ranked.standing ? ranked : { ...ranked, standing };
 }
 
-function compareRanked(a: RankedJob, b: RankedJob): number {
+function compareRanked(a: ServiceRank, b: ServiceRank): number {
   const byRank =
     CLASS_RANK[a.value] - CLASS_RANK[b.value] ||
     STANDING_RANK[a.standing] - STANDING_RANK[b.standing] ||
@@ -131,7 +136,7 @@
     return shares === undefined ? ranked : withShare(ranked, shares);
   }
 
-  compare(a: RankedJob, b: RankedJob): number {
+  compare(a: ServiceRank, b: ServiceRank): number {
     return compareRanked(a, b);
   }
 }
--- a/packages/core/src/jobs/pool-work.ts
+++ b/packages/core/src/jobs/pool-work.ts
@@ -4,36 +4,29 @@
 import type { CellTables } from './cell-tables.js';
 import type { Job } from './job.js';
 import { footprint } from './model.js';
-import { latenessOf } from './ordering.js';
+import type { JobOrdering, ServiceRank } from './ordering.js';
 import type { Run } from './run-table.js';
 
-/** Part of a queue's jobs up to whose size a job counts as usual there. */
-const USUAL_PART = 0.95;
 /** Size classes for each doubling of the work of a job. */
 const CLASSES_PER_DOUBLING = 2;
-/** Above the class of any work. */
-const MAX_SIZES = 4_096;
-/** Class of jobs that have started, which are served before all others of their priority. */
-export const STARTED = 0;
-
-/** What the order of jobs depends on, besides the team. */
-export interface WorkRank {
-  readonly priority: number;
-  /** Class of the processor time that the job's pending tasks need; `STARTED` if it has started. */
-  readonly size: number;
-  readonly inTime: boolean;
-}
-
-/** Work of waiting tasks, the product of resources and milliseconds. */
-export interface WaitingWork extends WorkRank {
+/** Age up to which jobs show what arrives. */
+const ARRIVALS_MS: Millis = 1_000;
+/** Number of a team's jobs from which their rate is taken to go on; fewer may be a single peak. */
+const MIN_ARRIVALS = 5;
+
+/** Work of waiting jobs that the order serves together, except for differences within a size class. */
+export interface WaitingWork {
+  /** With the largest work of the jobs. */
+  readonly rank: ServiceRank;
+  /** Product of resources and milliseconds. */
   readonly work: Resources;
+  /** Work that arrives in each millisecond and has to wait. */
+  readonly arrivalRate: Resources;
 }
 
 /** What one team has in a pool. */
 export interface TeamWork {
-  readonly running: Resources;
-  /** What the pending tasks of ready steps need. */
-  readonly ready: Resources;
+  /** Rest of what runs. */
   readonly runningWork: Resources;
   /** Of jobs that can still have value. */
   readonly waiting: readonly WaitingWork[];
@@ -41,18 +34,30 @@
 
 export interface PoolWork {
   readonly teams: ReadonlyMap<TeamName, TeamWork>;
-  /** Class of the largest usual jobs of each queue. */
-  readonly usualSizes: ReadonlyMap<QueueName, number>;
+  readonly queues: ReadonlyMap<QueueName, QueueWork>;
+}
+
+/** What the waiting jobs of one queue are like. */
+export interface QueueWork {
+  /** Expected work by declared work. */
+  readonly workFactor: number;
+  /** Mean of the critical paths. */
+  readonly pathMs: Millis;
 }
 
 /** Adds up the finite work in a pool by team, in time in proportion to its open jobs and runs. */
-export function collectPoolWork(tables: CellTables, pool: PoolName, now: Millis): PoolWork {
+export function collectPoolWork(
+  tables: CellTables,
+  order: JobOrdering,
+  pool: PoolName,
+  now: Millis,
+): PoolWork {
   const collector = new Collector(tables, now);
   for (const job of tables.jobs.openJobsIn(pool)) {
+    const rank = order.rank(job, now);
     // Jobs without value are served after those that are submitted now.
-    const lateness = job.lasting ? 'worthless' : latenessOf(job, now);
-    if (lateness !== 'worthless') {
-      collector.addJob(job, lateness === 'in-time');
+    if (rank.value === 'in-time' || rank.value === 'late') {
+      collector.addJob(job, rank);
     }
   }
   for (const { info } of tables.executors.ofPool(pool)) {
@@ -64,18 +69,24 @@
 }
 
 interface TeamSums {
-  running: Resources;
-  ready: Resources;
   runningWork: Resources;
-  readonly waiting: Map<number, WaitingWork>;
+  readonly waiting: Map<string, WaitingWork>;
+  arrivals: number;
+}
+
+/** Processor-milliseconds of the waiting tasks of a queue. */
+interface QueueSums {
+  expected: number;
+  declared: number;
+  jobs: number;
+  pathsMs: Millis;
 }
 
 class Collector {
   readonly #tables: CellTables;
   readonly #now: Millis;
   readonly #teams = new Map<TeamName, TeamSums>();
-  /** Number of jobs by queue and size class. */
-  readonly #sizes = new Map<QueueName, Map<number, number>>();
+  readonly #queues = new Map<QueueName, QueueSums>();
 
   constructor(tables: CellTables, now: Millis) {
     this.#tables = tables;
@@ -83,51 +94,59 @@
   }
 
   get result(): PoolWork {
-    const teams = [...this.#teams].map(([team, sums]) => {
-      const work: TeamWork = { ...sums, waiting: [...sums.waiting.values()] };
-      return [team, work] as const;
+    const teams = [...this.#teams].map(([team, { runningWork, waiting, arrivals }]) => {
+      const groups = [...waiting.values()];
+      const known = arrivals >= MIN_ARRIVALS;
+      const unknown = groups.map((group) => ({ ...group, arrivalRate: NO_RESOURCES }));
+      return [team, { runningWork, waiting: known ? groups : unknown }] as const;
+    });
+    const queues = [...this.#queues].map(([queue, { expected, declared, jobs, pathsMs }]) => {
+      const workFactor = declared > 0 ? expected / declared : 1;
+      return [queue, { workFactor, pathMs: pathsMs / jobs }] as const;
     });
-    const usualSizes = [...this.#sizes].map(([queue, sizes]) => [queue, usualSize(sizes)] as const);
-    return { teams: new Map(teams), usualSizes: new Map(usualSizes) };
+    return { teams: new Map(teams), queues: new Map(queues) };
   }
 
-  addJob(job: Job, inTime: boolean): void {
-    const { team, queue } = job.accepted;
-    const sums = this.#sumsOf(team);
-    const waiting = this.#waitingWork(job);
-    const size = sizeClass(waiting.processors);
-    const sizes = this.#sizes.get(queue) ?? new Map<number, number>();
-    this.#sizes.set(queue, sizes.set(size, (sizes.get(size) ?? 0) + 1));
-    const rank = {
-      priority: job.policy.priority,
-      size: job.state === 'running' ? STARTED : size,
-      inTime,
-    };
-    const key = (rank.priority * MAX_SIZES + rank.size) * 2 + (inTime ? 1 : 0);
-    const known = sums.waiting.get(key)?.work ?? NO_RESOURCES;
-    sums.waiting.set(key, { ...rank, work: add(known, waiting) });
-    for (const { step } of job.ready(this.#now)) {
-      sums.ready = add(sums.ready, scale(step.need.resources, step.pending.size));
-    }
+  addJob(job: Job, { value, standing, started, work }: ServiceRank): void {
+    const sums = this.#sumsOf(job.accepted.team);
+    const { waiting } = sums;
+    const { policy } = job;
+    const size = sizeClass(work);
+    const key = `${policy.priority}/${value}/${started}/${size}`;
+    const sum = this.#waitingWork(job);
+    const known = waiting.get(key);
+    const largest = Math.max(work, known?.rank.work ?? 0);
+    const rank = { job: { policy }, value, standing, started, work: largest };
+    const isNew = sum.processors > 0 && this.#now - job.times.acceptedAt <= ARRIVALS_MS;
+    sums.arrivals += isNew ? 1 : 0;
+    const rate = isNew ? scale(sum, 1 / ARRIVALS_MS) : NO_RESOURCES;
+    waiting.set(key, {
+      rank,
+      work: add(known?.work ?? NO_RESOURCES, sum),
+      arrivalRate: add(known?.arrivalRate ?? NO_RESOURCES, rate),
+    });
   }
 
   addRun(run: Run): void {
     if (run.lasting || run.phase === 'stopping') {
       return;
     }
-    const sums = this.#sumsOf(run.team);
-    sums.running = add(sums.running, run.footprint);
     const { jobs, durations } = this.#tables;
     const job = jobs.get(run.task.jobId);
     const step = job?.step(run.task);
     if (job !== undefined && step !== undefined) {
+      const sums = this.#sumsOf(run.team);
       const expectedMs = durations.expectedMs(job.accepted.queue, step.spec.estimateMs);
       const leftMs = Math.max(0, expectedMs - (this.#now - (run.startedAt ?? run.orderedAt)));
       sums.runningWork = add(sums.runningWork, scale(run.footprint, leftMs));
     }
   }
 
-  #waitingWork({ accepted, occurrences }: Job): Resources {
+  #waitingWork({ accepted: { queue }, occurrences, criticalPathMs }: Job): Resources {
+    const totals = this.#queues.get(queue) ?? { expected: 0, declared: 0, jobs: 0, pathsMs: 0 };
+    this.#queues.set(queue, totals);
+    totals.jobs += 1;
+    totals.pathsMs += criticalPathMs;
     let sum = NO_RESOURCES;
     for (const { dueAt, steps } of occurrences) {
       if (dueAt > this.#now) {
@@ -135,8 +154,11 @@
       }
       for (const { spec, pending } of steps) {
         if (pending.size > 0) {
-          const durationMs = this.#tables.durations.expectedMs(accepted.queue, spec.estimateMs);
-          sum = add(sum, scale(footprint(spec), pending.size * durationMs));
+          const durationMs = this.#tables.durations.expectedMs(queue, spec.estimateMs);
+          const needed = scale(footprint(spec), pending.size);
+          sum = add(sum, scale(needed, durationMs));
+          totals.expected += needed.processors * durationMs;
+          totals.declared += needed.processors * spec.estimateMs;
         }
       }
     }
@@ -145,33 +167,15 @@
 
   #sumsOf(team: TeamName): TeamSums {
     const sums = this.#teams.get(team) ?? {
-      running: NO_RESOURCES,
-      ready: NO_RESOURCES,
       runningWork: NO_RESOURCES,
-      waiting: new Map<number, WaitingWork>(),
+      waiting: new Map<string, WaitingWork>(),
+      arrivals: 0,
     };
     this.#teams.set(team, sums);
     return sums;
   }
 }
 
-/** Below `MAX_SIZES`, as `work` is below 2 ** 1024. */
 function sizeClass(work: number): number {
-  return STARTED + 1 + Math.ceil(CLASSES_PER_DOUBLING * Math.log2(Math.max(1, work)));
-}
-
-/** Least class up to which the usual part of the jobs is. */
-function usualSize(counts: ReadonlyMap<number, number>): number {
-  const ordered = [...counts].sort(([a], [b]) => a - b);
-  const total = ordered.reduce((sum, [, count]) => sum + count, 0);
-  let left = Math.floor(USUAL_PART * total);
-  let usual = STARTED;
-  for (const [size, count] of ordered) {
-    if (left <= 0) {
-      break;
-    }
-    usual = size;
-    left -= count;
-  }
-  return usual;
+  return Math.ceil(CLASSES_PER_DOUBLING * Math.log2(Math.max(1, work)));
 }
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,7 +1,7 @@
 import { add, fitsIn, NO_RESOURCES, scale } from '../tasks/resource-arithmetic.js';
 import type { CellTables } from './cell-tables.js';
 import type { Resources } from '../tasks/model.js';
-import type { Millis, PoolName, TeamName, ZoneName } from '../types/index.js';
+import type { Millis, PoolName, ZoneName } from '../types/index.js';
 import type { ExecutorState } from './executor-table.js';
 import type { Job, ReadyStep } from './job.js';
 import type { JobDecision } from './messages.js';
--- a/packages/core/src/jobs/team-shares.ts
+++ b/packages/core/src/jobs/team-shares.ts
@@ -51,6 +51,15 @@
   readonly waiting: number;
 }
 
+/** A team with more useful work than its share. */
+export interface ContendingTeam {
+  readonly team: TeamName;
+  /** Only its ratio to the weights of the others has a meaning. */
+  readonly weight: number;
+  /** Fraction of the dominant resource of the pool. */
+  readonly share: number;
+}
+
 /** Difference of fractions that is due to rounding. */
 const ROUNDING_TOLERANCE = 1e-9;
 /** A power of two, so exact. Sums of scaled weights stay finite for the largest weights. */
@@ -118,6 +127,19 @@
     return this.#fraction(add(usage, task)) <= share + ROUNDING_TOLERANCE ? 'below' : 'in-reach';
   }
 
+  /** The teams whose useful work, as far as their caps allow it, exceeded their share at the round. */
+  get contending(): readonly ContendingTeam[] {
+    const { byTeam } = this.#levels(false);
+    return [...byTeam].flatMap(([team, level]) => {
+      const weight = this.#weight(team);
+      const share = weight * level;
+      const useful = this.#waiting.get(team)?.useful ?? NO_RESOURCES;
+      const usage = this.#initialUsage.get(team) ?? NO_RESOURCES;
+      const demand = this.#fraction(this.#demand(team, usage, useful));
+      return demand > share + ROUNDING_TOLERANCE ? [{ team, weight, share }] : [];
+    });
+  }
+
   /** The teams with waiting work that are below their share of useful work as of now. */
   teamsBelow(now: Millis): readonly TeamStanding[] {
     const { byTeam, lowest } = this.#levels(false);
--- a/packages/core/src/jobs/work-ahead.ts
+++ b/packages/core/src/jobs/work-ahead.ts
@@ -7,106 +7,92 @@
 } from '../tasks/resource-arithmetic.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName, QueueName, TeamName } from '../types/index.js';
-import { startLimitMs } from './admission.js';
+import { startLimitMs, arrivalTimes } from './admission.js';
 import type { CellTables } from './cell-tables.js';
 import type { ExecutorState } from './executor-table.js';
-import { FairBacklog, type FairStart, type TeamBacklog } from './fair-backlog.js';
+import { FairBacklog, type TeamBacklog } from './fair-backlog.js';
 import type { InstanceLender } from './lending.js';
-import type { QueuePolicy, SchedulingConfig, TeamPolicy } from './model.js';
-import { collectPoolWork, type TeamWork } from './pool-work.js';
-
-/** Bounds the size of what is published; teams with a later start come first. */
-const MAX_TEAMS_PUBLISHED = 32;
-const DEFAULT_WEIGHT = 1;
-/** Weight of a team whose own is not a positive number. */
-const MIN_WEIGHT = 1e-6;
+import type { QueuePolicy, SchedulingConfig } from './model.js';
+import type { JobOrdering } from './ordering.js';
+import { collectPoolWork, type PoolWork } from './pool-work.js';
+import type { ContendingTeam, TeamShares } from './team-shares.js';
+
+/** Bounds the size of what is published: sizes of jobs for each team, and for all teams together. */
+const MAX_STARTS_PER_TEAM = 8;
+const MAX_STARTS = 32;
+/** Unit of published starts. */
+export const START_UNIT_MS: Millis = 100;
+/** Precision of published sizes. */
+const SIZE_DIGITS = 2;
 const PERCENT = 100;
 
+/**
+ * Start of jobs with at least this many processor-milliseconds of work: while they are in time, and if
+ * they become late. Starts are in units of `START_UNIT_MS`.
+ */
+export type SizedStart = readonly [fromWork: number, inTime: number, late: number];
+
 /** When jobs would start that are submitted now to a queue. */
 export interface WorkAheadLane {
   readonly queue: QueueName;
   /** Processors of the pool for finite tasks, with those that are on their way or can be lent. */
   readonly processors: number;
-  /** Latest start for any team. */
-  readonly clearMs: Millis;
-  /**
-   * Starts by team, in percent of `clearMs`: that of a job in time, and that of one that has become
-   * late. Jobs of teams that are left out are not refused.
-   */
-  readonly teams: Readonly<Record<TeamName, readonly [inTime: number, late: number]>>;
+  /** Expected work of jobs in percent of the declared one. */
+  readonly workPercent: number;
+  /** By team, from the smallest size. Jobs of other teams and smaller jobs are not refused. */
+  readonly teams: Readonly<Record<TeamName, readonly SizedStart[]>>;
+}
+
+export interface WorkAheadOptions {
+  readonly tables: CellTables;
+  readonly lender: InstanceLender;
+  readonly order: JobOrdering;
+  /** Shares of a pool as of its latest round. */
+  readonly sharesOf: (pool: PoolName) => TeamShares | undefined;
 }
 
 /** Finds out when jobs would start that were submitted now, for queues that are short of capacity. */
 export class WorkAhead {
-  readonly #tables: CellTables;
-  readonly #lender: InstanceLender;
+  readonly #options: WorkAheadOptions;
 
-  constructor(tables: CellTables, lender: InstanceLender) {
-    this.#tables = tables;
-    this.#lender = lender;
+  constructor(options: WorkAheadOptions) {
+    this.#options = options;
   }
 
   /** Takes time in proportion to the open jobs. Lists only queues of which jobs may be refused. */
   describe(config: SchedulingConfig, now: Millis): readonly WorkAheadLane[] {
-    const lanes = this.#tables.jobs.pools.flatMap((pool) => this.#lanesOf(pool, config, now));
-    return limitTeams(lanes);
+    const { jobs } = this.#options.tables;
+    return limitStarts(jobs.pools.flatMap((pool) => this.#lanesOf(pool, config, now)));
   }
 
   #lanesOf(pool: PoolName, config: SchedulingConfig, now: Millis): readonly WorkAheadLane[] {
-    const { teams, usualSizes } = collectPoolWork(this.#tables, pool, now);
-    if (![...teams.values()].some(({ ready }) => isAny(ready))) {
-      return [];
-    }
+    const { tables, order, sharesOf } = this.#options;
+    const contending = sharesOf(pool)?.contending ?? [];
     const room = this.#roomOf(pool, config, now);
-    if (room.processors <= 0) {
+    if (contending.length === 0 || room.processors <= 0) {
       return [];
     }
-    const backlog = new FairBacklog(
-      [...teams].map(([team, work]) => this.#backlogOf(team, work, room, config)),
-    );
-    const longestMs = clearMsOf(teams, room);
-    return queuesOf(pool, config).flatMap(([queue, policy]) => {
-      const starts = backlog.startsMs(policy.priority, usualSizes.get(queue) ?? 0);
-      return newLane(queue, policy, starts, longestMs, room.processors);
-    });
-  }
-
-  #backlogOf(
-    team: TeamName,
-    work: TeamWork,
-    room: Resources,
-    { teams }: SchedulingConfig,
-  ): TeamBacklog {
-    const policy = teams.get(team);
-    const needed = add(work.running, work.ready);
-    const allowed = maxResources(work.running, this.#allowed(team, work, policy));
-    return {
-      team,
-      weight: weightOf(policy),
-      demand: dominantShare(needed, room) * partWithin(needed, allowed),
-      runningMs: dominantShare(work.runningWork, room),
-      waiting: work.waiting.map(({ work: sum, ...rank }) => ({
-        ...rank,
-        workMs: dominantShare(sum, room),
-      })),
-    };
-  }
-
-  /** What a team may have running in the pool beside what it has running in others. */
-  #allowed(team: TeamName, { running }: TeamWork, policy: TeamPolicy | undefined): Resources {
-    const { processors = 0, memoryMb = 0, accelerators = 0 } = policy?.cap ?? {};
-    const cap = {
-      processors: processors || Infinity,
-      memoryMb: memoryMb || Infinity,
-      accelerators: accelerators || Infinity,
-    };
-    return add(running, subtract(cap, this.#tables.runs.teamUsage(team)));
+    const work = collectPoolWork(tables, order, pool, now);
+    const backlogs = contending.map((team) => newBacklog(team, work, room));
+    const backlog = new FairBacklog(backlogs, order);
+    const processors = Math.max(1, Math.round(room.processors));
+    return [...config.queues]
+      .filter(([, policy]) => policy.pool === pool)
+      .flatMap(([queue, policy]) => {
+        const { workFactor = 1, pathMs = 0 } = work.queues.get(queue) ?? {};
+        const teams = startsByTeam(backlog, policy, pathMs);
+        const workPercent = Math.ceil(PERCENT * workFactor);
+        return teams.length === 0
+          ? []
+          : [{ queue, processors, workPercent, teams: Object.fromEntries(teams) }];
+      });
   }
 
   /** What lasting tasks leave of a pool's capacity, with what is on its way or can be lent to it. */
   #roomOf(pool: PoolName, { pools }: SchedulingConfig, now: Millis): Resources {
-    const { executors, runs } = this.#tables;
-    let room = this.#lender.comingCapacity(pool, pools, now);
+    const { tables, lender } = this.#options;
+    const { executors, runs } = tables;
+    let room = lender.comingCapacity(pool, pools, now);
     for (const state of executors.ofPool(pool).filter(mayRunTasks)) {
       const lasting = runs.at(state.info.id).filter((run) => run.lasting);
       const used = lasting.reduce((sum, run) => add(sum, run.footprint), NO_RESOURCES);
@@ -121,81 +107,67 @@
   return listed && !info.draining && !shutdownPending;
 }
 
-/** Time after which all work is done if no capacity is idle. */
-function clearMsOf(works: ReadonlyMap<TeamName, TeamWork>, room: Resources): Millis {
-  let all = NO_RESOURCES;
-  works.forEach(({ runningWork, waiting }) => {
-    all = waiting.reduce((sum, { work }) => add(sum, work), add(all, runningWork));
-  });
-  return dominantShare(all, room);
-}
-
-/** Part of an amount that is within a limit in each resource. */
-function partWithin(amount: Resources, limit: Resources): number {
-  const part = (used: number, allowed: number): number =>
-    used > 0 ? Math.max(0, allowed) / used : 1;
-  return Math.min(
-    1,
-    part(amount.processors, limit.processors),
-    part(amount.memoryMb, limit.memoryMb),
-    part(amount.accelerators, limit.accelerators),
-  );
-}
-
-function weightOf(policy: TeamPolicy | undefined): number {
-  const weight = policy?.weight ?? DEFAULT_WEIGHT;
-  return Number.isFinite(weight) && weight > 0 ? weight : MIN_WEIGHT;
+function newBacklog(contending: ContendingTeam, { teams }: PoolWork, room: Resources): TeamBacklog {
+  const { runningWork = NO_RESOURCES, waiting = [] } = teams.get(contending.team) ?? {};
+  return {
+    ...contending,
+    runningMs: dominantShare(runningWork, room),
+    waiting: waiting.map(({ rank, work, arrivalRate }) => ({
+      rank,
+      workMs: dominantShare(work, room),
+      arrivalRate: dominantShare(arrivalRate, room),
+    })),
+  };
 }
 
-function isAny({ processors, memoryMb, accelerators }: Resources): boolean {
-  return processors > 0 || memoryMb > 0 || accelerators > 0;
+/** Starts by team of the sizes of which jobs may be refused. */
+function startsByTeam(
+  backlog: FairBacklog,
+  policy: QueuePolicy,
+  pathMs: Millis,
+): readonly (readonly [TeamName, readonly SizedStart[]])[] {
+  const limitMs = startLimitMs(policy) ?? Infinity;
+  const times = arrivalTimes(policy, pathMs);
+  return backlog.teams.flatMap((team) => {
+    const starts = backlog.sizes(team).flatMap((work) => {
+      const { inTimeMs, lateMs } = backlog.startOf(team, { job: { policy }, work }, times);
+      const mayBeRefused = inTimeMs > policy.targetLatencyMs && lateMs > limitMs;
+      return mayBeRefused ? [newSizedStart(work, inTimeMs, lateMs)] : [];
+    });
+    return starts.length === 0 ? [] : [[team, thinOut(starts, MAX_STARTS_PER_TEAM)] as const];
+  });
 }
 
-function queuesOf(
-  pool: PoolName,
-  { queues }: SchedulingConfig,
-): readonly (readonly [QueueName, QueuePolicy])[] {
-  return [...queues].filter(([, policy]) => policy.pool === pool);
+/** Rounds the size down, so that it holds for jobs of equal size, as do percents that are rounded up. */
+function newSizedStart(work: number, inTimeMs: Millis, lateMs: Millis): SizedStart {
+  const unit = 10 ** Math.max(0, Math.ceil(Math.log10(Math.max(1, work))) - SIZE_DIGITS);
+  const inUnits = (startMs: Millis): number => Math.floor(startMs / START_UNIT_MS);
+  return [unit * Math.floor(work / unit), inUnits(inTimeMs), inUnits(lateMs)];
 }
 
-/** Returns a lane with the teams of which jobs may be refused; none if there are none. */
-function newLane(
-  queue: QueueName,
-  policy: QueuePolicy,
-  starts: ReadonlyMap<TeamName, FairStart>,
-  longestMs: Millis,
-  processors: number,
-): readonly WorkAheadLane[] {
-  const limitMs = startLimitMs(policy) ?? Infinity;
-  const late = [...starts].filter(([, { lateMs }]) => Math.min(lateMs, longestMs) > limitMs);
-  if (late.length === 0) {
-    return [];
-  }
-  const latestMs = Math.max(...late.map(([, { lateMs }]) => lateMs));
-  const clearMs = Math.floor(Math.min(latestMs, longestMs));
-  const percent = (startMs: Millis): number =>
-    Math.floor((PERCENT * Math.min(startMs, clearMs)) / clearMs);
-  const teams = Object.fromEntries(
-    late.map(
-      ([team, { inTimeMs, lateMs }]) => [team, [percent(inTimeMs), percent(lateMs)]] as const,
-    ),
-  );
-  return [{ queue, processors: Math.max(1, Math.round(processors)), clearMs, teams }];
+/** Keeps some starts at equal distances with the first one, so that jobs of other sizes seem to start sooner. */
+function thinOut(starts: readonly SizedStart[], count: number): readonly SizedStart[] {
+  const distance = Math.ceil(starts.length / count);
+  return starts.filter((_, index) => index % distance === 0);
 }
 
-/** Leaves out the teams with the earliest starts if there are too many. */
-function limitTeams(lanes: readonly WorkAheadLane[]): readonly WorkAheadLane[] {
-  const starts = lanes.flatMap(({ clearMs, teams }) =>
-    Object.values(teams).map(([, late]) => late * clearMs),
-  );
-  if (starts.length <= MAX_TEAMS_PUBLISHED) {
+/** Leaves out sizes and then the teams with the earliest starts if there are too many. */
+function limitStarts(lanes: readonly WorkAheadLane[]): readonly WorkAheadLane[] {
+  const all = lanes.flatMap(({ teams }) => Object.values(teams));
+  if (all.reduce((sum, starts) => sum + starts.length, 0) <= MAX_STARTS) {
     return lanes;
   }
-  const least = starts.sort((a, b) => b - a)[MAX_TEAMS_PUBLISHED] ?? 0;
+  const perTeam = Math.max(1, Math.floor(MAX_STARTS / all.length));
+  const latest = all.map(latestOf).sort((a, b) => b - a)[MAX_STARTS] ?? 0;
   return lanes
     .map((lane) => {
-      const kept = Object.entries(lane.teams).filter(([, [, late]]) => late * lane.clearMs > least);
-      return { ...lane, teams: Object.fromEntries(kept) };
+      const kept = Object.entries(lane.teams).filter(([, starts]) => latestOf(starts) > latest);
+      const thinned = kept.map(([team, starts]) => [team, thinOut(starts, perTeam)] as const);
+      return { ...lane, teams: Object.fromEntries(thinned) };
     })
     .filter(({ teams }) => Object.keys(teams).length > 0);
 }
+
+function latestOf(starts: readonly SizedStart[]): number {
+  return Math.max(...starts.map(([, , late]) => late));
+}
--- a/packages/daemon/src/jobs/submission-gate.ts
+++ b/packages/daemon/src/jobs/submission-gate.ts
@@ -74,7 +74,7 @@
       return undefined;
     }
     const { clock, random, metrics } = this.#options;
-    const expected = this.#starts.startOf(queue, team, clock.now());
+    const expected = this.#starts.startOf(queue, team, spec, clock.now());
     const decision = decideAdmission(spec, policy, expected, random.next());
     if (decision.type === 'accept') {
       return undefined;
