feat(jobs): expected starts include the work that goes on arriving

Change: work that arrived steadily within a second counts as going on until the limit of a job, at most for 10 s.

--- a/packages/core/src/jobs/admission.ts
+++ b/packages/core/src/jobs/admission.ts
@@ -14,6 +14,8 @@
 const MAX_FIGURES_AGE_MS: Millis = 3_500;
 /** Between the leader's read of the jobs and a member's decision, in which work goes on arriving. */
 const USUAL_FIGURES_AGE_MS: Millis = 1_000;
+/** Longer peaks are not expected. */
+const MAX_ARRIVALS_MS: Millis = 10_000;
 const MIN_RETRY_MS: Millis = 1_000;
 /** Longer ones would keep callers away after the end of most peaks. */
 const MAX_RETRY_MS: Millis = 30_000;
@@ -85,14 +87,12 @@
 
 /**
  * Times from the read of the jobs until a job of a queue with this critical path, which a member
- * receives when the figures are usually used, is late, and until it has lost its value.
+ * receives when the figures are usually used, is late, and until its limit.
  */
 export function arrivalTimes(policy: QueuePolicy, pathMs: Millis): ArrivalTimes {
   const objective = objectiveMs(policy, pathMs);
-  return {
-    inTimeMs: USUAL_FIGURES_AGE_MS + objective,
-    lateMs: USUAL_FIGURES_AGE_MS + VALUE_FACTOR * objective,
-  };
+  const until = (ageMs: Millis): Millis => Math.min(MAX_ARRIVALS_MS, USUAL_FIGURES_AGE_MS + ageMs);
+  return { inTimeMs: until(objective), lateMs: until(endLimitMs(policy, pathMs)) };
 }
 
 function mayBeRefused(
--- a/packages/core/src/jobs/pool-work.ts
+++ b/packages/core/src/jobs/pool-work.ts
@@ -11,7 +11,7 @@
 const CLASSES_PER_DOUBLING = 2;
 /** Age up to which jobs show what arrives. */
 const ARRIVALS_MS: Millis = 1_000;
-/** Number of a team's jobs from which their rate is taken to go on; fewer may be a single peak. */
+/** Number of a team's jobs from which their rate is expected to go on. */
 const MIN_ARRIVALS = 5;
 
 /** Work of waiting jobs that the order serves together, except for differences within a size class. */
@@ -71,7 +71,8 @@
 interface TeamSums {
   runningWork: Resources;
   readonly waiting: Map<string, WaitingWork>;
-  arrivals: number;
+  /** Number of jobs in the latest half of `ARRIVALS_MS`, and in the one before. */
+  readonly arrivals: [latest: number, before: number];
 }
 
 /** Processor-milliseconds of the waiting tasks of a queue. */
@@ -96,9 +97,11 @@
   get result(): PoolWork {
     const teams = [...this.#teams].map(([team, { runningWork, waiting, arrivals }]) => {
       const groups = [...waiting.values()];
-      const known = arrivals >= MIN_ARRIVALS;
-      const unknown = groups.map((group) => ({ ...group, arrivalRate: NO_RESOURCES }));
-      return [team, { runningWork, waiting: known ? groups : unknown }] as const;
+      const [latest, before] = arrivals;
+      // Jobs that were submitted together do not make a rate.
+      const goesOn = latest > 0 && before > 0 && latest + before >= MIN_ARRIVALS;
+      const alone = groups.map((group) => ({ ...group, arrivalRate: NO_RESOURCES }));
+      return [team, { runningWork, waiting: goesOn ? groups : alone }] as const;
     });
     const queues = [...this.#queues].map(([queue, { expected, declared, jobs, pathsMs }]) => {
       const workFactor = declared > 0 ? expected / declared : 1;
@@ -117,9 +120,11 @@
     const known = waiting.get(key);
     const largest = Math.max(work, known?.rank.work ?? 0);
     const rank = { job: { policy }, value, standing, started, work: largest };
-    const isNew = sum.processors > 0 && this.#now - job.times.acceptedAt <= ARRIVALS_MS;
-    sums.arrivals += isNew ? 1 : 0;
-    const rate = isNew ? scale(sum, 1 / ARRIVALS_MS) : NO_RESOURCES;
+    const ageMs = this.#now - job.times.acceptedAt;
+    const rate = ageMs <= ARRIVALS_MS ? scale(sum, 1 / ARRIVALS_MS) : NO_RESOURCES;
+    if (rate.processors > 0) {
+      sums.arrivals[ageMs <= ARRIVALS_MS / 2 ? 0 : 1] += 1;
+    }
     waiting.set(key, {
       rank,
       work: add(known?.work ?? NO_RESOURCES, sum),
@@ -166,10 +171,10 @@
   }
 
   #sumsOf(team: TeamName): TeamSums {
-    const sums = this.#teams.get(team) ?? {
+    const sums: TeamSums = this.#teams.get(team) ?? {
       runningWork: NO_RESOURCES,
       waiting: new Map<string, WaitingWork>(),
-      arrivals: 0,
+      arrivals: [0, 0],
     };
     this.#teams.set(team, sums);
     return sums;
--- a/packages/core/src/jobs/work-ahead.ts
+++ b/packages/core/src/jobs/work-ahead.ts
@@ -7,7 +7,7 @@
 } from '../tasks/resource-arithmetic.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName, QueueName, TeamName } from '../types/index.js';
-import { startLimitMs, arrivalTimes } from './admission.js';
+import { arrivalTimes, startLimitMs } from './admission.js';
 import type { CellTables } from './cell-tables.js';
 import type { ExecutorState } from './executor-table.js';
 import { FairBacklog, type TeamBacklog } from './fair-backlog.js';
@@ -145,10 +145,10 @@
   return [unit * Math.floor(work / unit), inUnits(inTimeMs), inUnits(lateMs)];
 }
 
-/** Keeps some starts at equal distances with the first one, so that jobs of other sizes seem to start sooner. */
+/** Keeps some starts at about equal distances, the first one included: jobs of other sizes seem to start sooner. */
 function thinOut(starts: readonly SizedStart[], count: number): readonly SizedStart[] {
-  const distance = Math.ceil(starts.length / count);
-  return starts.filter((_, index) => index % distance === 0);
+  const distance = Math.max(1, starts.length / count);
+  return starts.filter((_, index) => Math.ceil(index / distance) * distance < index + 1);
 }
 
 /** Leaves out sizes and then the teams with the earliest starts if there are too many. */
