--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -1,9 +1,11 @@
+export * from './admission.js';
 export {
   AnnouncedOrders,
   ORDER_SETTLE_MS,
   type AnnouncedOrdersOptions,
   type OrdersRecord,
 } from './announced-orders.js';
+export { ExpectedStarts } from './expected-starts.js';
 export { ExecutorClock, type CallTimes } from './executor-clock.js';
 export type { ExecutorState } from './executor-table.js';
 export { Job } from './job.js';
@@ -24,6 +26,7 @@
   type JobValue,
   type Lateness,
   type RankedJob,
+  type ServiceRank,
 } from './ordering.js';
 export type {
   ExecutorCounts,
@@ -42,3 +45,4 @@
   type WaitingWork,
 } from './team-shares.js';
 export { TaskDurations } from './task-durations.js';
+export type { SizedStart, WorkAheadLane } from './work-ahead.js';
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -19,6 +19,7 @@
 import { TaskDurations } from './task-durations.js';
 import type { TeamShares } from './team-shares.js';
 import { UnreportedUsage } from './unreported-usage.js';
+import { WorkAhead, type WorkAheadLane } from './work-ahead.js';
 
 export interface JobDeciderOptions
   extends RecoveryOptions, InstanceOrdersOptions, LeaseExpiryOptions {
@@ -37,6 +38,7 @@
 export class JobDecider implements Decider<JobEvent, JobDecision> {
   /** Capacity and waiting work of the pools, for the log. */
   readonly poolLoad: CellPoolLoadView;
+  readonly #workAhead: WorkAhead;
   readonly #options: JobDeciderOptions;
   readonly #runs = new RunTable();
   readonly #agenda = new SchedulingAgenda();
@@ -77,9 +79,10 @@
     this.#scheduler = new Scheduler(parts);
     this.#instanceOrders = new InstanceOrders({ ...parts, reconciler: this.#reconciler }, options);
     this.#paceController = new PaceController(this.#runs);
-    this.poolLoad = new CellPoolLoadView(parts, this.#instanceOrders.lender, (pool) =>
-      this.#scheduler.shares(pool),
-    );
+    const { lender } = this.#instanceOrders;
+    const sharesOf = (pool: PoolName): TeamShares | undefined => this.teamShares(pool);
+    this.poolLoad = new CellPoolLoadView(parts, lender, sharesOf);
+    this.#workAhead = new WorkAhead({ tables: parts, lender, order, sharesOf });
   }
 
   /** Shares of a pool as of its latest round; undefined if no executor could get tasks then. */
@@ -92,6 +95,15 @@
     return this.#jobs.waitingByQueue();
   }
 
+  /**
+   * When jobs would start that are submitted now, for queues that are short of capacity. Undefined
+   * while runs of earlier owners are not known, as the work that waits may be running.
+   */
+  get workAhead(): readonly WorkAheadLane[] | undefined {
+    const now = this.#options.clock.now();
+    return this.#recovery.isPending(now) ? undefined : this.#workAhead.describe(this.#config, now);
+  }
+
   /** Whether a maintenance wave is unfinished, so that instances should be listed more often. */
   get maintaining(): boolean {
     return this.#instanceOrders.maintenance.active;
--- a/packages/core/src/jobs/share-waits.ts
+++ b/packages/core/src/jobs/share-waits.ts
@@ -8,7 +8,7 @@
  * Fraction of a mean task after which a team that lacks some of its share is overdue. Where tasks end
  * together, it must be overdue at the next ends, and tasks differ in duration.
  */
-const OVERDUE_FRACTION = 0.5;
+const OVERDUE_FRACTION = 0.9;
 /** Period of the reviews as a fraction of a mean task; each one looks at all waiting groups. */
 const REVIEW_FRACTION = 0.125;
 
