fix(runtime): a refusal leaves earlier requests of its connection their response

Cause: a refused request whose body had not arrived set the linger time of 1 s on the connection at once. With an earlier request under way, the connection was destroyed before that one was answered, though its job may have been stored. Change: the rest of the body is discarded, and the time limit runs, once the response of the refusal is next in line. Result: the new test of guarded-server fails without the change and passes with it.

--- a/packages/runtime/src/http/early-response.ts
+++ b/packages/runtime/src/http/early-response.ts
@@ -40,6 +40,13 @@
 }
 
 function discard(req: IncomingMessage, res: ServerResponse): void {
+  if (res.socket === null) {
+    // Responses to earlier requests on the connection are due, which closing it would cut off.
+    res.once('socket', () => {
+      discard(req, res);
+    });
+    return;
+  }
   const { socket } = req;
   let bytes = 0;
   const destroy = (): void => {
--- a/packages/runtime/test/guarded-server.test.ts
+++ b/packages/runtime/test/guarded-server.test.ts
@@ -13,16 +13,23 @@
 // Each test is named after the failure that it guards against.
 
 const MAX_BODY_BYTES = 1_000;
+/** Longer than a connection with an unread body stays open without any bytes. */
+const SLOW_MS = 1_300;
+const SLOW = 'GET /slow HTTP/1.1\r\nhost: a\r\n\r\n';
 const POST = 'POST / HTTP/1.1\r\nhost: a\r\n';
 
 let stop: AbortController;
 let clock: ManualClock;
 let guarded: GuardedServer;
+/** Methods of the requests of this test whose response has closed. */
+let closed: string[] = [];
 let sockets: Socket[] = [];
 
 beforeEach(async () => {
   stop = new AbortController();
   clock = new ManualClock();
+  const closedNow: string[] = [];
+  closed = closedNow;
   const guard = new ListenerGuard({
     limits: { memoryMb: 250, fileDescriptors: 4_100 },
     clock,
@@ -36,6 +43,15 @@
     limits: () => DEFAULT_CALLER_LIMITS,
     keepAliveMs: 20_000,
     onRequest: (req, res) => {
+      res.once('close', () => {
+        closedNow.push(req.method ?? '');
+      });
+      if (req.url === '/slow') {
+        setTimeout(() => {
+          sendResponse(req, res, 200, 'slow');
+        }, SLOW_MS);
+        return;
+      }
       if (req.method === 'GET') {
         sendResponse(req, res, 200, 'read');
         return;
@@ -146,3 +162,8 @@
   const socket = await open(`GET / HTTP/1.1\r\nhost: a\r\n${'x: y\r\n'.repeat(200)}\r\n`);
   expect(await read(socket)).toMatch(/^HTTP\/1.1 431 /);
 });
+
+test('a refusal closes the connection before an earlier request is answered', async () => {
+  const socket = await open(`${SLOW}${POST}content-length: 2000\r\n\r\n`);
+  expect(await read(socket)).toContain('slow');
+});
