fix(runtime): responses in line on a closed connection are closed

Cause: Node.js emits `close` only for the response that has the socket. Pipelined requests behind it never released their body from the budget, nor their place among an entry's open requests, when their caller had gone. Change: the guarded server closes the responses that were in line when their connection closes. Result: the new test of guarded-server saw one of two responses closed before, and sees both now.

--- a/packages/runtime/src/http/guarded-server.ts
+++ b/packages/runtime/src/http/guarded-server.ts
@@ -49,6 +49,8 @@
   working: number;
   /** The latest response. */
   response: ServerResponse | undefined;
+  /** Responses that have not been sent, in the order of their requests. */
+  readonly responses: Set<ServerResponse>;
   /** Bytes received and sent at the last sweep. */
   progress: number;
   /** Bytes received when the connection became idle. */
@@ -136,6 +138,7 @@
       open: 0,
       working: 0,
       response: undefined,
+      responses: new Set(),
       progress: 0,
       idleBytes: 0,
       headerSince: undefined,
@@ -148,6 +151,7 @@
       connection.closed = true;
       this.#byId.delete(id);
       this.#table.close(id);
+      connection.responses.forEach(closeQueued);
     });
   }
 
@@ -189,7 +193,9 @@
     res.once('prefinish', () => {
       setWorking(false);
     });
+    connection.responses.add(res);
     res.once('close', () => {
+      connection.responses.delete(res);
       connection.open -= 1;
       setWorking(false);
     });
@@ -281,3 +287,14 @@
     }
   }
 }
+
+/**
+ * Closes a response that waits for earlier ones on a closed connection. Node.js emits `close` only
+ * for the response that is being sent, so what the others hold would never be released.
+ */
+function closeQueued(res: ServerResponse): void {
+  if (res.socket === null && !res.destroyed) {
+    res.destroy();
+    res.emit('close');
+  }
+}
--- a/packages/runtime/test/guarded-server.test.ts
+++ b/packages/runtime/test/guarded-server.test.ts
@@ -167,3 +167,12 @@
   const socket = await open(`${SLOW}${POST}content-length: 2000\r\n\r\n`);
   expect(await read(socket)).toContain('slow');
 });
+
+test('a request that waits for an earlier one is held after its caller has gone', async () => {
+  const socket = await open(`${SLOW}${POST}content-length: 2\r\n\r\nab`);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  socket.destroy();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(closed.toSorted()).toEqual(['GET', 'POST']);
+  expect(guarded.connections).toBe(0);
+});
