--- a/packages/runtime/src/http/listener-guard.ts
+++ b/packages/runtime/src/http/listener-guard.ts
@@ -9,7 +9,7 @@
 } from '@turmerichoist/core';
 import type { Logger } from '../logger.js';
 import type { Metrics } from '../metrics.js';
-import { every } from '../timers.js';
+import { afterArrivedInput, every } from '../timers.js';
 import { BodyReader } from './body-reader.js';
 
 /** Interval at which time limits are checked and what was refused is logged. */
@@ -66,8 +66,11 @@
     this.bodies = new BodyReader(this.#budget, clock, (reason) => {
       this.count(reason);
     });
+    // After a pause of the process, callers must not be refused for bytes that arrived meanwhile.
     every(SWEEP_MS, signal, () => {
-      this.#sweep();
+      afterArrivedInput(signal, () => {
+        this.#sweep();
+      });
     });
   }
 
--- a/packages/runtime/test/guarded-server.test.ts
+++ b/packages/runtime/test/guarded-server.test.ts
@@ -15,6 +15,8 @@
 const MAX_BODY_BYTES = 1_000;
 /** Longer than a connection with an unread body stays open without any bytes. */
 const SLOW_MS = 1_300;
+/** Longer than the interval of the sweep. */
+const PAUSE_MS = 1_100;
 const SLOW = 'GET /slow HTTP/1.1\r\nhost: a\r\n\r\n';
 const POST = 'POST / HTTP/1.1\r\nhost: a\r\n';
 
@@ -176,3 +178,16 @@
   expect(closed.toSorted()).toEqual(['GET', 'POST']);
   expect(guarded.connections).toBe(0);
 });
+
+test('a pause of the process costs a caller whose header fields have arrived', async () => {
+  const socket = await open('GET / HTTP/1.1\r\nhost: a\r\n');
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  guarded.sweep(clock.now());
+  // Timers are due before input is read when the pause ends after the phase of immediates.
+  await new Promise((resolve) => setImmediate(resolve));
+  clock.advance(DEFAULT_CALLER_LIMITS.headerTimeoutMs);
+  socket.write('\r\n');
+  const pause = new Int32Array(new SharedArrayBuffer(4));
+  Atomics.wait(pause, 0, 0, PAUSE_MS);
+  expect(await read(socket)).toMatch(/^HTTP\/1.1 200 /);
+});
