fix(runtime): a body that follows its response is not taken for header fields

Cause: an upstream may answer before the body of its request has arrived. The rest of the body then counted as the header fields of another request, and the connection was closed with 408 when it took longer than their time limit. Change: the time for header fields runs only once the previous request has been received. Result: the new test of guarded-server got 408 before and gets the response to the next request now.

--- a/packages/runtime/src/http/guarded-server.ts
+++ b/packages/runtime/src/http/guarded-server.ts
@@ -224,8 +224,10 @@
   }
 
   #checkHeader(connection: Connection, now: Millis): void {
-    const { socket, open, idleBytes, headerSince } = connection;
-    if (open > 0 || socket.bytesRead === idleBytes) {
+    const { socket, open, idleBytes, headerSince, response } = connection;
+    // A response may be complete before the body of its request has arrived.
+    const isBodyDue = response?.req.complete === false;
+    if (open > 0 || isBodyDue || socket.bytesRead === idleBytes) {
       connection.headerSince = undefined;
     } else if (headerSince === undefined) {
       connection.headerSince = now;
--- a/packages/runtime/test/guarded-server.test.ts
+++ b/packages/runtime/test/guarded-server.test.ts
@@ -54,6 +54,10 @@
         }, SLOW_MS);
         return;
       }
+      if (req.url === '/early') {
+        res.end('early');
+        return;
+      }
       if (req.method === 'GET') {
         sendResponse(req, res, 200, 'read');
         return;
@@ -191,3 +195,15 @@
   Atomics.wait(pause, 0, 0, PAUSE_MS);
   expect(await read(socket)).toMatch(/^HTTP\/1.1 200 /);
 });
+
+test('a body that arrives after its response is taken for slow header fields', async () => {
+  const socket = await open('POST /early HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\na');
+  expect(await read(socket)).toContain('early');
+  socket.write('b');
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  guarded.sweep(clock.now());
+  clock.advance(DEFAULT_CALLER_LIMITS.headerTimeoutMs);
+  guarded.sweep(clock.now());
+  socket.write('cdGET / HTTP/1.1\r\nhost: a\r\n\r\n');
+  expect(await read(socket)).toMatch(/^HTTP\/1.1 200 /);
+});
