fix(runtime): long responses have more time to be read

Cause: Node.js counts the bytes of a write only when all of them are sent, so a caller that read a response of some MB over a slow link for more than 10 s was cut off as one that does not read. Change: the time limit of unread responses grows with the bytes that are left, by 1 s for each 16,000 bytes. Result: the new test of guarded-server found the connection closed after 60 s before; now it is closed later.

--- a/packages/runtime/src/http/guarded-server.ts
+++ b/packages/runtime/src/http/guarded-server.ts
@@ -23,6 +23,8 @@
 const KEEP_ALIVE_MARGIN_MS: Millis = 5_000;
 /** A connection whose responses are not read is closed after this time. */
 const UNREAD_TIMEOUT_MS: Millis = 10_000;
+/** Time in addition for the bytes that are not sent, since a write under way shows no progress. */
+const UNREAD_BYTES_PER_MS = 16;
 
 const BAD_REQUEST = 400;
 const REQUEST_TIMEOUT = 408;
@@ -246,7 +248,10 @@
     const sent = socket.bytesWritten - socket.writableLength;
     if (unread?.bytes !== sent) {
       connection.unread = { bytes: sent, since: now };
-    } else if (now - unread.since > UNREAD_TIMEOUT_MS) {
+    } else if (
+      now - unread.since >
+      UNREAD_TIMEOUT_MS + socket.writableLength / UNREAD_BYTES_PER_MS
+    ) {
       this.#close(connection, 'response-unread');
     }
   }
--- a/packages/runtime/test/guarded-server.test.ts
+++ b/packages/runtime/test/guarded-server.test.ts
@@ -17,6 +17,8 @@
 const SLOW_MS = 1_300;
 /** Longer than the interval of the sweep. */
 const PAUSE_MS = 1_100;
+/** More than the kernel takes for a caller that does not read. */
+const LONG_BYTES = 16_000_000;
 const SLOW = 'GET /slow HTTP/1.1\r\nhost: a\r\n\r\n';
 const POST = 'POST / HTTP/1.1\r\nhost: a\r\n';
 
@@ -58,6 +60,10 @@
         res.end('early');
         return;
       }
+      if (req.url === '/long') {
+        sendResponse(req, res, 200, 'x'.repeat(LONG_BYTES));
+        return;
+      }
       if (req.method === 'GET') {
         sendResponse(req, res, 200, 'read');
         return;
@@ -207,3 +213,18 @@
   socket.write('cdGET / HTTP/1.1\r\nhost: a\r\n\r\n');
   expect(await read(socket)).toMatch(/^HTTP\/1.1 200 /);
 });
+
+test('a long response to a slow caller is cut, or one that is never read is kept', async () => {
+  const socket = await open('GET /long HTTP/1.1\r\nhost: a\r\n\r\n');
+  socket.pause();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  guarded.sweep(clock.now());
+  clock.advance(60_000);
+  guarded.sweep(clock.now());
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(guarded.connections).toBe(1);
+  clock.advance(LONG_BYTES);
+  guarded.sweep(clock.now());
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(guarded.connections).toBe(0);
+});
