fix(relay): only authenticated links count towards the bound of relay links

Cause: links that were closed without a handshake counted as authenticated until their close was handled, so a crowd of them could have members refused that need a relay. Change: the links that have a peer are counted. Result: `npm test -- relay` passes; the race itself has no test.

--- a/packages/coordination/src/io/relay/relay-links.ts
+++ b/packages/coordination/src/io/relay/relay-links.ts
@@ -214,7 +214,9 @@
   async #onReady(link: PeerLink): Promise<void> {
     if (this.#accepted.has(link)) {
       this.#unauthenticated.remove(link);
-      if (this.#accepted.size - this.#unauthenticated.size > MAX_ACCEPTED_LINKS) {
+      // Links that are being closed without a handshake still have their entry and don't count.
+      const authenticated = [...this.#accepted.keys()].filter(({ peer }) => peer !== undefined);
+      if (authenticated.length > MAX_ACCEPTED_LINKS) {
         close(link, 'too many links');
         return;
       }
