perf(jobs): a read resolves its route and key once

Cause: reads of a job's state looked up route and team twice. Change: the result of the first look-up is used; the check of the id is a function of it. Result: no change of behaviour; the cost was not measured.

--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -124,11 +124,7 @@
 
   /** Checks route, key and id of a call for one job, before its body is read. */
   checkJob(head: CallHead): Result<CheckedCall, AppError> {
-    return this.#check(head).andThen((checked) =>
-      JOB_ID.test(checked.rest)
-        ? Ok(checked)
-        : fail('bad-request', 'the job id must be 16 hexadecimal digits'),
-    );
+    return this.#check(head).andThen(requireJobId);
   }
 
   #check(head: CallHead): Result<CheckedCall, AppError> {
@@ -150,11 +146,11 @@
   }
 
   async handle(call: JobCall): Promise<Result<JobReply, AppError>> {
-    const waiting = call.action.type === 'read' ? this.#check(call) : undefined;
-    if (waiting?.isOk() === true && waiting.value.rest === '') {
-      return this.#countWaiting(waiting.value.route.queue);
+    const found = this.#check(call);
+    if (call.action.type === 'read' && found.isOk() && found.value.rest === '') {
+      return this.#countWaiting(found.value.route.queue);
     }
-    const checked = this.checkJob(call);
+    const checked = found.andThen(requireJobId);
     if (checked.isErr()) {
       return checked;
     }
@@ -371,6 +367,12 @@
   return state === 'completed' || state === 'failed' || state === 'cancelled';
 }
 
+function requireJobId(call: CheckedCall): Result<CheckedCall, AppError> {
+  return JOB_ID.test(call.rest)
+    ? Ok(call)
+    : fail('bad-request', 'the job id must be 16 hexadecimal digits');
+}
+
 /** Returns the team of an API key; empty for an open queue that is called without a valid key. */
 function resolveTeam(
   directory: JobDirectory,
