--- a/packages/daemon/src/requests/exchange.ts
+++ b/packages/daemon/src/requests/exchange.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { PassThrough, type Readable } from 'node:stream';
 import { fail, Ok, type AppError, type Result } from '@turmerichoist/core';
-import { expectsContinue, type BodyReader } from '@turmerichoist/runtime';
+import { expectsContinue, hasBody, type BodyReader } from '@turmerichoist/runtime';
 import { sendError } from '../http/responses.js';
 import {
   forwardedRequestHeaders,
@@ -57,8 +57,7 @@
 
   /** Leaves the body unread. If it has one, the request can't be sent upstream. */
   skipBody(): void {
-    const { 'content-length': declared, 'transfer-encoding': encoding } = this.#req.headers;
-    this.#streamUsed = encoding !== undefined || Number(declared ?? 0) > 0;
+    this.#streamUsed = hasBody(this.#req);
   }
 
   /** Buffers a small body, and prepares a large one or one of unknown length for streaming. */
@@ -67,10 +66,10 @@
     if (declared > maxBytes) {
       return fail('body-too-large', `at most ${maxBytes} bytes`);
     }
-    const chunked = this.#req.headers['transfer-encoding'] !== undefined;
-    if (!chunked && !(declared > 0)) {
+    if (!hasBody(this.#req)) {
       return Ok(undefined);
     }
+    const chunked = this.#req.headers['transfer-encoding'] !== undefined;
     if (chunked || declared > BUFFER_LIMIT_BYTES) {
       this.#body = this.#limitedStream(maxBytes);
       return Ok(undefined);
--- a/packages/runtime/src/http/body-reader.ts
+++ b/packages/runtime/src/http/body-reader.ts
@@ -129,6 +129,12 @@
   return headers.expect?.toLowerCase() === '100-continue';
 }
 
+/** Whether a body is declared. */
+export function hasBody({ headers }: IncomingMessage): boolean {
+  const { 'content-length': declared, 'transfer-encoding': encoding } = headers;
+  return encoding !== undefined || Number(declared) > 0;
+}
+
 /** A body that is being received, in one buffer that grows with it. */
 class OpenBody {
   readonly result: Promise<Result<Buffer, AppError>>;
--- a/packages/runtime/src/http/early-response.ts
+++ b/packages/runtime/src/http/early-response.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Millis } from '@turmerichoist/core';
+import { hasBody } from './body-reader.js';
 
 /** Bytes of an unread body that are discarded, so that the caller gets the response. */
 const DISCARDED_BYTES = 524_288;
@@ -35,8 +36,7 @@
 
 /** Whether no more of the body is to come. */
 function isReceived(req: IncomingMessage): boolean {
-  const { 'content-length': declared, 'transfer-encoding': encoding } = req.headers;
-  return req.complete || (encoding === undefined && !(Number(declared) > 0));
+  return req.complete || !hasBody(req);
 }
 
 function discard(req: IncomingMessage, res: ServerResponse): void {
--- a/packages/runtime/src/http/guarded-server.ts
+++ b/packages/runtime/src/http/guarded-server.ts
@@ -12,6 +12,7 @@
   type ConnectionId,
   type Millis,
 } from '@turmerichoist/core';
+import { hasBody } from './body-reader.js';
 import { sendResponse } from './early-response.js';
 import type { GuardedListener, GuardReason, ListenerGuard } from './listener-guard.js';
 
@@ -180,14 +181,13 @@
 
   /** Follows how far a request is. */
   #follow(connection: Connection, req: IncomingMessage, res: ServerResponse): void {
-    const { 'content-length': declared, 'transfer-encoding': encoding } = req.headers;
     let isWorking = false;
     const setWorking = (value: boolean): void => {
       connection.working += Number(value) - Number(isWorking);
       isWorking = value;
       this.#classify(connection);
     };
-    setWorking(encoding === undefined && !(Number(declared) > 0));
+    setWorking(!hasBody(req));
     req.once('end', () => {
       setWorking(!res.writableEnded);
     });
