--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -21,7 +21,7 @@
 } from '@turmerichoist/core';
 import { callTimeout, type JsonValue } from '@turmerichoist/coordination';
 import { WindowStats, type LogFields, type Logger, type Metrics } from '@turmerichoist/runtime';
-import { checkHead, checkJobHead, type CheckedCall } from './call-check.js';
+import { checkHead, requireJobId, type CheckedCall } from './call-check.js';
 import type { JobIntake } from './intake.js';
 import type { CallHead, CallerTables, JobCall, JobReply } from './ports.js';
 import { RetryAdvice } from './retry-advice.js';
@@ -132,15 +132,15 @@
 
   /** Checks route, key and id of a call for one job, before its body is read. */
   checkJob(head: CallHead): Result<CheckedCall, AppError> {
-    return checkJobHead(this.#directory, head);
+    return checkHead(this.#directory, head).andThen(requireJobId);
   }
 
   async handle(call: JobCall): Promise<Result<JobReply, AppError>> {
-    const waiting = call.action.type === 'read' ? checkHead(this.#directory, call) : undefined;
-    if (waiting?.isOk() === true && waiting.value.rest === '') {
-      return this.#countWaiting(waiting.value.route.queue);
+    const found = checkHead(this.#directory, call);
+    if (call.action.type === 'read' && found.isOk() && found.value.rest === '') {
+      return this.#countWaiting(found.value.route.queue);
     }
-    const checked = this.checkJob(call);
+    const checked = found.andThen(requireJobId);
     if (checked.isErr()) {
       return checked;
     }
@@ -370,5 +370,3 @@
 function isFinal(state: JobState): boolean {
   return state === 'completed' || state === 'failed' || state === 'cancelled';
 }
-
-/** Returns the team of an API key; empty for an open queue that is called without a valid key. */
--- a/packages/runtime/src/http/guarded-server.ts
+++ b/packages/runtime/src/http/guarded-server.ts
@@ -12,6 +12,7 @@
   type ConnectionId,
   type Millis,
 } from '@turmerichoist/core';
+import { hasBody } from './body-reader.js';
 import { sendResponse } from './early-response.js';
 import type { GuardedListener, GuardReason, ListenerGuard } from './listener-guard.js';
 
@@ -23,6 +24,8 @@
 const KEEP_ALIVE_MARGIN_MS: Millis = 5_000;
 /** A connection whose responses are not read is closed after this time. */
 const UNREAD_TIMEOUT_MS: Millis = 10_000;
+/** Time in addition for the bytes that are not sent, since a write under way shows no progress. */
+const UNREAD_BYTES_PER_MS = 16;
 
 const BAD_REQUEST = 400;
 const REQUEST_TIMEOUT = 408;
@@ -49,6 +52,8 @@
   working: number;
   /** The latest response. */
   response: ServerResponse | undefined;
+  /** Responses that have not been sent, in the order of their requests. */
+  readonly responses: Set<ServerResponse>;
   /** Bytes received and sent at the last sweep. */
   progress: number;
   /** Bytes received when the connection became idle. */
@@ -136,6 +141,7 @@
       open: 0,
       working: 0,
       response: undefined,
+      responses: new Set(),
       progress: 0,
       idleBytes: 0,
       headerSince: undefined,
@@ -148,6 +154,7 @@
       connection.closed = true;
       this.#byId.delete(id);
       this.#table.close(id);
+      connection.responses.forEach(closeQueued);
     });
   }
 
@@ -174,14 +181,13 @@
 
   /** Follows how far a request is. */
   #follow(connection: Connection, req: IncomingMessage, res: ServerResponse): void {
-    const { 'content-length': declared, 'transfer-encoding': encoding } = req.headers;
     let isWorking = false;
     const setWorking = (value: boolean): void => {
       connection.working += Number(value) - Number(isWorking);
       isWorking = value;
       this.#classify(connection);
     };
-    setWorking(encoding === undefined && !(Number(declared) > 0));
+    setWorking(!hasBody(req));
     req.once('end', () => {
       setWorking(!res.writableEnded);
     });
@@ -189,7 +195,9 @@
     res.once('prefinish', () => {
       setWorking(false);
     });
+    connection.responses.add(res);
     res.once('close', () => {
+      connection.responses.delete(res);
       connection.open -= 1;
       setWorking(false);
     });
@@ -218,8 +226,10 @@
   }
 
   #checkHeader(connection: Connection, now: Millis): void {
-    const { socket, open, idleBytes, headerSince } = connection;
-    if (open > 0 || socket.bytesRead === idleBytes) {
+    const { socket, open, idleBytes, headerSince, response } = connection;
+    // A response may be complete before the body of its request has arrived.
+    const isBodyDue = response?.req.complete === false;
+    if (open > 0 || isBodyDue || socket.bytesRead === idleBytes) {
       connection.headerSince = undefined;
     } else if (headerSince === undefined) {
       connection.headerSince = now;
@@ -238,7 +248,10 @@
     const sent = socket.bytesWritten - socket.writableLength;
     if (unread?.bytes !== sent) {
       connection.unread = { bytes: sent, since: now };
-    } else if (now - unread.since > UNREAD_TIMEOUT_MS) {
+    } else if (
+      now - unread.since >
+      UNREAD_TIMEOUT_MS + socket.writableLength / UNREAD_BYTES_PER_MS
+    ) {
       this.#close(connection, 'response-unread');
     }
   }
@@ -281,3 +294,14 @@
     }
   }
 }
+
+/**
+ * Closes a response that waits for earlier ones on a closed connection. Node.js emits `close` only
+ * for the response that is being sent, so what the others hold would never be released.
+ */
+function closeQueued(res: ServerResponse): void {
+  if (res.socket === null && !res.destroyed) {
+    res.destroy();
+    res.emit('close');
+  }
+}
--- a/packages/runtime/test/guarded-server.test.ts
+++ b/packages/runtime/test/guarded-server.test.ts
@@ -13,16 +13,27 @@
 // Each test is named after the failure that it guards against.
 
 const MAX_BODY_BYTES = 1_000;
+/** Longer than a connection with an unread body stays open without any bytes. */
+const SLOW_MS = 1_300;
+/** Longer than the interval of the sweep. */
+const PAUSE_MS = 1_100;
+/** More than the kernel takes for a caller that does not read. */
+const LONG_BYTES = 16_000_000;
+const SLOW = 'GET /slow HTTP/1.1\r\nhost: a\r\n\r\n';
 const POST = 'POST / HTTP/1.1\r\nhost: a\r\n';
 
 let stop: AbortController;
 let clock: ManualClock;
 let guarded: GuardedServer;
+/** Methods of the requests of this test whose response has closed. */
+let closed: string[] = [];
 let sockets: Socket[] = [];
 
 beforeEach(async () => {
   stop = new AbortController();
   clock = new ManualClock();
+  const closedNow: string[] = [];
+  closed = closedNow;
   const guard = new ListenerGuard({
     limits: { memoryMb: 250, fileDescriptors: 4_100 },
     clock,
@@ -36,6 +47,23 @@
     limits: () => DEFAULT_CALLER_LIMITS,
     keepAliveMs: 20_000,
     onRequest: (req, res) => {
+      res.once('close', () => {
+        closedNow.push(req.method ?? '');
+      });
+      if (req.url === '/slow') {
+        setTimeout(() => {
+          sendResponse(req, res, 200, 'slow');
+        }, SLOW_MS);
+        return;
+      }
+      if (req.url === '/early') {
+        res.end('early');
+        return;
+      }
+      if (req.url === '/long') {
+        sendResponse(req, res, 200, 'x'.repeat(LONG_BYTES));
+        return;
+      }
       if (req.method === 'GET') {
         sendResponse(req, res, 200, 'read');
         return;
@@ -146,3 +174,57 @@
   const socket = await open(`GET / HTTP/1.1\r\nhost: a\r\n${'x: y\r\n'.repeat(200)}\r\n`);
   expect(await read(socket)).toMatch(/^HTTP\/1.1 431 /);
 });
+
+test('a refusal closes the connection before an earlier request is answered', async () => {
+  const socket = await open(`${SLOW}${POST}content-length: 2000\r\n\r\n`);
+  expect(await read(socket)).toContain('slow');
+});
+
+test('a request that waits for an earlier one is held after its caller has gone', async () => {
+  const socket = await open(`${SLOW}${POST}content-length: 2\r\n\r\nab`);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  socket.destroy();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(closed.toSorted()).toEqual(['GET', 'POST']);
+  expect(guarded.connections).toBe(0);
+});
+
+test('a pause of the process costs a caller whose header fields have arrived', async () => {
+  const socket = await open('GET / HTTP/1.1\r\nhost: a\r\n');
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  guarded.sweep(clock.now());
+  // Timers are due before input is read when the pause ends after the phase of immediates.
+  await new Promise((resolve) => setImmediate(resolve));
+  clock.advance(DEFAULT_CALLER_LIMITS.headerTimeoutMs);
+  socket.write('\r\n');
+  const pause = new Int32Array(new SharedArrayBuffer(4));
+  Atomics.wait(pause, 0, 0, PAUSE_MS);
+  expect(await read(socket)).toMatch(/^HTTP\/1.1 200 /);
+});
+
+test('a body that arrives after its response is taken for slow header fields', async () => {
+  const socket = await open('POST /early HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\na');
+  expect(await read(socket)).toContain('early');
+  socket.write('b');
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  guarded.sweep(clock.now());
+  clock.advance(DEFAULT_CALLER_LIMITS.headerTimeoutMs);
+  guarded.sweep(clock.now());
+  socket.write('cdGET / HTTP/1.1\r\nhost: a\r\n\r\n');
+  expect(await read(socket)).toMatch(/^HTTP\/1.1 200 /);
+});
+
+test('a long response to a slow caller is cut, or one that is never read is kept', async () => {
+  const socket = await open('GET /long HTTP/1.1\r\nhost: a\r\n\r\n');
+  socket.pause();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  guarded.sweep(clock.now());
+  clock.advance(60_000);
+  guarded.sweep(clock.now());
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(guarded.connections).toBe(1);
+  clock.advance(LONG_BYTES);
+  guarded.sweep(clock.now());
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(guarded.connections).toBe(0);
+});
