fix(jobs): an executor that answers late keeps its lease, and one that has ended counts as one loss

Cause: found in a review. A poll whose answer came after it was overdue did not count as answered, so an executor that answered each poll a little late never got its lease extended, and its runs would have ended. A dead executor was polled twice as often as before and counted as several lost calls. A late answer during a pause of the leadership could let ends be acknowledged to a restarted executor. One caller with a huge X-Deadline-Ms switched admission off for its queue. The time-out also follows answers to polls that need not wait. The gauge of deferred instances ends with the term.

--- a/packages/core/src/jobs/pool-activity.ts
+++ b/packages/core/src/jobs/pool-activity.ts
@@ -43,8 +43,8 @@
     }
     let capacity = 0;
     let used = 0;
-    for (const { info } of executors.ofPool(pool)) {
-      capacity += info.capacity.processors;
+    for (const { info, listed, cordoned } of executors.ofPool(pool)) {
+      capacity += listed && !cordoned ? info.capacity.processors : 0;
       for (const { lasting, footprint } of runs.at(info.id)) {
         used += lasting ? 0 : footprint.processors;
       }
--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -13,8 +13,8 @@
 const SHORT_POLL_WAIT_MS: Millis = 150;
 /** An executor counts as active for this long after a start or an end. */
 const ACTIVE_MS: Millis = 3_000;
-/** Overdue polls at which no further one is sent: the executor is silent, and no call is lost. */
-const MAX_OVERDUE_POLLS = 2;
+/** Polls in a row without an answer after which each is waited for: not a call is lost, but all are. */
+const MAX_SILENT_POLLS = 2;
 /**
  * Shortest and longest pause before an executor is polled again whose ended runs are not acknowledged.
  * Behind a slow store, a fixed pause made thousands of polls a second that listed the same runs.
@@ -82,11 +82,18 @@
   #reportedThrough = 0;
   #startedWallMs: Millis;
   /**
-   * Whether a call went unanswered since the last report, or polls have paused. A restarted executor
+   * Whether a call went unanswered, or polls have paused, and no poll sent since was answered. A restarted executor
    * numbers its ends anew, so an acknowledgement meant for its former process would make it forget
    * ends not listed yet.
    */
-  #mayHaveRestarted = false;
+  get #mayHaveRestarted(): boolean {
+    return this.#suspectedAfter >= this.#lastAnsweredPoll;
+  }
+
+  /** Number of the poll that was sent last when the executor may have restarted. */
+  #suspectedAfter = -1;
+  /** Highest number of a poll that was answered. */
+  #lastAnsweredPoll = 0;
   /** The process, by its number, that has sent the last report. */
   #reportedProcess = 0;
   #leaseEndsAt: Millis;
@@ -101,8 +108,14 @@
   /** Whether another such poll was asked for after that one was sent. */
   #extraPollDue = false;
   #pollsSent = 0;
-  /** Number of polls under way that are overdue. */
-  #overduePolls = 0;
+  /** Polls of the loop in a row that were overdue or unanswered, without an answer to any poll. */
+  #silentPolls = 0;
+  /** Whether a poll has been answered since the loop sent its last one. */
+  #heard = false;
+  /** Whether the last call that ended was answered. Only the first of several losses counts as one. */
+  #lastCallAnswered = true;
+  /** Ends the wait for an answer that is not overdue yet. */
+  readonly #overdue: WakeablePause;
   /** Time of the latest start or listed end. */
   #activeAt: Millis = -Infinity;
 
@@ -112,6 +125,7 @@
     this.#startedWallMs = options.info.startedWallMs;
     this.#leaseEndsAt = options.clock.now();
     this.#pause = new WakeablePause(this.signal);
+    this.#overdue = new WakeablePause(this.signal);
   }
 
   start(): void {
@@ -157,14 +171,16 @@
 
   async #runPollLoop(): Promise<void> {
     // The first poll returns at once: it reads the executor's clock, which a lease needs.
-    let result: PollResult = (await this.#poll(0)) ? 'answered' : 'unanswered';
+    await this.#poll(0);
     while (!this.signal.aborted) {
       // No other turn may come between the first report and the poll that extends the lease: starts
       // that the owner decides from the report can't be sent before.
       const resumed = !this.#options.mayAct() && (await this.#awaitLeadership());
-      const answered = result === 'answered';
-      const waitMs = answered && !resumed && this.#allAcknowledged ? this.#waitMs() : 0;
-      result = await this.#pollUntilOverdue(waitMs, answered);
+      // The answer may have been to a poll that was overdue.
+      const heard = this.#heard;
+      const waitMs = heard && !resumed && this.#allAcknowledged ? this.#waitMs() : 0;
+      this.#heard = false;
+      const result = await this.#pollUntilOverdue(waitMs, heard);
       if (result === 'unanswered') {
         await sleep(UNANSWERED_PAUSE_MS, this.signal);
       } else if (result === 'answered' && !this.#allAcknowledged) {
@@ -181,32 +197,28 @@
 
   /** Polls once, and stops waiting for the answer when it is overdue. It still counts if it comes. */
   async #pollUntilOverdue(waitMs: Millis, extend: boolean): Promise<PollResult> {
-    let overdue = false;
-    const poll = this.#poll(waitMs, extend).then((answered): PollResult => {
-      this.#overduePolls -= overdue ? 1 : 0;
-      return answered ? 'answered' : 'unanswered';
-    });
-    if (this.#overduePolls >= MAX_OVERDUE_POLLS) {
+    const poll = this.#poll(waitMs, extend).then((answered): PollResult =>
+      answered ? 'answered' : 'unanswered',
+    );
+    const number = this.#pollsSent;
+    if (this.#silentPolls >= MAX_SILENT_POLLS) {
       return poll;
     }
-    const { loss } = this.#options;
-    const limit = new AbortController();
-    const result = await Promise.race([
-      poll,
-      this.#overdueAfter(waitMs + loss.answerTimeoutMs, limit.signal),
-    ]);
-    limit.abort();
+    const limit = this.#overdue.pause(waitMs + this.#options.loss.answerTimeoutMs);
+    const result = await Promise.race([poll, limit.then((): PollResult => 'overdue')]);
+    this.#overdue.wake();
+    if (result !== 'answered') {
+      this.#silentPolls += 1;
+    }
     if (result === 'overdue') {
-      overdue = true;
-      this.#overduePolls += 1;
-      this.#mayHaveRestarted = true;
+      this.#suspectRestart(number);
     }
     return result;
   }
 
-  async #overdueAfter(ms: Millis, signal: AbortSignal): Promise<PollResult> {
-    await sleep(ms, AbortSignal.any([this.signal, signal]));
-    return 'overdue';
+  /** Until a poll that is sent after the one with this number has been answered. */
+  #suspectRestart(poll: number): void {
+    this.#suspectedAfter = Math.max(this.#suspectedAfter, poll);
   }
 
   /** Pauses while the owner may not act. Returns whether it did. */
@@ -214,9 +226,11 @@
     let paused = false;
     while (!this.#options.mayAct() && !this.signal.aborted) {
       paused = true;
-      this.#mayHaveRestarted = true;
       await this.#pause.pause(NOT_LEADING_PAUSE_MS);
     }
+    if (paused) {
+      this.#suspectRestart(this.#pollsSent);
+    }
     return paused;
   }
 
@@ -267,13 +281,15 @@
       { acknowledgedThrough, leaseMs: extending ? leaseMs : undefined, waitMs },
       this.signal,
     );
-    const superseded = number !== this.#pollsSent;
-    this.#mayHaveRestarted = answer.type !== 'report' || (superseded && this.#mayHaveRestarted);
-    this.#options.loss.record(answer.type !== 'unanswered');
+    this.#recordCall(answer.type !== 'unanswered', waitMs === 0 ? sentAt : undefined);
     if (answer.type === 'report') {
+      this.#lastAnsweredPoll = Math.max(this.#lastAnsweredPoll, number);
+      this.#silentPolls = 0;
+      this.#heard = true;
       this.#onReport(answer, sentAt);
       return true;
     }
+    this.#suspectRestart(number);
     if (answer.type === 'fenced') {
       this.log.warn('executor is fenced by a later owner', { executor: info.id });
       owner.post({ type: 'fenced', executor: info.id });
@@ -326,21 +342,40 @@
     const outcome = mayAct()
       ? await client.start(order, loss.answerTimeoutMs, this.signal)
       : 'not-sent';
-    loss.record(outcome !== 'unknown');
-    if (outcome === 'started') {
-      loss.recordTime(clock.now() - sentAt);
+    if (outcome !== 'not-sent') {
+      this.#recordCall(outcome !== 'unknown', outcome === 'started' ? sentAt : undefined);
     }
     const { task, attempt } = order;
     if (outcome !== 'started') {
       this.log.info('start not confirmed', { task, attempt, executor: info.id, outcome });
     }
     owner.post({ type: 'start-answer', task, attempt, executor: info.id, outcome });
-    this.#mayHaveRestarted ||= outcome === 'unknown';
+    if (outcome === 'unknown') {
+      this.#suspectRestart(this.#pollsSent);
+    }
     if (outcome === 'unknown' || client.process !== this.#reportedProcess) {
       await this.#pollSoon();
     }
   }
 
+  /**
+   * Counts a call that has ended, and the time of its answer if `sentAt` is given. Calls that follow
+   * an unanswered one say of the executor that it has ended, not that calls are lost.
+   */
+  #recordCall(answered: boolean, sentAt?: Millis): void {
+    const { clock, loss } = this.#options;
+    if (this.signal.aborted) {
+      return;
+    }
+    if (answered || this.#lastCallAnswered) {
+      loss.record(answered);
+    }
+    if (answered && sentAt !== undefined) {
+      loss.recordTime(clock.now() - sentAt);
+    }
+    this.#lastCallAnswered = answered;
+  }
+
   async #stop(task: TaskRef, attempt: number): Promise<void> {
     const { client, info, loss, mayAct, owner } = this.#options;
     const answered =
--- a/packages/daemon/src/jobs/job-owner.ts
+++ b/packages/daemon/src/jobs/job-owner.ts
@@ -158,9 +158,10 @@
       metrics,
       onSuperseded: options.onSuperseded,
     });
-    // Reservations end with the term.
+    // What these gauges count ends with the term.
     const onEnd = (): void => {
       metrics.gauge('reservations.active', 0);
+      metrics.gauge('maintenance.deferred', 0);
     };
     this.signal.addEventListener('abort', onEnd, { once: true });
   }
--- a/packages/daemon/src/jobs/retry-advice.ts
+++ b/packages/daemon/src/jobs/retry-advice.ts
@@ -2,6 +2,8 @@
 
 /** Share of the longest time that a caller gives a call above which it counts as a first try. */
 const FIRST_TRY_SHARE = 0.99;
+/** Part of the longest time that is kept with each call, so that one odd caller does not set it for good. */
+const LONGEST_KEPT = 0.999;
 /** Another member can probably serve the caller at once. */
 const RETRY_ELSEWHERE_MS: Millis = 0;
 /** Members that the caller tried before could not serve it either, so the store is away for many. */
@@ -17,7 +19,7 @@
 
   /** Records the time that a caller gives a call. */
   observe(timeoutMs: Millis): void {
-    this.#longestMs = Math.max(this.#longestMs, timeoutMs);
+    this.#longestMs = Math.max(this.#longestMs * LONGEST_KEPT, timeoutMs);
   }
 
   /** Whether a caller that has `timeoutMs` left can't have called another member before. */
--- a/packages/daemon/test/executor-link.test.ts
+++ b/packages/daemon/test/executor-link.test.ts
@@ -352,3 +352,38 @@
   await elapse(1_000);
   expect(executor.polls.length).toBe(4);
 });
+
+test('the lease of an executor that answers each poll a little late ends', async () => {
+  lossy = true;
+  const executor = new ScriptedExecutor();
+  openLink(executor);
+  (await executor.waitForPoll(1))(REPORT);
+  for (let number = 2; number <= 9; number += 1) {
+    const answer = await executor.waitForPoll(number);
+    // The first long poll waits for a second; the others are overdue after 100 ms.
+    setTimeout(() => {
+      answer(REPORT);
+    }, 150);
+  }
+  const extended = executor.polls.slice(3).filter(({ req }) => req.leaseMs === LEASE_MS);
+  expect(extended.length).toBeGreaterThan(0);
+});
+
+test('ends are acknowledged to a restarted executor after a late answer during a pause', async () => {
+  lossy = true;
+  const executor = new ScriptedExecutor();
+  const link = openLink(executor);
+  (await executor.waitForPoll(1))(REPORT);
+  (await executor.waitForPoll(2))(REPORT_OF_AN_END);
+  link.post({ type: 'acknowledged', startedWallMs: 1, through: 7 });
+  const late = await executor.waitForPoll(3);
+  await executor.waitForPoll(4);
+  leading = false;
+  late(REPORT);
+  executor.polls[3]?.answer(REPORT);
+  await elapse(50);
+  leading = true;
+  link.post({ type: 'resume' });
+  await executor.waitForPoll(5);
+  expect(executor.polls[4]?.req.acknowledgedThrough).toBe(0);
+});
