fix(jobs): expected starts are worked out for queues with jobs only

Cause: with a configuration of 1,400 queues more, the leader worked out expected starts for all queues of each pool every 350 ms, over a second of processor time at the beginning of a peak. Its lease lapsed, and the pool did not recover within the peak. Change: only queues with open jobs are described. The test fails on the code before.

--- a/packages/core/src/jobs/work-ahead.ts
+++ b/packages/core/src/jobs/work-ahead.ts
@@ -76,16 +76,15 @@
     const backlogs = contending.map((team) => newBacklog(team, work, room));
     const backlog = new FairBacklog(backlogs, order);
     const processors = Math.max(1, Math.round(room.processors));
-    return [...config.queues]
-      .filter(([, policy]) => policy.pool === pool)
-      .flatMap(([queue, policy]) => {
-        const { workFactor = 1, pathMs = 0 } = work.queues.get(queue) ?? {};
-        const teams = startsByTeam(backlog, policy, pathMs);
-        const workPercent = Math.ceil(PERCENT * workFactor);
-        return teams.length === 0
-          ? []
-          : [{ queue, processors, workPercent, teams: Object.fromEntries(teams) }];
-      });
+    // Only queues with open jobs: a configuration may have thousands of queues without any.
+    return [...work.queues].flatMap(([queue, { workFactor, pathMs }]) => {
+      const policy = config.queues.get(queue);
+      const teams = policy?.pool === pool ? startsByTeam(backlog, policy, pathMs) : [];
+      const workPercent = Math.ceil(PERCENT * workFactor);
+      return teams.length === 0
+        ? []
+        : [{ queue, processors, workPercent, teams: Object.fromEntries(teams) }];
+    });
   }
 
   /** What lasting tasks leave of a pool's capacity, with what is on its way or can be lent to it. */
--- a/packages/core/test/jobs-work-ahead.test.ts
+++ b/packages/core/test/jobs-work-ahead.test.ts
@@ -136,6 +136,15 @@
     expect(cell.lanes()).toEqual([]);
   });
 
+  test('is worked out for thousands of queues without jobs, so that the leader loses its lease', () => {
+    const cell = new FullCell({ queuesPerPool: 2_000 });
+    cell.submit('t1', 160, 'q7');
+    cell.submit('t1', 160, 'q8');
+    cell.settle();
+    const queues = cell.lanes().map(({ queue }) => queue);
+    expect(queues.sort()).toEqual(['q7', 'q8']);
+  });
+
   test('of one team is not the time that its pool takes for it', () => {
     const cell = new FullCell();
     cell.submit('t1', 88);
