--- a/packages/daemon/test/executor-link.test.ts
+++ b/packages/daemon/test/executor-link.test.ts
@@ -316,15 +316,21 @@
   expect(executor.polls.length).toBe(4);
 });
 
-test('a lost poll hides the ends of an executor until it times out', async () => {
+/** A link that has acknowledged an end and sent a third poll, while calls to other executors are lost. */
+async function openLossyLink(executor: ScriptedExecutor): Promise<ExecutorLink> {
   lossy = true;
-  const executor = new ScriptedExecutor();
   const link = openLink(executor);
   (await executor.waitForPoll(1))(REPORT);
   (await executor.waitForPoll(2))(REPORT_OF_AN_END);
   link.post({ type: 'acknowledged', startedWallMs: 1, through: 7 });
-  // The third poll is lost.
   await executor.waitForPoll(3);
+  return link;
+}
+
+test('a lost poll hides the ends of an executor until it times out', async () => {
+  const executor = new ScriptedExecutor();
+  await openLossyLink(executor);
+  // The third poll is lost.
   (await executor.waitForPoll(4))({ ...REPORT, ended: [{ ...ENDED, seq: 8 }] });
   await executor.waitForPoll(5);
   const last = events.findLast((event) => event.type === 'report');
@@ -332,13 +338,8 @@
 });
 
 test('a poll that follows a lost one acknowledges ends to a restarted executor', async () => {
-  lossy = true;
   const executor = new ScriptedExecutor();
-  const link = openLink(executor);
-  (await executor.waitForPoll(1))(REPORT);
-  (await executor.waitForPoll(2))(REPORT_OF_AN_END);
-  link.post({ type: 'acknowledged', startedWallMs: 1, through: 7 });
-  await executor.waitForPoll(3);
+  await openLossyLink(executor);
   await executor.waitForPoll(4);
   expect(executor.polls[3]?.req).toMatchObject({ acknowledgedThrough: 0, leaseMs: undefined });
 });
@@ -370,12 +371,8 @@
 });
 
 test('ends are acknowledged to a restarted executor after a late answer during a pause', async () => {
-  lossy = true;
   const executor = new ScriptedExecutor();
-  const link = openLink(executor);
-  (await executor.waitForPoll(1))(REPORT);
-  (await executor.waitForPoll(2))(REPORT_OF_AN_END);
-  link.post({ type: 'acknowledged', startedWallMs: 1, through: 7 });
+  const link = await openLossyLink(executor);
   const late = await executor.waitForPoll(3);
   await executor.waitForPoll(4);
   leading = false;
