refactor(jobs): one factor for the time after which a job has no value

Cause: admission had its own copy of the factor that the order of jobs uses. Change: it is exported from the order.

--- a/packages/core/src/jobs/admission.ts
+++ b/packages/core/src/jobs/admission.ts
@@ -2,9 +2,8 @@
 import { criticalPathMs } from './critical-path.js';
 import type { ArrivalTimes } from './fair-backlog.js';
 import type { JobSpec, QueuePolicy } from './model.js';
+import { MAX_LATENESS_FACTOR } from './ordering.js';
 
-/** Times its latency objective after which a job has no value, as in the order of jobs. */
-const VALUE_FACTOR = 3;
 /**
  * A job is refused only if its expected end exceeds the end of its value by this factor: declared
  * durations are rough, and less work may be ahead of the job than was known.
@@ -112,5 +111,5 @@
 }
 
 function endLimitMs(policy: QueuePolicy, pathMs: Millis): Millis {
-  return CERTAINTY_FACTOR * VALUE_FACTOR * objectiveMs(policy, pathMs);
+  return CERTAINTY_FACTOR * MAX_LATENESS_FACTOR * objectiveMs(policy, pathMs);
 }
--- a/packages/core/src/jobs/ordering.ts
+++ b/packages/core/src/jobs/ordering.ts
@@ -38,7 +38,7 @@
 }
 
 /** Jobs older than this many times their latency objective have no value any more. */
-const MAX_LATENESS_FACTOR = 3;
+export const MAX_LATENESS_FACTOR = 3;
 
 /** `worthless`: too late to have any value. */
 export type Lateness = 'in-time' | 'late' | 'worthless';
