--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -1,4 +1,5 @@
 import type { Millis } from '../types/index.js';
+import { AvailabilityBudgets, evictableRun } from './availability-budgets.js';
 import type { CellTables } from './cell-tables.js';
 import { deferrableUntil } from './maintenance-window.js';
 import type {
@@ -11,7 +12,6 @@
 import type { ExecutorId } from './model.js';
 import type { OrderHandover } from './order-handover.js';
 import { PoolActivity } from './pool-activity.js';
-import { AvailabilityBudgets, evictableRun } from './availability-budgets.js';
 import type { RunReconciler } from './run-reconciler.js';
 import type { Run } from './run-table.js';
 
