--- a/review/lib-3/case.mjs
+++ b/review/lib-3/case.mjs
@@ -63,6 +63,35 @@
     this.record = this.record.bind(this);
     this.record('case', { trouble: this.trouble });
     this.store = new Store();
+    // However the case ends, also by a signal or an error, its processes end with it.
+    process.once('exit', () => {
+      this.#killMembers();
+      this.#removeFolder();
+    });
+    ['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) => {
+      process.once(signal, () => process.exit(NOT_RUN));
+    });
+    process.once('uncaughtException', (err) => {
+      this.record('error', { err: String(err?.stack ?? err) });
+      process.exit(NOT_RUN);
+    });
+  }
+
+  #removeFolder() {
+    if (process.env.KEEP_LOGS === undefined) {
+      rmSync(this.folder, { recursive: true, force: true });
+    } else {
+      console.log(this.folder);
+    }
+  }
+
+  #killMembers() {
+    for (const member of this.#members) {
+      member.onExit = undefined;
+      if (member.up) {
+        member.child.kill('SIGKILL');
+      }
+    }
   }
 
   record(text, fields = {}) {
@@ -248,20 +277,9 @@
     for (const close of this.#closers) {
       await close();
     }
-    for (const member of this.#members) {
-      member.onExit = undefined;
-      if (member.up) {
-        member.child.kill('SIGCONT');
-        member.child.kill('SIGKILL');
-      }
-    }
+    this.#killMembers();
     await pause(300);
     this.store.server?.close();
-    if (process.env.KEEP_LOGS === undefined) {
-      rmSync(this.folder, { recursive: true, force: true });
-    } else {
-      console.log(this.folder);
-    }
   }
 }
 
