--- a/review/lib-3/case.mjs
+++ b/review/lib-3/case.mjs
@@ -253,6 +253,7 @@
       method,
       path,
       key,
+      body,
       status,
       answered,
       error,
