--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -12,6 +12,8 @@
 /** A stop takes at most `stopTimeoutMs`, 900. */
 const STOP_MS = 600;
 const TAKEOVER_MS = 15_000;
+/** `for_s` of `node_kill` in the site file: the process starts again then. */
+const DOWN_MS = 3_500;
 
 await runCase(import.meta.url, async (one) => {
   let executors = [];
@@ -63,7 +65,11 @@
   if (cancelled.status !== 200) {
     return { code: NOT_RUN, why: 'the first job is not cancelled' };
   }
-  await pause(TAKEOVER_MS);
+  await pause(DOWN_MS);
+  if (one.trouble) {
+    one.spawnMember(leader);
+  }
+  await pause(TAKEOVER_MS - DOWN_MS);
   const why =
     `${over.length} starts above ${MOST_CPU} thousandths of a core, at most ${mostCpu} running; ` +
     `${running()} tasks run at the end`;
