fix(jobs): unanswered maintenance orders are repeated while all slots of the wave are taken

Two orders of a wave with two at once get no answer, as the platform is silent for 4 s. No order follows once it answers again, both executors stay cordoned and accepted jobs stay queued.

Cause: a pending order counts as in flight, and the planner left its loop as soon as no slot was free, before it came to the pending orders. As many of them as the wave may have at once were never repeated.

Change: an instance with a pending order is looked at in any case and takes no further slot. It is logged as waiting with the reason order-unanswered.

--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -34,7 +34,13 @@
 export interface WaitingInstance {
   readonly instance: string;
   readonly reason:
-    'not-up' | 'order-handover' | 'executor-unseen' | 'budget' | 'finite-tasks' | 'peak';
+    | 'not-up'
+    | 'order-handover'
+    | 'order-unanswered'
+    | 'executor-unseen'
+    | 'budget'
+    | 'finite-tasks'
+    | 'peak';
   /** The lasting step whose `maxUnavailable` budget is used up. */
   readonly step?: string;
 }
@@ -201,8 +207,11 @@
     const decisions: JobDecision[] = [];
     let slots = wave.wave.maxParallel - this.#inFlightCount(wave, now);
     for (const name of this.#inDrainOrder(wave, remaining)) {
-      if (slots <= 0) {
-        break;
+      // Counted as in flight already. If it waited for another slot, as many unanswered orders as
+      // the wave has slots would never be repeated.
+      const ordered = this.#pendingOrders.has(name);
+      if (slots <= 0 && !ordered) {
+        continue;
       }
       const action = this.#nextAction(wave, name, now);
       if (action.type === 'order') {
@@ -213,12 +222,7 @@
       if (action.type === 'stop') {
         this.#dependencies.reconciler.stop(action.run, 'instance to be maintained', now);
       }
-      slots -=
-        action.type === 'order' ||
-        action.type === 'stop' ||
-        (action.type === 'wait' && action.usesSlot)
-          ? 1
-          : 0;
+      slots -= !ordered && usesSlot(action) ? 1 : 0;
     }
     return decisions;
   }
@@ -227,8 +231,10 @@
   #nextAction(wave: WaveState, name: string, now: Millis): NextAction {
     const pending = this.#pendingOrders.get(name);
     if (pending !== undefined) {
-      // Already counted as in flight. An unanswered order is repeated until it is answered.
-      return pending.retryAt > now ? { type: 'none' } : this.#order(wave, name, pending.executor);
+      // An unanswered order is repeated until it is answered.
+      return pending.retryAt > now
+        ? wait({ instance: name, reason: 'order-unanswered' }, false)
+        : this.#order(wave, name, pending.executor);
     }
     const instance = this.#instances.get(name);
     if (instance?.state !== 'up') {
@@ -338,12 +344,22 @@
 }
 
 type NextAction =
-  | { readonly type: 'none' }
   | { readonly type: 'order'; readonly order: InstanceOrder }
   /** Stop one lasting task, so that it restarts on another instance. */
   | { readonly type: 'stop'; readonly run: Run }
   | { readonly type: 'wait'; readonly waiting: WaitingInstance; readonly usesSlot: boolean };
 
+/** Whether an instance that was not in flight is so, or is being drained, with this action. */
+function usesSlot(action: NextAction): boolean {
+  switch (action.type) {
+    case 'wait':
+      return action.usesSlot;
+    case 'order':
+    case 'stop':
+      return true;
+  }
+}
+
 function wait(waiting: WaitingInstance, usesSlot: boolean): NextAction {
   return { type: 'wait', waiting, usesSlot };
 }
--- a/packages/core/test/jobs-maintenance.test.ts
+++ b/packages/core/test/jobs-maintenance.test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, test } from '@jest/globals';
-import { ManualClock, type JobDecision, type JobEvent, type PoolInstance } from '../src/index.js';
+import {
+  ManualClock,
+  type InstanceOrderOutcome,
+  type JobDecision,
+  type JobEvent,
+  type PoolInstance,
+} from '../src/index.js';
 import { executor, job, step, newDecider } from './support/job-fixtures.js';
 
 // Each test is named after the failure that it guards against.
@@ -57,9 +63,76 @@
     );
   }
 
+  answer(instance: string, outcome: InstanceOrderOutcome): readonly JobDecision[] {
+    const order = { type: 'maintain', instance, wave: 1 } as const;
+    return this.handle({ type: 'order-answer', order, outcome });
+  }
+
   done(instance: string): readonly JobDecision[] {
+    return this.answer(instance, 'done');
+  }
+}
+
+/** A wave over all instances of a pool whose executors run nothing. */
+class IdleWave {
+  readonly clock = new ManualClock(10_000);
+  readonly decider = newDecider(this.clock);
+  readonly #names: readonly string[];
+  readonly #down = new Set<string>();
+
+  constructor(size: number, maxParallel: number) {
+    this.#names = Array.from({ length: size }, (_, n) => `m${n}`);
+    const executors = this.#names.map((name) => executor(`e-${name}`));
+    this.handle({ type: 'executors', executors });
+    this.list();
+    const wave = { number: 1, instances: this.#names, maxParallel };
+    this.handle({ type: 'waves', waves: [{ ...wave, begun: [], completed: false }] });
+  }
+
+  handle(event: JobEvent): readonly JobDecision[] {
+    return this.decider.handle(event, this.clock.now());
+  }
+
+  list(): void {
+    const capacity = { processors: 8, memoryMb: 8_000, accelerators: 0 };
+    const instances = this.#names.map((name): PoolInstance => {
+      const down = this.#down.has(name);
+      const state = down ? 'maintenance' : 'up';
+      const on = down ? undefined : `e-${name}`;
+      return { name, pool: 'p1', state, zone: 'z1', rack: 'r1', capacity, executor: on };
+    });
+    this.handle({ type: 'instances', instances, requestedAt: this.clock.now() });
+  }
+
+  /** Passes 100 ms, in which the executors report that they run nothing. Returns what is ordered. */
+  tick(): readonly string[] {
+    this.clock.advance(100);
+    const sentAt = this.clock.now();
+    this.#names.forEach((name) => {
+      const report = { executor: `e-${name}`, startedWallMs: 1, sentAt, running: [], ended: [] };
+      this.handle({ type: 'report', leaseEndsAt: sentAt + 5_000, report });
+    });
+    return this.handle({ type: 'tick' }).flatMap((decision) =>
+      decision.type === 'order' ? [decision.order.instance] : [],
+    );
+  }
+
+  answer(instance: string, outcome: InstanceOrderOutcome): void {
     const order = { type: 'maintain', instance, wave: 1 } as const;
-    return this.handle({ type: 'order-answer', order, outcome: 'done' });
+    this.handle({ type: 'order-answer', order, outcome });
+  }
+
+  /** The platform carries an order out, and its answer arrives, within one tick. */
+  carryOut(instance: string): void {
+    this.#down.add(instance);
+    this.answer(instance, 'done');
+  }
+
+  /** The instances that are down are up again, and a list shows it. */
+  finish(): void {
+    this.#down.clear();
+    this.clock.advance(1);
+    this.list();
   }
 }
 
@@ -118,3 +191,31 @@
     expect(cell.orders()).toEqual([]);
   });
 });
+
+describe('a maintenance wave whose orders are not answered', () => {
+  const SIZES = [1, 2, 3, 5].flatMap((size) => [1, 2, 3].map((cap) => ({ size, cap })));
+
+  test.each(SIZES)(
+    'stands still with $size instances, $cap at once, although the platform answers again',
+    ({ size, cap }) => {
+      const wave = new IdleWave(size, cap);
+      // The platform is silent for 4 s; each order times out after 1.5 s.
+      for (let passed = 0; passed < 4_000; passed += 100) {
+        const ordered = wave.tick();
+        expect(ordered.length).toBeLessThanOrEqual(cap);
+        ordered.forEach((name) => {
+          wave.answer(name, 'unknown');
+        });
+      }
+      const begun = new Set<string>();
+      for (let round = 0; round < 10 * size; round += 1) {
+        wave.tick().forEach((name) => {
+          begun.add(name);
+          wave.carryOut(name);
+        });
+        wave.finish();
+      }
+      expect(begun.size).toBe(size);
+    },
+  );
+});
