fix(jobs): a repeated maintenance order passes the checks of a first one

Cause: a pending order was sent again once its backoff had passed, before all checks of a first order (state, known runs, budget, drain).

Change: pending orders are kept by MaintenanceOrders, and a repetition goes through the checks. An instance that is not up runs nothing: there it is repeated at once, which tells its outcome. An order that the budget holds up keeps its executor cordoned.

--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -1,6 +1,7 @@
 import type { Millis } from '../types/index.js';
 import { AvailabilityBudgets, evictableRun } from './availability-budgets.js';
 import type { CellTables } from './cell-tables.js';
+import { MaintenanceOrders } from './maintenance-orders.js';
 import { deferrableUntil } from './maintenance-window.js';
 import type {
   PoolInstance,
@@ -17,19 +18,11 @@
 
 /** Time that finite tasks get to end before their instance is maintained regardless. */
 const DRAIN_TIMEOUT_MS: Millis = 3_000;
-/** Backoff before an unanswered order is sent again. */
-const ORDER_RETRY_MS: Millis = 500;
 
 export interface MaintenanceDependencies extends CellTables {
   readonly reconciler: RunReconciler;
 }
 
-interface PendingOrder {
-  /** Monotonic time from which the order may be sent again; Infinity while it is in flight. */
-  readonly retryAt: Millis;
-  readonly executor: ExecutorId | undefined;
-}
-
 /** An instance that can't be maintained yet. */
 export interface WaitingInstance {
   readonly instance: string;
@@ -67,8 +60,9 @@
   #instances = new Map<string, PoolInstance>();
   /** Names of the instances by the executor that runs on them. */
   #instanceOf = new Map<ExecutorId, string>();
-  /** Orders that are in flight or whose outcome is unknown, by instance. */
-  readonly #pendingOrders = new Map<string, PendingOrder>();
+  /** When the latest list of instances was requested. */
+  #listRequestedAt: Millis = -Infinity;
+  readonly #orders = new MaintenanceOrders();
   /** Time of the accepted order for instances that have not been listed as up since. */
   readonly #downSince = new Map<string, Millis>();
   readonly #activity: PoolActivity;
@@ -96,7 +90,7 @@
   /** Whether an instance is cordoned for maintenance, ordered into it or down for it. */
   isReserved(instance: string): boolean {
     return (
-      this.#pendingOrders.has(instance) ||
+      this.#orders.has(instance) ||
       this.#downSince.has(instance) ||
       [...this.#waves.values()].some(({ cordonedAt }) => cordonedAt.has(instance))
     );
@@ -112,11 +106,12 @@
 
   /** The executor that ran on an instance when the order to maintain it was sent. */
   orderedExecutor(instance: string): ExecutorId | undefined {
-    return this.#pendingOrders.get(instance)?.executor;
+    return this.#orders.executorOf(instance);
   }
 
   /** `requestedAt`: when the list was requested; if before an order, the list does not show it. */
   setInstances(instances: readonly PoolInstance[], requestedAt: Millis): void {
+    this.#listRequestedAt = requestedAt;
     this.#instances = new Map(instances.map((one) => [one.name, one]));
     this.#instanceOf = new Map(
       instances.flatMap(({ name, executor }) => (executor === undefined ? [] : [[executor, name]])),
@@ -156,7 +151,7 @@
       return [];
     }
     if (outcome === 'done' || outcome === 'impossible') {
-      this.#pendingOrders.delete(order.instance);
+      this.#orders.settled(order.instance);
       wave.begun.add(order.instance);
       wave.cordonedAt.delete(order.instance);
       if (outcome === 'done') {
@@ -166,12 +161,10 @@
       }
       return [this.#status(wave)];
     }
-    const executor = this.orderedExecutor(order.instance);
-    this.#pendingOrders.set(order.instance, { retryAt: now + ORDER_RETRY_MS, executor });
     if (outcome === 'busy') {
-      this.#pendingOrders.delete(order.instance);
-      wave.cordonedAt.delete(order.instance);
-      this.#uncordon(order.instance);
+      this.#release(wave, order.instance);
+    } else {
+      this.#orders.unanswered(order.instance, now);
     }
     return [];
   }
@@ -209,7 +202,7 @@
     for (const name of this.#inDrainOrder(wave, remaining)) {
       // Counted as in flight already. If it waited for another slot, as many unanswered orders as
       // the wave has slots would never be repeated.
-      const ordered = this.#pendingOrders.has(name);
+      const ordered = this.#orders.has(name);
       if (slots <= 0 && !ordered) {
         continue;
       }
@@ -229,16 +222,16 @@
 
   /** Decides what to do next with an instance that remains to be maintained. */
   #nextAction(wave: WaveState, name: string, now: Millis): NextAction {
-    const pending = this.#pendingOrders.get(name);
-    if (pending !== undefined) {
-      // An unanswered order is repeated until it is answered.
-      return pending.retryAt > now
-        ? wait({ instance: name, reason: 'order-unanswered' }, false)
-        : this.#order(wave, name, pending.executor);
+    const ordered = this.#orders.has(name);
+    if (ordered && !this.#orders.isRepeatable(name, now)) {
+      return wait({ instance: name, reason: 'order-unanswered' }, false);
     }
     const instance = this.#instances.get(name);
     if (instance?.state !== 'up') {
-      return wait({ instance: name, reason: 'not-up' }, false);
+      // Nothing runs there. An order that may have taken effect is repeated, to learn its outcome.
+      return ordered
+        ? this.#order(wave, name, this.#orders.executorOf(name))
+        : wait({ instance: name, reason: 'not-up' }, false);
     }
     if (this.#handover.isHeld(name, now)) {
       // Already counted as in flight.
@@ -253,6 +246,10 @@
     }
     const runs = executor === undefined ? [] : this.#dependencies.runs.at(executor);
     const blocked = this.#budgets.blockedStep(runs, now);
+    if (blocked !== undefined && this.#orders.isWithoutEffect(instance, this.#listRequestedAt)) {
+      // The tasks that are away may have room only there.
+      this.#release(wave, name);
+    }
     const cordoned = wave.cordonedAt.has(name);
     if (blocked !== undefined && !cordoned && evictableRun(blocked) === undefined) {
       return wait({ instance: name, reason: 'budget', step: blocked.step }, false);
@@ -283,7 +280,7 @@
   }
 
   #order({ wave }: WaveState, instance: string, executor: ExecutorId | undefined): NextAction {
-    this.#pendingOrders.set(instance, { retryAt: Infinity, executor });
+    this.#orders.sent(instance, executor);
     return { type: 'order', order: { type: 'maintain', instance, wave: wave.number } };
   }
 
@@ -308,7 +305,7 @@
     const down = (name: string): boolean =>
       this.#handover.isHeld(name, now) ||
       this.#downSince.has(name) ||
-      this.#pendingOrders.has(name) ||
+      this.#orders.has(name) ||
       this.#instances.get(name)?.state === 'maintenance';
     return wave.instances.filter(down).length;
   }
@@ -316,16 +313,22 @@
   /** Whether the executor is responsive and no order that ends it is or may be on its way. */
   #isHealthy(executor: ExecutorId, now: Millis): boolean {
     const state = this.#dependencies.executors.get(executor);
-    const ordered = [...this.#pendingOrders.values()].some((order) => order.executor === executor);
     return (
       state !== undefined &&
       !state.shutdownPending &&
-      !ordered &&
+      !this.#orders.mayEnd(executor) &&
       !this.#handover.isHeld(this.#instanceOf.get(executor) ?? '', now) &&
       this.#dependencies.executors.isResponsive(state, now)
     );
   }
 
+  /** An order has had no effect: the instance serves until it is drained again. */
+  #release(wave: WaveState, name: string): void {
+    this.#orders.settled(name);
+    wave.cordonedAt.delete(name);
+    this.#uncordon(name);
+  }
+
   #uncordon(name: string): void {
     const executor = this.#instances.get(name)?.executor;
     if (executor !== undefined) {
--- a/packages/core/test/jobs-maintenance.test.ts
+++ b/packages/core/test/jobs-maintenance.test.ts
@@ -17,11 +17,11 @@
   readonly clock = new ManualClock(10_000);
   readonly decider = newDecider(this.clock);
 
-  constructor(maxParallel: number) {
+  constructor(maxParallel: number, lasting = LASTING) {
     this.handle({ type: 'executors', executors: [executor('e1'), executor('e2')] });
     this.report('e1', -1);
     this.report('e2', -1);
-    this.handle({ type: 'jobs', jobs: [{ accepted: job('j', [LASTING]) }], adopted: false });
+    this.handle({ type: 'jobs', jobs: [{ accepted: job('j', [lasting]) }], adopted: false });
     this.report('e1', 0);
     this.report('e2', 1);
     this.list();
@@ -34,11 +34,11 @@
   }
 
   /** Handles a report of one ready task of the job, or of none for -1. */
-  report(id: string, index: number): readonly JobDecision[] {
+  report(id: string, index: number, attempt = 1): readonly JobDecision[] {
     this.clock.advance(1);
     const sentAt = this.clock.now();
     const task = { jobId: 'j', occurrence: 0, step: 0, index };
-    const run = { task, attempt: 1, checkpoint: '', percent: 100, gauge: 0 };
+    const run = { task, attempt, checkpoint: '', percent: 100, gauge: 0 };
     const running = index < 0 ? [] : [run];
     const report = { executor: id, startedWallMs: 1, sentAt, running, ended: [] };
     return this.handle({ type: 'report', leaseEndsAt: sentAt + 5_000, report });
@@ -55,9 +55,9 @@
     return this.handle({ type: 'instances', instances, requestedAt: this.clock.now() });
   }
 
-  /** Names of the instances whose maintenance is ordered. */
-  orders(): readonly string[] {
-    this.clock.advance(100);
+  /** Passes some time, without reports. Returns the instances whose maintenance is ordered then. */
+  orders(ms = 100): readonly string[] {
+    this.clock.advance(ms);
     return this.handle({ type: 'tick' }).flatMap((decision) =>
       decision.type === 'order' ? [decision.order.instance] : [],
     );
@@ -218,4 +218,44 @@
       expect(begun.size).toBe(size);
     },
   );
+
+  test('ends a task by a repeated order while another task of the step is away', () => {
+    const cell = new MaintainedCell(2);
+    expect(cell.orders()).toEqual(['m1']);
+    cell.answer('m1', 'unknown');
+    cell.report('e2', -1);
+    expect(cell.orders(600)).toEqual([]);
+    // The task has been started again.
+    cell.report('e2', 1, 2);
+    expect(cell.orders(600)).toEqual(['m1']);
+  });
+
+  // The task that is away has room at no other executor.
+  test('keeps an executor cordoned for good whose order may not be repeated', () => {
+    const cell = new MaintainedCell(1, step({ ...LASTING, maxPerExecutor: 0 }));
+    expect(cell.orders()).toEqual(['m1']);
+    cell.answer('m1', 'unknown');
+    cell.handle({ type: 'executors', executors: [executor('e1')] });
+    cell.report('e2', -1);
+    const decisions: JobDecision[] = [];
+    for (let passed = 0; passed < 8_000; passed += 500) {
+      cell.clock.advance(500);
+      decisions.push(...cell.list(), ...cell.report('e1', 0), ...cell.handle({ type: 'tick' }));
+    }
+    expect(starts(decisions)).toBe(1);
+  });
+
+  // Nothing tells whether the order is still under way.
+  test('takes another instance down while an unanswered order may take effect', () => {
+    const cell = new MaintainedCell(1);
+    expect(cell.orders()).toEqual(['m1']);
+    cell.answer('m1', 'unknown');
+    cell.report('e2', -1);
+    for (let passed = 0; passed < 8_000; passed += 500) {
+      // The platform answers no list.
+      cell.clock.advance(500);
+      cell.report('e1', 0);
+      expect(cell.orders()).toEqual([]);
+    }
+  });
 });
