fix(jobs): a repetition that is not sent leaves an unanswered maintenance order pending

Cause: the outcome busy stood for a refusal by the platform, which shows that no earlier order has taken effect, and for a call that had no effect, which shows nothing.

The tests of InstanceControl that expected busy for orders that were not sent expect not-sent now: the same orders, the outcome under its own name.

--- a/packages/core/src/jobs/lending.ts
+++ b/packages/core/src/jobs/lending.ts
@@ -132,7 +132,7 @@
     if (order.type !== 'move' || move === undefined) {
       return;
     }
-    if (outcome === 'busy' || outcome === 'impossible') {
+    if (outcome === 'busy' || outcome === 'impossible' || outcome === 'not-sent') {
       this.#pendingMoves.delete(order.instance);
       this.#cordon(move.executor, false);
     }
--- a/packages/core/src/jobs/maintenance-orders.ts
+++ b/packages/core/src/jobs/maintenance-orders.ts
@@ -12,8 +12,10 @@
 
 interface PendingOrder {
   readonly executor: ExecutorId | undefined;
-  /** Monotonic time at which its last call went unanswered; undefined while one is in flight. */
+  /** Monotonic time at which a call last went unanswered; undefined if none has. */
   readonly unansweredAt: Millis | undefined;
+  /** Monotonic time from which it may be sent again; Infinity while a call is in flight. */
+  readonly retryAt: Millis;
 }
 
 /** Orders to maintain instances that are in flight or whose outcome is unknown. */
@@ -35,7 +37,8 @@
   }
 
   sent(instance: string, executor: ExecutorId | undefined): void {
-    this.#pending.set(instance, { executor, unansweredAt: undefined });
+    const unansweredAt = this.#pending.get(instance)?.unansweredAt;
+    this.#pending.set(instance, { executor, unansweredAt, retryAt: Infinity });
   }
 
   /** The outcome of the order is known. */
@@ -43,15 +46,28 @@
     this.#pending.delete(instance);
   }
 
+  /** A call was not answered. */
   unanswered(instance: string, now: Millis): void {
     const executor = this.executorOf(instance);
-    this.#pending.set(instance, { executor, unansweredAt: now });
+    this.#pending.set(instance, { executor, unansweredAt: now, retryAt: now + ORDER_RETRY_MS });
+  }
+
+  /**
+   * A call was not sent. Returns whether the outcome is unknown all the same: an earlier call went
+   * unanswered.
+   */
+  notSent(instance: string, now: Millis): boolean {
+    const pending = this.#pending.get(instance);
+    if (pending?.unansweredAt === undefined) {
+      return false;
+    }
+    this.#pending.set(instance, { ...pending, retryAt: now + ORDER_RETRY_MS });
+    return true;
   }
 
   /** Whether the order may be sent again: its last call went unanswered a while ago. */
   isRepeatable(instance: string, now: Millis): boolean {
-    const { unansweredAt = Infinity } = this.#pending.get(instance) ?? {};
-    return now >= unansweredAt + ORDER_RETRY_MS;
+    return now >= (this.#pending.get(instance)?.retryAt ?? Infinity);
   }
 
   /** Whether a list requested at `requestedAt` shows that the order has had no effect, nor will have. */
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -161,10 +161,10 @@
       }
       return [this.#status(wave)];
     }
-    if (outcome === 'busy') {
-      this.#release(wave, order.instance);
-    } else {
+    if (outcome === 'unknown') {
       this.#orders.unanswered(order.instance, now);
+    } else if (outcome === 'busy' || !this.#orders.notSent(order.instance, now)) {
+      this.#release(wave, order.instance);
     }
     return [];
   }
--- a/packages/core/src/jobs/messages.ts
+++ b/packages/core/src/jobs/messages.ts
@@ -55,8 +55,12 @@
   | { readonly type: 'maintain'; readonly instance: string; readonly wave: number }
   | { readonly type: 'move'; readonly instance: string; readonly pool: PoolName };
 
-/** `done`: accepted. `busy`: not possible now. `impossible`: never. `unknown`: no answer. */
-export type InstanceOrderOutcome = 'done' | 'busy' | 'impossible' | 'unknown';
+/**
+ * `done`: accepted, now or by an earlier call. `busy`: refused for now, so no earlier call has taken
+ * effect either. `impossible`: refused for good. `unknown`: no answer. `not-sent`: this call had no
+ * effect, which says nothing of earlier ones.
+ */
+export type InstanceOrderOutcome = 'done' | 'busy' | 'impossible' | 'unknown' | 'not-sent';
 
 export type JobEvent =
   | { readonly type: 'config'; readonly config: SchedulingConfig }
--- a/packages/core/test/jobs-maintenance.test.ts
+++ b/packages/core/test/jobs-maintenance.test.ts
@@ -128,6 +128,15 @@
     this.answer(instance, 'done');
   }
 
+  /** Hands in a job with as many tasks, and returns the executors on which they start. */
+  startedOn(taskCount: number): ReadonlySet<string> {
+    const accepted = job('j', [step({ taskCount })]);
+    const decisions = this.handle({ type: 'jobs', jobs: [{ accepted }], adopted: false });
+    return new Set(
+      decisions.flatMap((decision) => (decision.type === 'start' ? [decision.executor] : [])),
+    );
+  }
+
   /** The instances that are down are up again, and a list shows it. */
   finish(): void {
     this.#down.clear();
@@ -258,4 +267,21 @@
       expect(cell.orders()).toEqual([]);
     }
   });
+
+  test('starts tasks where an unanswered order may take effect, as its repetition was not sent', () => {
+    const wave = new IdleWave(2, 1);
+    const [first = ''] = wave.tick();
+    wave.answer(first, 'unknown');
+    wave.clock.advance(600);
+    expect(wave.tick()).toEqual([first]);
+    wave.answer(first, 'not-sent');
+    expect(wave.startedOn(16)).toEqual(new Set(['e-m1']));
+  });
+
+  test('keeps an instance cordoned whose only order was not sent', () => {
+    const wave = new IdleWave(2, 1);
+    const [first = ''] = wave.tick();
+    wave.answer(first, 'not-sent');
+    expect(wave.startedOn(16)).toEqual(new Set(['e-m0', 'e-m1']));
+  });
 });
--- a/packages/daemon/src/jobs/instance-control.ts
+++ b/packages/daemon/src/jobs/instance-control.ts
@@ -95,7 +95,7 @@
     const announcedAt = clock.now();
     const outcome = announced
       ? await this.#queue.add(() => this.#send(order, decidedAt))
-      : ('busy' as const);
+      : ('not-sent' as const);
     this.#announcer.ended(order.instance, outcome !== 'unknown');
     this.#context.log.info('instance ordered', {
       ...order,
@@ -140,12 +140,12 @@
     return sameHolder ? ORDER_SETTLE_MS : orderHandoverMs;
   }
 
-  /** Returns `busy` for an order that may not be sent any more. */
+  /** Returns `not-sent` for an order that may not be sent any more. */
   async #send(order: InstanceOrder, decidedAt: Millis): Promise<InstanceOrderOutcome> {
     const { fleet, term, mayAct, clock } = this.#options;
     const { signal } = this.#context;
     const stale = clock.now() - decidedAt > MAX_ORDER_AGE_MS;
-    return stale || signal.aborted || !mayAct() ? 'busy' : fleet.order(order, term.epoch, signal);
+    return stale || signal.aborted || !mayAct() ? 'not-sent' : fleet.order(order, term.epoch, signal);
   }
 
   async #poll(now: Millis, status: MaintenanceStatus): Promise<void> {
--- a/packages/daemon/test/instance-control.test.ts
+++ b/packages/daemon/test/instance-control.test.ts
@@ -122,10 +122,10 @@
     const control = newControl();
     store.setFaults({ down: true });
     await control.order(move('i1'));
-    expect([sent, answers()]).toEqual([[], ['busy']]);
+    expect([sent, answers()]).toEqual([[], ['not-sent']]);
     store.setFaults({ down: false, loseAnswers: 1 });
     await control.order(move('i1'));
-    expect([sent, answers()]).toEqual([[], ['busy', 'busy']]);
+    expect([sent, answers()]).toEqual([[], ['not-sent', 'not-sent']]);
   });
 
   test('by a leader whose successor has read the announced orders', async () => {
@@ -136,7 +136,7 @@
       return Promise.resolve();
     };
     await control.order(move('i1'));
-    expect([sent, answers()]).toEqual([[], ['busy']]);
+    expect([sent, answers()]).toEqual([[], ['not-sent']]);
   });
 
   test('although the lease has lapsed during the announcement', async () => {
@@ -146,7 +146,7 @@
       return Promise.resolve();
     };
     await control.order(move('i1'));
-    expect([sent, answers()]).toEqual([[], ['busy']]);
+    expect([sent, answers()]).toEqual([[], ['not-sent']]);
     expect(announced()).toEqual(['i1']);
   });
 
@@ -157,7 +157,7 @@
       return Promise.resolve();
     };
     await control.order(move('i1'));
-    expect([sent, answers()]).toEqual([[], ['busy']]);
+    expect([sent, answers()]).toEqual([[], ['not-sent']]);
     await control.order(move('i1'));
     expect(sent.map(({ instance }) => instance)).toEqual(['i1']);
   });
@@ -201,7 +201,7 @@
     expect(sent).toHaveLength(ORDER_CONCURRENCY);
     const outcomes = answers();
     expect(outcomes.filter((outcome) => outcome === 'done')).toHaveLength(ORDER_CONCURRENCY);
-    expect(outcomes.filter((outcome) => outcome === 'busy')).toHaveLength(EXTRA);
+    expect(outcomes.filter((outcome) => outcome === 'not-sent')).toHaveLength(EXTRA);
   }
 
   // Ninety orders waited for four connections for up to 2.4 s after the lease had been checked.
