fix(jobs): an unanswered maintenance order for a removed instance is forgotten

The instance of an unanswered order is removed; the wave has one slot less from then on, and stands still if it has only one.

Cause: a pending order counts as in flight until it is answered, and only listed instances are ordered about again.

Change: a list that was requested after the last call and leaves the instance out ends the order, as it already did for accepted orders.

--- a/packages/core/src/jobs/maintenance-orders.ts
+++ b/packages/core/src/jobs/maintenance-orders.ts
@@ -70,6 +70,15 @@
     return now >= (this.#pending.get(instance)?.retryAt ?? Infinity);
   }
 
+  /** Forgets unanswered orders for instances that a list requested at `requestedAt` leaves out. */
+  settleMissing(isListed: (instance: string) => boolean, requestedAt: Millis): void {
+    for (const [instance, { unansweredAt = Infinity }] of [...this.#pending]) {
+      if (!isListed(instance) && requestedAt > unansweredAt) {
+        this.#pending.delete(instance);
+      }
+    }
+  }
+
   /** Whether a list requested at `requestedAt` shows that the order has had no effect, nor will have. */
   isWithoutEffect({ name, state, executor }: PoolInstance, requestedAt: Millis): boolean {
     const pending = this.#pending.get(name);
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -116,6 +116,7 @@
     this.#instanceOf = new Map(
       instances.flatMap(({ name, executor }) => (executor === undefined ? [] : [[executor, name]])),
     );
+    this.#orders.settleMissing((name) => this.#instances.has(name), requestedAt);
     for (const [name, orderedAt] of [...this.#downSince]) {
       const state = this.#instances.get(name)?.state;
       if (requestedAt > orderedAt && (state === 'up' || state === undefined)) {
--- a/packages/core/test/jobs-maintenance.test.ts
+++ b/packages/core/test/jobs-maintenance.test.ts
@@ -77,7 +77,7 @@
 class IdleWave {
   readonly clock = new ManualClock(10_000);
   readonly decider = newDecider(this.clock);
-  readonly #names: readonly string[];
+  #names: readonly string[];
   readonly #down = new Set<string>();
 
   constructor(size: number, maxParallel: number) {
@@ -137,6 +137,11 @@
     );
   }
 
+  /** An instance is removed, and the next list shows it. */
+  remove(instance: string): void {
+    this.#names = this.#names.filter((name) => name !== instance);
+  }
+
   /** The instances that are down are up again, and a list shows it. */
   finish(): void {
     this.#down.clear();
@@ -284,4 +289,15 @@
     wave.answer(first, 'not-sent');
     expect(wave.startedOn(16)).toEqual(new Set(['e-m0', 'e-m1']));
   });
+
+  test('has a slot less for good when the instance of an unanswered order is removed', () => {
+    const wave = new IdleWave(3, 1);
+    const [first = ''] = wave.tick();
+    wave.answer(first, 'unknown');
+    wave.remove(first);
+    wave.finish();
+    const next = wave.tick();
+    expect(next).toHaveLength(1);
+    expect(next).not.toContain(first);
+  });
 });
