fix(jobs): orders that wait for an executor are given up when their reason goes

Cause: orders beyond the five connections of the HTTP client waited in the queue of its pool, without a limit in number or time; a pool that a time-out has replaced goes on sending what waits in it. Neither a stop of the run, nor a restart of the executor, nor the end of the leader's lease took a waiting start back.

Change: OrderBacklog (core) keeps the orders that wait for one executor: stops first, then starts, then paces, at most 1,000 of each; ExecutorOrders sends four at once. A stop withdraws a waiting start (outcome withdrawn), and starts are given up when one gets no answer, when the executor restarts, and after 1 s. Each call, also a poll, has a guard that is asked again when a connection is free, before anything is written. A call that never had a connection is not sent, not unanswered.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -16,6 +16,16 @@
 export type { WaitingInstance } from './maintenance.js';
 export * from './messages.js';
 export * from './model.js';
+export {
+  MAX_START_WAIT_MS,
+  OrderBacklog,
+  runKey,
+  type NextOrder,
+  type PaceOrder,
+  type StartOrder,
+  type StopOrder,
+  type WaitingStart,
+} from './order-backlog.js';
 export { OrderHandover, type HeldInstance } from './order-handover.js';
 export {
   LeastWorkFirst,
--- a/packages/core/src/jobs/model.ts
+++ b/packages/core/src/jobs/model.ts
@@ -193,8 +193,13 @@
   /** The executor has restarted, or another one answered at its address. */
   | 'other-life'
   | 'rejected'
-  /** Not sent, because the owner's own lease had ended or the executor has no lease yet. */
+  /**
+   * Not sent, because the owner's own lease had ended or the executor has no lease yet, does not answer
+   * or has restarted.
+   */
   | 'not-sent'
+  /** Not sent, because its run was stopped before. */
+  | 'withdrawn'
   /** Timed out: the start may still take effect. */
   | 'unknown';
 
--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -105,6 +105,9 @@
       case 'fenced':
         this.#decisions.push({ type: 'superseded' });
         return;
+      case 'withdrawn':
+        this.#drop(run);
+        return;
       default:
         // The backoff keeps the task from being started there again at once, and again.
         this.#executors.refused(run.executor, now);
--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -1,7 +1,16 @@
-import type { Clock, ExecutorInfo, JobEvent, Millis, TaskRef } from '@turmerichoist/core';
+import type {
+  Clock,
+  ExecutorInfo,
+  JobEvent,
+  Millis,
+  PaceOrder,
+  StartOrder,
+  StopOrder,
+} from '@turmerichoist/core';
 import { Actor, sleep, type ActorContext, type Recipient } from '@turmerichoist/runtime';
 import type { CallLoss } from './call-loss.js';
-import type { ExecutorClient, PollResponse, StartOrder } from './ports.js';
+import { ExecutorOrders } from './executor-orders.js';
+import type { ExecutorClient, PollResponse } from './ports.js';
 import { WakeablePause } from './wakeable-pause.js';
 
 /** Long-poll time of one poll, which returns early when a run ends. Each poll extends the lease. */
@@ -28,6 +37,11 @@
  * polled: the lease of its runs may not be extended, nor may anything be decided from its reports.
  */
 const NOT_LEADING_PAUSE_MS: Millis = 1_000;
+/**
+ * Age at which a poll is given up that has not left. What it says of leases and acknowledgements is as
+ * of when it was made, and `LeaseExpiry` counts on its being carried out within 700 ms.
+ */
+const MAX_POLL_WAIT_MS: Millis = 650;
 /** Longest time from the sending of a poll to its answer or time-out, with a margin. */
 const MAX_POLL_MS: Millis = 2_500;
 /** The clock of an executor may run slower than the local clock by this factor. */
@@ -42,13 +56,8 @@
 
 export type ExecutorLinkMessage =
   | { readonly type: 'start'; readonly order: StartOrder }
-  | { readonly type: 'stop'; readonly task: TaskRef; readonly attempt: number }
-  | {
-      readonly type: 'pace';
-      readonly task: TaskRef;
-      readonly attempt: number;
-      readonly percent: number;
-    }
+  | ({ readonly type: 'stop' } & StopOrder)
+  | ({ readonly type: 'pace' } & PaceOrder)
   /** The progress from ended runs up to `through` is stored. */
   | { readonly type: 'acknowledged'; readonly startedWallMs: Millis; readonly through: number }
   /** Polls the executor at once, without waiting for a run to end. */
@@ -77,6 +86,7 @@
 /** Owns the connections to one executor: polls it continuously and forwards orders to it. */
 export class ExecutorLink extends Actor<ExecutorLinkMessage> {
   readonly #options: ExecutorLinkOptions;
+  readonly #orders: ExecutorOrders;
   #acknowledgedThrough = 0;
   /** Highest sequence number of the ended runs in the reports so far. */
   #reportedThrough = 0;
@@ -126,6 +136,23 @@
     this.#leaseEndsAt = options.clock.now();
     this.#pause = new WakeablePause(this.signal);
     this.#overdue = new WakeablePause(this.signal);
+    this.#orders = new ExecutorOrders(
+      {
+        ...options,
+        executor: options.info.id,
+        observer: {
+          beforeStart: () => this.#beforeStart(),
+          onCallEnded: (answered, sentAt) => {
+            this.#recordCall(answered, sentAt);
+          },
+          onStartUnanswered: () => {
+            this.#suspectRestart(this.#pollsSent);
+          },
+          requestPoll: () => void this.#pollSoon(),
+        },
+      },
+      { log: this.log, signal: this.signal },
+    );
   }
 
   start(): void {
@@ -135,13 +162,13 @@
   protected receive(message: ExecutorLinkMessage): void {
     switch (message.type) {
       case 'start':
-        void this.#start(message.order);
+        this.#orders.start(message.order);
         return;
       case 'stop':
-        void this.#stop(message.task, message.attempt);
+        this.#orders.stop(message);
         return;
       case 'pace':
-        void this.#pace(message.task, message.attempt, message.percent);
+        this.#orders.pace(message);
         return;
       case 'acknowledged':
         this.#acknowledge(message.startedWallMs, message.through);
@@ -277,9 +304,15 @@
         owner.post({ type: 'lease', executor: info.id, leaseEndsAt: this.#leaseEndsAt });
       }
     }
+    const { process } = client;
+    const isWanted = (): boolean =>
+      clock.now() - sentAt <= MAX_POLL_WAIT_MS &&
+      client.process === process &&
+      (!extending || mayAct()) &&
+      (acknowledgedThrough === 0 || !this.#mayHaveRestarted);
     const answer = await client.poll(
       { acknowledgedThrough, leaseMs: extending ? leaseMs : undefined, waitMs },
-      this.signal,
+      { isWanted, signal: this.signal },
     );
     this.#recordCall(answer.type !== 'unanswered', waitMs === 0 ? sentAt : undefined);
     if (answer.type === 'report') {
@@ -310,6 +343,7 @@
       this.#startedWallMs = answer.startedWallMs;
       this.#acknowledgedThrough = 0;
       this.#reportedThrough = 0;
+      this.#orders.giveUpStarts();
     }
     const last = answer.ended.at(-1)?.seq ?? 0;
     if (last > this.#reportedThrough) {
@@ -331,31 +365,12 @@
     });
   }
 
-  async #start(order: StartOrder): Promise<void> {
-    const { client, clock, info, loss, mayAct, owner } = this.#options;
+  /** A start may follow the first report before the next poll, which requests a lease, is sent. */
+  async #beforeStart(): Promise<void> {
     if (!this.#leaseRequested) {
-      // A start may follow the first report before the next poll, which requests a lease, is sent.
       await sleep(0, this.signal);
     }
-    const sentAt = clock.now();
-    this.#activeAt = sentAt;
-    const outcome = mayAct()
-      ? await client.start(order, loss.answerTimeoutMs, this.signal)
-      : 'not-sent';
-    if (outcome !== 'not-sent') {
-      this.#recordCall(outcome !== 'unknown', outcome === 'started' ? sentAt : undefined);
-    }
-    const { task, attempt } = order;
-    if (outcome !== 'started') {
-      this.log.info('start not confirmed', { task, attempt, executor: info.id, outcome });
-    }
-    owner.post({ type: 'start-answer', task, attempt, executor: info.id, outcome });
-    if (outcome === 'unknown') {
-      this.#suspectRestart(this.#pollsSent);
-    }
-    if (outcome === 'unknown' || client.process !== this.#reportedProcess) {
-      await this.#pollSoon();
-    }
+    this.#activeAt = this.#options.clock.now();
   }
 
   /**
@@ -375,22 +390,4 @@
     }
     this.#lastCallAnswered = answered;
   }
-
-  async #stop(task: TaskRef, attempt: number): Promise<void> {
-    const { client, info, loss, mayAct, owner } = this.#options;
-    const answered =
-      mayAct() && (await client.stop(task, attempt, loss.answerTimeoutMs, this.signal));
-    owner.post({ type: 'stop-answer', task, attempt, executor: info.id, answered });
-    if (answered) {
-      await this.#pollSoon();
-    }
-  }
-
-  async #pace(task: TaskRef, attempt: number, percent: number): Promise<void> {
-    const { client, mayAct } = this.#options;
-    const answered = mayAct() && (await client.pace(task, attempt, percent, this.signal));
-    if (!answered) {
-      this.log.info('pace not confirmed', { task, attempt, executor: this.#options.info.id });
-    }
-  }
 }
--- a/packages/daemon/src/jobs/instance-control.ts
+++ b/packages/daemon/src/jobs/instance-control.ts
@@ -145,7 +145,9 @@
     const { fleet, term, mayAct, clock } = this.#options;
     const { signal } = this.#context;
     const stale = clock.now() - decidedAt > MAX_ORDER_AGE_MS;
-    return stale || signal.aborted || !mayAct() ? 'not-sent' : fleet.order(order, term.epoch, signal);
+    return stale || signal.aborted || !mayAct()
+      ? 'not-sent'
+      : fleet.order(order, term.epoch, signal);
   }
 
   async #poll(now: Millis, status: MaintenanceStatus): Promise<void> {
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -10,20 +10,26 @@
   Millis,
   PoolInstance,
   EndedRun,
+  PaceOrder,
   ReportedRun,
   Result,
+  StartOrder,
   StartOutcome,
-  TaskRef,
+  StopOrder,
   ZoneName,
 } from '@turmerichoist/core';
 import type { ChangeFeed, RowChange, TableStore } from '@turmerichoist/coordination';
 
-export interface StartOrder {
-  readonly task: TaskRef;
-  readonly attempt: number;
-  readonly payload: string;
-  /** Checkpoint to resume from; empty to start from the beginning. */
-  readonly checkpoint: string;
+/** What applies to a call until it is sent, and after. */
+export interface CallGuard {
+  /** Checked directly before the call is sent, whatever it has waited for; if false, it is not. */
+  readonly isWanted: () => boolean;
+  readonly signal: AbortSignal;
+}
+
+export interface GuardedCall extends CallGuard {
+  /** Time after which the outcome is not known. */
+  readonly timeoutMs: Millis;
 }
 
 export interface PollRequest {
@@ -57,13 +63,12 @@
    * start times and clocks.
    */
   readonly process: number;
-  poll(req: PollRequest, signal: AbortSignal): Promise<PollResponse>;
-  /** `timeoutMs`: time after which the outcome is `unknown`. */
-  start(order: StartOrder, timeoutMs: Millis, signal: AbortSignal): Promise<StartOutcome>;
-  /** Resolves to whether the executor confirmed the stop within `timeoutMs`. */
-  stop(task: TaskRef, attempt: number, timeoutMs: Millis, signal: AbortSignal): Promise<boolean>;
-  /** Throttles a task to a share of its speed. Resolves to whether the executor confirmed it. */
-  pace(task: TaskRef, attempt: number, percent: number, signal: AbortSignal): Promise<boolean>;
+  poll(req: PollRequest, guard: CallGuard): Promise<PollResponse>;
+  start(order: StartOrder, call: GuardedCall): Promise<StartOutcome>;
+  /** Resolves to whether the executor confirmed the stop. */
+  stop(order: StopOrder, call: GuardedCall): Promise<boolean>;
+  /** Resolves to whether the executor confirmed the pace. */
+  pace(order: PaceOrder, call: GuardedCall): Promise<boolean>;
 }
 
 export interface ExecutorConnector {
--- a/packages/daemon/test/lapsed-leader.test.ts
+++ b/packages/daemon/test/lapsed-leader.test.ts
@@ -44,7 +44,7 @@
 
 const client: ExecutorClient = {
   process: 0,
-  poll: async ({ waitMs }, signal) => {
+  poll: async ({ waitMs }, { signal }) => {
     calls.push('poll');
     await sleep(Math.max(1, waitMs), signal);
     return { type: 'report', startedWallMs: 1, running: [], ended: [] };
@@ -53,8 +53,8 @@
     calls.push(`start ${task.jobId}`);
     return Promise.resolve('started');
   },
-  stop: ({ jobId }) => {
-    calls.push(`stop ${jobId}`);
+  stop: ({ task }) => {
+    calls.push(`stop ${task.jobId}`);
     return Promise.resolve(true);
   },
   pace: () => Promise.resolve(true),
--- a/packages/daemon/test/support/fake-executor.ts
+++ b/packages/daemon/test/support/fake-executor.ts
@@ -38,7 +38,7 @@
   connect(_info: ExecutorInfo, fencingToken: number): ExecutorClient {
     return {
       process: 0,
-      poll: async ({ acknowledgedThrough, leaseMs, waitMs }, signal) => {
+      poll: async ({ acknowledgedThrough, leaseMs, waitMs }, { signal }) => {
         this.#settle();
         const at = Date.now();
         this.polls.push({ acknowledgedThrough, leaseMs, fencingToken, at });
@@ -57,7 +57,7 @@
         this.#runs.set(key, { task, attempt, checkpoint: '', percent: 100, gauge: 0 });
         return Promise.resolve('started');
       },
-      stop: (task) => {
+      stop: ({ task }) => {
         this.stops.push(taskKey(task));
         return Promise.resolve(true);
       },
