--- a/packages/daemon/src/jobs/executor-link.ts
+++ b/packages/daemon/src/jobs/executor-link.ts
@@ -366,11 +366,9 @@
   }
 
   /** A start may follow the first report before the next poll, which requests a lease, is sent. */
-  async #beforeStart(): Promise<void> {
-    if (!this.#leaseRequested) {
-      await sleep(0, this.signal);
-    }
+  #beforeStart(): Promise<void> | undefined {
     this.#activeAt = this.#options.clock.now();
+    return this.#leaseRequested ? undefined : sleep(0, this.signal);
   }
 
   /**
--- a/packages/daemon/src/jobs/executor-orders.ts
+++ b/packages/daemon/src/jobs/executor-orders.ts
@@ -22,8 +22,8 @@
 
 /** What the orders to an executor mean for its polls. */
 export interface OrderObserver {
-  /** A start is about to be sent. Resolves when a lease has been asked for. */
-  beforeStart(): Promise<void>;
+  /** A start is about to be sent. Resolves when a lease has been asked for; undefined if one has. */
+  beforeStart(): Promise<void> | undefined;
   /** A call has ended. `sentAt` is given if the time of its answer tells how long orders take. */
   onCallEnded(answered: boolean, sentAt?: Millis): void;
   /** A start has gone unanswered, as that of an executor that has restarted. */
@@ -43,6 +43,12 @@
   readonly observer: OrderObserver;
 }
 
+interface StartUnderWay {
+  readonly waiting: WaitingStart;
+  /** Whether its run was stopped since it was taken from the backlog. */
+  withdrawn: boolean;
+}
+
 /**
  * Sends orders to one executor, a few at once. What waits is given up when its reason goes: a start
  * whose run is stopped meanwhile, or whose executor does not answer or has restarted.
@@ -52,8 +58,8 @@
   readonly #context: ActorContext;
   readonly #calls = new PQueue({ concurrency: MAX_ORDERS_IN_FLIGHT });
   readonly #backlog = new OrderBacklog();
-  /** Runs with a start that is under way, and whether it has been withdrawn since. */
-  readonly #starting = new Map<string, boolean>();
+  /** Starts that are under way, by run. */
+  readonly #underWay = new Map<string, StartUnderWay>();
 
   constructor(options: ExecutorOrdersOptions, context: ActorContext) {
     this.#options = options;
@@ -76,9 +82,9 @@
       this.#answerStart(order, 'withdrawn');
       return;
     }
-    const key = runKey(order);
-    if (this.#starting.has(key)) {
-      this.#starting.set(key, true);
+    const start = this.#underWay.get(runKey(order));
+    if (start !== undefined) {
+      start.withdrawn = true;
     }
     if (this.#backlog.addStop(order)) {
       this.#sendSoon();
@@ -122,18 +128,21 @@
   async #start(waiting: WaitingStart): Promise<void> {
     const { client, clock, observer } = this.#options;
     const { order } = waiting;
+    const start = { waiting, withdrawn: false };
     const key = runKey(order);
-    this.#starting.set(key, false);
-    await observer.beforeStart();
+    this.#underWay.set(key, start);
+    const leased = observer.beforeStart();
+    if (leased !== undefined) {
+      await leased;
+    }
     const sentAt = clock.now();
-    const isWanted = (): boolean => this.#isWanted(waiting);
+    const isWanted = (): boolean => this.#isWanted(start);
     const outcome = isWanted() ? await client.start(order, this.#call(isWanted)) : 'not-sent';
-    const withdrawn = outcome === 'not-sent' && this.#starting.get(key) === true;
-    this.#starting.delete(key);
+    this.#underWay.delete(key);
     if (outcome !== 'not-sent') {
       observer.onCallEnded(outcome !== 'unknown', outcome === 'started' ? sentAt : undefined);
     }
-    this.#answerStart(order, withdrawn ? 'withdrawn' : outcome);
+    this.#answerStart(order, outcome === 'not-sent' && start.withdrawn ? 'withdrawn' : outcome);
     if (outcome === 'unknown') {
       observer.onStartUnanswered();
       this.giveUpStarts();
@@ -143,13 +152,13 @@
     }
   }
 
-  #isWanted({ order, since, process }: WaitingStart): boolean {
+  #isWanted({ waiting: { since, process }, withdrawn }: StartUnderWay): boolean {
     const { client, clock } = this.#options;
     return (
-      this.#mayAct() &&
+      !withdrawn &&
       client.process === process &&
       clock.now() - since <= MAX_START_WAIT_MS &&
-      this.#starting.get(runKey(order)) !== true
+      this.#mayAct()
     );
   }
 
