refactor(jobs): starts under way are a set of runs, without a field that changes

A withdrawn start leaves the set, in place of a flag on a shared object; the type of a run's order has a name. No change of behaviour: executor-orders, json-http-client, executor-link, jobs-superseded-runs and jobs-order-backlog pass, 58 tests.

--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -189,9 +189,9 @@
   #handleEnd(executor: ExecutorId, end: EndedRun, now: Millis): void {
     const run = this.#runs.get(taskKey(end.task));
     const current = run?.executor === executor && run.attempt === end.attempt;
-    const ended = current ? run : this.current(end.task, end.attempt, executor);
-    if (ended?.superseded === true) {
-      this.#drop(ended);
+    const onRecord = current ? run : this.current(end.task, end.attempt, executor);
+    if (onRecord?.superseded === true) {
+      this.#drop(onRecord);
     }
     const job = this.#jobs.get(end.task.jobId);
     const step = job?.step(end.task);
--- a/packages/core/src/jobs/run-table.ts
+++ b/packages/core/src/jobs/run-table.ts
@@ -58,12 +58,11 @@
   readonly pace: number;
 }
 
+/** What is known of a run besides its job and step. */
+type RunOrder = Pick<Run, 'task' | 'attempt' | 'executor' | 'pool' | 'orderedAt'>;
+
 /** Creates the run for a start that is about to be sent. */
-export function newRun(
-  job: Job,
-  { spec }: StepProgress,
-  order: Pick<Run, 'task' | 'attempt' | 'executor' | 'pool' | 'orderedAt'>,
-): Run {
+export function newRun(job: Job, { spec }: StepProgress, order: RunOrder): Run {
   return {
     ...order,
     key: taskKey(order.task),
@@ -90,7 +89,7 @@
 export function reportedRun(
   job: Job,
   step: StepProgress,
-  order: Parameters<typeof newRun>[2],
+  order: RunOrder,
   { percent, gauge }: Pick<Run, 'percent' | 'gauge'>,
 ): Run {
   return {
--- a/packages/daemon/src/jobs/executor-orders.ts
+++ b/packages/daemon/src/jobs/executor-orders.ts
@@ -43,12 +43,6 @@
   readonly observer: OrderObserver;
 }
 
-interface StartUnderWay {
-  readonly waiting: WaitingStart;
-  /** Whether its run was stopped since it was taken from the backlog. */
-  withdrawn: boolean;
-}
-
 /**
  * Sends orders to one executor, a few at once. What waits is given up when its reason goes: a start
  * whose run is stopped meanwhile, or whose executor does not answer or has restarted.
@@ -58,8 +52,8 @@
   readonly #context: ActorContext;
   readonly #calls = new PQueue({ concurrency: MAX_ORDERS_IN_FLIGHT });
   readonly #backlog = new OrderBacklog();
-  /** Starts that are under way, by run. */
-  readonly #underWay = new Map<string, StartUnderWay>();
+  /** Runs whose start has left the backlog, is not answered yet and has not been withdrawn. */
+  readonly #starting = new Set<string>();
 
   constructor(options: ExecutorOrdersOptions, context: ActorContext) {
     this.#options = options;
@@ -82,10 +76,7 @@
       this.#answerStart(order, 'withdrawn');
       return;
     }
-    const start = this.#underWay.get(runKey(order));
-    if (start !== undefined) {
-      start.withdrawn = true;
-    }
+    this.#starting.delete(runKey(order));
     if (this.#backlog.addStop(order)) {
       this.#sendSoon();
     }
@@ -128,21 +119,20 @@
   async #start(waiting: WaitingStart): Promise<void> {
     const { client, clock, observer } = this.#options;
     const { order } = waiting;
-    const start = { waiting, withdrawn: false };
     const key = runKey(order);
-    this.#underWay.set(key, start);
+    this.#starting.add(key);
     const leased = observer.beforeStart();
     if (leased !== undefined) {
       await leased;
     }
     const sentAt = clock.now();
-    const isWanted = (): boolean => this.#isWanted(start);
+    const isWanted = (): boolean => this.#starting.has(key) && this.#isValid(waiting);
     const outcome = isWanted() ? await client.start(order, this.#call(isWanted)) : 'not-sent';
-    this.#underWay.delete(key);
+    const withdrawn = !this.#starting.delete(key);
     if (outcome !== 'not-sent') {
       observer.onCallEnded(outcome !== 'unknown', outcome === 'started' ? sentAt : undefined);
     }
-    this.#answerStart(order, outcome === 'not-sent' && start.withdrawn ? 'withdrawn' : outcome);
+    this.#answerStart(order, outcome === 'not-sent' && withdrawn ? 'withdrawn' : outcome);
     if (outcome === 'unknown') {
       observer.onStartUnanswered();
       this.giveUpStarts();
@@ -152,14 +142,10 @@
     }
   }
 
-  #isWanted({ waiting: { since, process }, withdrawn }: StartUnderWay): boolean {
+  /** Whether what a start was decided on still holds. */
+  #isValid({ since, process }: WaitingStart): boolean {
     const { client, clock } = this.#options;
-    return (
-      !withdrawn &&
-      client.process === process &&
-      clock.now() - since <= MAX_START_WAIT_MS &&
-      this.#mayAct()
-    );
+    return client.process === process && clock.now() - since <= MAX_START_WAIT_MS && this.#mayAct();
   }
 
   #mayAct(): boolean {
