fix(jobs): one lost start does not give up all that wait for its executor

Cause: each unanswered start gave up all starts that waited for the executor and began the backoff of a refusal, and with four calls at once two lost ones left half of them until their time-out.

Change: starts are given up when one gets no answer and no other order has been answered since it was sent; their outcome is withdrawn, without a backoff. 16 calls at once; the client has five connections, and its guard still decides what leaves.

--- a/packages/core/src/jobs/model.ts
+++ b/packages/core/src/jobs/model.ts
@@ -194,11 +194,11 @@
   | 'other-life'
   | 'rejected'
   /**
-   * Not sent, because the owner's own lease had ended or the executor has no lease yet, does not answer
-   * or has restarted.
+   * Not sent, because the owner's own lease had ended, the executor has no lease yet, or too much waits
+   * for it.
    */
   | 'not-sent'
-  /** Not sent, because its run was stopped before. */
+  /** Not sent, because its run was stopped before, or the executor does not answer or has restarted. */
   | 'withdrawn'
   /** Timed out: the start may still take effect. */
   | 'unknown';
--- a/packages/daemon/src/jobs/executor-orders.ts
+++ b/packages/daemon/src/jobs/executor-orders.ts
@@ -17,8 +17,12 @@
 import type { CallLoss } from './call-loss.js';
 import type { ExecutorClient, GuardedCall } from './ports.js';
 
-/** Orders to one executor on their way at once. The polls need connections besides. */
-export const MAX_ORDERS_IN_FLIGHT = 4;
+/**
+ * Orders to one executor on their way at once, more than its client has connections: while calls are
+ * lost, some wait for a time-out, and the client replaces its connections. With 4, the jobs of a peak
+ * in which one call in eighteen was lost took longer.
+ */
+export const MAX_ORDERS_IN_FLIGHT = 16;
 
 /** What the orders to an executor mean for its polls. */
 export interface OrderObserver {
@@ -54,6 +58,10 @@
   readonly #backlog = new OrderBacklog();
   /** Runs whose start has left the backlog, is not answered yet and has not been withdrawn. */
   readonly #starting = new Set<string>();
+  /** Starts that wait since before this monotonic time are given up. */
+  #givenUpBefore: Millis = -Infinity;
+  /** Monotonic time at which an order was answered last. */
+  #answeredAt: Millis = -Infinity;
 
   constructor(options: ExecutorOrdersOptions, context: ActorContext) {
     this.#options = options;
@@ -90,8 +98,9 @@
 
   /** Gives up the starts that wait, as the executor does not answer calls or has restarted. */
   giveUpStarts(): void {
+    this.#givenUpBefore = this.#options.clock.now();
     this.#backlog.removeStarts().forEach(({ order }) => {
-      this.#answerStart(order, 'not-sent');
+      this.#answerStart(order, 'withdrawn');
     });
   }
 
@@ -128,14 +137,19 @@
     const sentAt = clock.now();
     const isWanted = (): boolean => this.#starting.has(key) && this.#isValid(waiting);
     const outcome = isWanted() ? await client.start(order, this.#call(isWanted)) : 'not-sent';
-    const withdrawn = !this.#starting.delete(key);
+    const withdrawn = !this.#starting.delete(key) || waiting.since < this.#givenUpBefore;
     if (outcome !== 'not-sent') {
       observer.onCallEnded(outcome !== 'unknown', outcome === 'started' ? sentAt : undefined);
     }
     this.#answerStart(order, outcome === 'not-sent' && withdrawn ? 'withdrawn' : outcome);
     if (outcome === 'unknown') {
       observer.onStartUnanswered();
-      this.giveUpStarts();
+      if (this.#answeredAt < sentAt) {
+        // Not a call is lost, but all are.
+        this.giveUpStarts();
+      }
+    } else if (outcome !== 'not-sent') {
+      this.#answeredAt = clock.now();
     }
     if (outcome === 'unknown' || client.process !== waiting.process) {
       observer.requestPoll();
@@ -145,7 +159,12 @@
   /** Whether what a start was decided on still holds. */
   #isValid({ since, process }: WaitingStart): boolean {
     const { client, clock } = this.#options;
-    return client.process === process && clock.now() - since <= MAX_START_WAIT_MS && this.#mayAct();
+    return (
+      client.process === process &&
+      since >= this.#givenUpBefore &&
+      clock.now() - since <= MAX_START_WAIT_MS &&
+      this.#mayAct()
+    );
   }
 
   #mayAct(): boolean {
