fix(stand-ins): ports of processes under test are not given to other sockets

Cause: the tests asked the system for any port, closed the socket, and passed the number to an entry that listened on it after it had connected to the platform. In between the port belongs to the range from which the system serves connections and other listeners.

Change: `ReservedPorts` takes ports from below that range, in blocks whose first port is held by the process that uses them.

Evidence: 'a free port is given to another socket before its process listens on it' failed with the former function: 23 of 200 ports were taken by 1,500 listeners. It passes with the change, as do all tests of stand-ins and bounded-listeners (46 of 46).

--- /dev/null
+++ b/packages/stand-ins/src/ports/index.ts
@@ -0,0 +1,1 @@
+export * from './reserved-ports.js';
--- a/packages/stand-ins/test/support.ts
+++ b/packages/stand-ins/test/support.ts
@@ -1,16 +1,12 @@
-import { once } from 'node:events';
-import { createServer, type AddressInfo } from 'node:net';
+import { ReservedPorts } from '@turmerichoist/stand-ins';
 
 export const HOST = '127.0.0.1';
 
-/** Returns a port of the local host that is free at the moment. */
-export async function freePort(): Promise<number> {
-  const server = createServer().listen(0, HOST);
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
+const reservedPorts = new ReservedPorts();
+
+/** Returns a port of the local host that stays free until the test listens on it. */
+export function freePort(): Promise<number> {
+  return reservedPorts.next();
 }
 
 export async function pause(ms: number): Promise<void> {
