refactor(jobs): one key and one type for an attempt to run a task

The backlog of orders, the superseded runs and the stops of runs of unknown jobs each built the same text of a task and an attempt. `attemptKey` and `attemptKeyAt` in model.ts replace them. Start, stop and pace decisions contain the order types in place of repeating their fields, so that the dispatcher passes them on without a copy.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -19,7 +19,6 @@
 export {
   MAX_START_WAIT_MS,
   OrderBacklog,
-  runKey,
   type NextOrder,
   type PaceOrder,
   type StartOrder,
--- a/packages/core/src/jobs/messages.ts
+++ b/packages/core/src/jobs/messages.ts
@@ -11,6 +11,7 @@
   StartOutcome,
   TaskRef,
 } from './model.js';
+import type { PaceOrder, StartOrder, StopOrder } from './order-backlog.js';
 import type { HeldInstance } from './order-handover.js';
 import type { ReservationChange } from './reservations.js';
 
@@ -124,28 +125,9 @@
   | { readonly type: 'tick' };
 
 export type JobDecision =
-  | {
-      readonly type: 'start';
-      readonly executor: ExecutorId;
-      readonly task: TaskRef;
-      readonly attempt: number;
-      readonly payload: string;
-      readonly checkpoint: string;
-    }
-  | {
-      readonly type: 'stop';
-      readonly executor: ExecutorId;
-      readonly task: TaskRef;
-      readonly attempt: number;
-      readonly why: string;
-    }
-  | {
-      readonly type: 'pace';
-      readonly executor: ExecutorId;
-      readonly task: TaskRef;
-      readonly attempt: number;
-      readonly percent: number;
-    }
+  | ({ readonly type: 'start'; readonly executor: ExecutorId } & StartOrder)
+  | ({ readonly type: 'stop'; readonly executor: ExecutorId; readonly why: string } & StopOrder)
+  | ({ readonly type: 'pace'; readonly executor: ExecutorId } & PaceOrder)
   /** Store the progress of a job. */
   | { readonly type: 'persist'; readonly job: JobId; readonly progress: JobProgress }
   /** Acknowledge ended runs up to `through`, once all progress decided so far is stored. */
--- a/packages/core/src/jobs/model.ts
+++ b/packages/core/src/jobs/model.ts
@@ -107,6 +107,22 @@
   return `${jobId}.${occurrence}.${step}.${index}`;
 }
 
+/** One attempt to run a task. */
+export interface TaskAttempt {
+  readonly task: TaskRef;
+  readonly attempt: number;
+}
+
+/** Text form of a `TaskAttempt`, usable as a key. */
+export function attemptKey({ task, attempt }: TaskAttempt): string {
+  return `${taskKey(task)}#${attempt}`;
+}
+
+/** Key of an attempt on one executor, as a restarted owner may repeat the number of an attempt. */
+export function attemptKeyAt(executor: ExecutorId, run: TaskAttempt): string {
+  return `${attemptKey(run)}@${executor}`;
+}
+
 /** A team's weight and resource limit for jobs. */
 export interface TeamPolicy {
   readonly name: TeamName;
--- a/packages/core/src/jobs/order-backlog.ts
+++ b/packages/core/src/jobs/order-backlog.ts
@@ -1,5 +1,5 @@
 import type { Millis } from '../types/index.js';
-import { taskKey, type TaskRef } from './model.js';
+import { attemptKey, type TaskAttempt } from './model.js';
 
 /**
  * Age at which a start is given up that has not left. Together with the time-out of its answer it stays
@@ -10,23 +10,16 @@
 const MAX_WAITING = 1_000;
 
 /** An order to start a task. */
-export interface StartOrder {
-  readonly task: TaskRef;
-  readonly attempt: number;
+export interface StartOrder extends TaskAttempt {
   readonly payload: string;
   /** Checkpoint to resume from; empty to start from the beginning. */
   readonly checkpoint: string;
 }
 
-export interface StopOrder {
-  readonly task: TaskRef;
-  readonly attempt: number;
-}
+export type StopOrder = TaskAttempt;
 
 /** An order to throttle a task to a share of its speed. */
-export interface PaceOrder {
-  readonly task: TaskRef;
-  readonly attempt: number;
+export interface PaceOrder extends TaskAttempt {
   readonly percent: number;
 }
 
@@ -59,23 +52,23 @@
 
   /** Returns false if too many starts wait; it is not added then. */
   addStart(waiting: WaitingStart): boolean {
-    return tryAdd(this.#starts, runKey(waiting.order), waiting);
+    return tryAdd(this.#starts, attemptKey(waiting.order), waiting);
   }
 
   /** Takes back the start of a run. Returns false if it does not wait: it has left. */
   withdrawStart(run: StopOrder): boolean {
-    return this.#starts.delete(runKey(run));
+    return this.#starts.delete(attemptKey(run));
   }
 
   /** Returns false if it is not added: the same stop waits already, or too many do. */
   addStop(order: StopOrder): boolean {
-    const key = runKey(order);
+    const key = attemptKey(order);
     return !this.#stops.has(key) && tryAdd(this.#stops, key, order);
   }
 
   /** Replaces a pace of the same run that waits. Returns false if it is not added. */
   addPace(order: PaceOrder): boolean {
-    return tryAdd(this.#paces, runKey(order), order);
+    return tryAdd(this.#paces, attemptKey(order), order);
   }
 
   /** Removes all starts, as the executor does not answer or has restarted. Returns them. */
@@ -100,11 +93,6 @@
   }
 }
 
-/** Identifies a run on one executor. */
-export function runKey({ task, attempt }: StopOrder): string {
-  return `${taskKey(task)}#${attempt}`;
-}
-
 function tryAdd<T>(orders: Map<string, T>, key: string, order: T): boolean {
   if (orders.size >= MAX_WAITING && !orders.has(key)) {
     return false;
--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -5,6 +5,7 @@
 import type { JobTable } from './job-table.js';
 import type { JobDecision } from './messages.js';
 import {
+  attemptKeyAt,
   taskKey,
   type EndedRun,
   type ExecutorId,
@@ -14,13 +15,12 @@
   type StartOutcome,
   type TaskRef,
 } from './model.js';
-import { reportedRun, supersededKey, type Run, type RunKey, type RunTable } from './run-table.js';
+import { reportedRun, type Run, type RunKey, type RunTable } from './run-table.js';
 import type { SchedulingAgenda } from './scheduling-agenda.js';
 import type { StepProgress } from './step-progress.js';
 import type { TaskDurations } from './task-durations.js';
+import { STOP_RETRY_MS, UntrackedStops } from './untracked-stops.js';
 
-/** Time after which an unanswered stop is sent again. */
-const STOP_RETRY_MS: Millis = 600;
 /** Time after which an answered stop is sent again because the run is still reported. */
 const STOP_REPEAT_MS: Millis = 3_000;
 
@@ -42,11 +42,7 @@
   readonly #durations: TaskDurations;
   readonly #agenda: SchedulingAgenda;
   readonly #wallNow: () => Millis;
-  /**
-   * When a stop was last sent for a run of an unknown job, by executor and attempt. What it takes is
-   * not known, so that it can't be on record.
-   */
-  readonly #untrackedStops = new Map<string, Millis>();
+  readonly #untrackedStops = new UntrackedStops();
   #decisions: JobDecision[] = [];
   #changedJobs = new Set<JobId>();
 
@@ -279,7 +275,9 @@
     const job = this.#jobs.get(task.jobId);
     const step = job?.step(task);
     if (job === undefined || step === undefined) {
-      this.#stopUntracked(executor, running, 'unknown job', now);
+      if (this.#untrackedStops.take(executor, running, now)) {
+        this.#decisions.push({ type: 'stop', executor, task, attempt, why: 'unknown job' });
+      }
       return undefined;
     }
     const superseded = this.#runs.get(taskKey(task)) !== undefined;
@@ -287,7 +285,7 @@
     const pool = this.#executors.get(executor)?.info.pool ?? job.policy.pool;
     const order = { task, attempt, executor, pool, orderedAt: now };
     const reported = reportedRun(job, step, order, running);
-    const key = superseded ? supersededKey(task, attempt, executor) : reported.key;
+    const key = superseded ? attemptKeyAt(executor, running) : reported.key;
     const run = { ...reported, key, superseded };
     this.#runs.add(run);
     if (!superseded) {
@@ -302,27 +300,6 @@
     return key;
   }
 
-  /** Rate-limited, since each answered stop triggers a poll whose report triggers the next stop. */
-  #stopUntracked(
-    executor: ExecutorId,
-    { task, attempt }: ReportedRun,
-    why: string,
-    now: Millis,
-  ): void {
-    // In the order in which they were sent.
-    for (const [sent, sentAt] of this.#untrackedStops) {
-      if (now - sentAt < STOP_RETRY_MS) {
-        break;
-      }
-      this.#untrackedStops.delete(sent);
-    }
-    const key = `${executor}/${taskKey(task)}#${attempt}`;
-    if (!this.#untrackedStops.has(key)) {
-      this.#untrackedStops.set(key, now);
-      this.#decisions.push({ type: 'stop', executor, task, attempt, why });
-    }
-  }
-
   /** Handles a run that the executor's report does not list. */
   #handleMissing(run: Run, report: ExecutorReport, now: Millis): void {
     if (isUnanswered(run, report.sentAt)) {
@@ -367,7 +344,7 @@
     const run = this.#runs.get(taskKey(task));
     return run?.attempt === attempt && run.executor === executor
       ? run
-      : this.#runs.get(supersededKey(task, attempt, executor));
+      : this.#runs.get(attemptKeyAt(executor, { task, attempt }));
   }
 }
 
--- a/packages/core/src/jobs/run-table.ts
+++ b/packages/core/src/jobs/run-table.ts
@@ -5,7 +5,10 @@
 import { footprint, taskKey, type ExecutorId, type TaskRef } from './model.js';
 import type { StepProgress } from './step-progress.js';
 
-/** Identifies a run in the table: the task's key for the run that its task waits for. */
+/**
+ * Identifies a run in the table: the key of the task for the run that its task waits for, that of the
+ * attempt on the executor for a superseded one.
+ */
 export type RunKey = string;
 
 /** Pace of a task that is not slowed down, in percent of its normal speed. */
@@ -20,7 +23,6 @@
 
 /** One attempt to run a task on an executor. */
 export interface Run {
-  /** The key of its task or, if superseded, one of its own. */
   readonly key: RunKey;
   readonly task: TaskRef;
   readonly attempt: number;
@@ -103,11 +105,6 @@
   };
 }
 
-/** Key of a superseded run; the key of its task is that of the other run. */
-export function supersededKey(task: TaskRef, attempt: number, executor: ExecutorId): RunKey {
-  return `${taskKey(task)}#${attempt}@${executor}`;
-}
-
 interface FreeCapacity {
   readonly capacity: Resources;
   readonly free: Resources;
--- a/packages/daemon/src/jobs/decision-dispatcher.ts
+++ b/packages/daemon/src/jobs/decision-dispatcher.ts
@@ -37,22 +37,13 @@
   #dispatchOne(decision: JobDecision): void {
     const { links, writer, waveStatus, instances, onSuperseded } = this.#options;
     switch (decision.type) {
-      case 'start': {
-        const { executor, task, attempt, payload, checkpoint } = decision;
-        const order = { task, attempt, payload, checkpoint };
-        links.post(executor, { type: 'start', order });
+      case 'start':
+        links.post(decision.executor, { type: 'start', order: decision });
         return;
-      }
-      case 'stop': {
-        const { executor, task, attempt } = decision;
-        links.post(executor, { type: 'stop', task, attempt });
-        return;
-      }
-      case 'pace': {
-        const { executor, task, attempt, percent } = decision;
-        links.post(executor, { type: 'pace', task, attempt, percent });
+      case 'stop':
+      case 'pace':
+        links.post(decision.executor, decision);
         return;
-      }
       case 'persist': {
         const { job, progress } = decision;
         writer.post({ type: 'persist', job, progress });
--- a/packages/daemon/src/jobs/executor-orders.ts
+++ b/packages/daemon/src/jobs/executor-orders.ts
@@ -2,7 +2,7 @@
 import {
   MAX_START_WAIT_MS,
   OrderBacklog,
-  runKey,
+  attemptKey,
   type Clock,
   type ExecutorId,
   type JobEvent,
@@ -84,7 +84,7 @@
       this.#answerStart(order, 'withdrawn');
       return;
     }
-    this.#starting.delete(runKey(order));
+    this.#starting.delete(attemptKey(order));
     if (this.#backlog.addStop(order)) {
       this.#sendSoon();
     }
@@ -128,7 +128,7 @@
   async #start(waiting: WaitingStart): Promise<void> {
     const { client, clock, observer } = this.#options;
     const { order } = waiting;
-    const key = runKey(order);
+    const key = attemptKey(order);
     this.#starting.add(key);
     const leased = observer.beforeStart();
     if (leased !== undefined) {
