fix(jobs): a task waits until all its runs have ended

Seen, by reading: when a leader stops a superseded run of a task and the run that the task waits for fails or is stopped first, the task is started a third time, beside the one that is still being stopped.

Cause: the end of a run requeued its task unless that run was superseded; other runs of the task on record were not looked at.

Change: a task is requeued when no run of it is on record. The end of a superseded run does not replace the task's checkpoint. The look through the runs of the job is made only while a superseded run exists.

Evidence: both variants of 'goes on while the task starts a third time' in jobs-superseded-runs failed before.

--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -199,7 +199,9 @@
       // The run was given up and the task has been started again. Only a failure still counts.
       return;
     }
-    step.saveCheckpoint(end.task.index, end.checkpoint);
+    if (onRecord?.superseded !== true) {
+      step.saveCheckpoint(end.task.index, end.checkpoint);
+    }
     if (current) {
       this.#recordDuration(job, step, run, end, now);
       this.#drop(run);
@@ -318,11 +320,11 @@
     this.#decisions.push({ type: 'stop', executor, task, attempt, why });
   }
 
-  /** Removes a run and requeues its task, unless that is done or has another run. */
+  /** Removes a run and requeues its task, unless that is done or has another run, even one that is stopped. */
   #drop(run: Run): void {
     this.#runs.remove(run.key);
     const job = this.#jobs.get(run.task.jobId);
-    if (!run.superseded) {
+    if (!this.#runs.hasRunOf(run.task)) {
       job?.step(run.task)?.requeue(run.task.index);
     }
     this.#markFreed(run, job);
--- a/packages/core/src/jobs/run-table.ts
+++ b/packages/core/src/jobs/run-table.ts
@@ -30,7 +30,7 @@
   /** Pool of the executor when the run began. */
   readonly pool: PoolName;
   readonly phase: RunPhase;
-  /** Whether another run of the task is on record: this one is stopped and has no effect on the task. */
+  /** Whether it was taken on record beside another run of the task: it is stopped, and its progress is not used. */
   readonly superseded: boolean;
   /** Whether a report of the executor has listed it as running. */
   readonly listed: boolean;
@@ -120,6 +120,8 @@
   readonly #finiteUsage = new Map<PoolName, Map<TeamName, Resources>>();
   /** Number of runs in phase `stopping`. */
   #stopping = 0;
+  /** Number of superseded runs. */
+  #superseded = 0;
   /** Free capacity by executor, until a run begins or ends there. */
   readonly #free = new Map<ExecutorId, FreeCapacity>();
   /** Runs by executor as `at` returned them, until one changes. */
@@ -154,6 +156,15 @@
     return this.#byExecutor.get(executor)?.size ?? 0;
   }
 
+  /** Whether any run of the task is on record, superseded ones included. */
+  hasRunOf(task: TaskRef): boolean {
+    const key = taskKey(task);
+    return (
+      this.#byKey.has(key) ||
+      (this.#superseded > 0 && this.ofJob(task.jobId).some((run) => taskKey(run.task) === key))
+    );
+  }
+
   ofJob(jobId: string): readonly Run[] {
     return [...(this.#byJob.get(jobId)?.values() ?? [])];
   }
@@ -177,6 +188,7 @@
   add(run: Run): void {
     this.remove(run.key);
     this.#store(run);
+    this.#superseded += run.superseded ? 1 : 0;
     this.#free.delete(run.executor);
     this.#teamUsage.set(run.team, add(this.teamUsage(run.team), run.resources));
     this.#changeFiniteUsage(run, add);
@@ -196,6 +208,7 @@
     }
     this.#byKey.delete(key);
     this.#stopping -= stoppingCount(run);
+    this.#superseded -= run.superseded ? 1 : 0;
     this.#byExecutor.get(run.executor)?.delete(key);
     this.#listedAt.delete(run.executor);
     this.#free.delete(run.executor);
--- a/packages/core/test/jobs-superseded-runs.test.ts
+++ b/packages/core/test/jobs-superseded-runs.test.ts
@@ -153,4 +153,30 @@
     expect(persisted).toMatchObject({ job: 'former', progress: { state: 'completed' } });
     expect(starts(decisions)).toEqual(['next at e2']);
   });
+
+  test.each(['failed', 'stopped'] as const)(
+    'goes on while the task starts a third time, as its first run ends as %s',
+    (reason) => {
+      const owner = twice();
+      const [run] = RUNNING as [ReportedRun];
+      const [end] = ended(reason) as [EndedRun];
+      owner.clock.advance(100);
+      const first = [
+        ...owner.report('e2', { ended: [{ ...end, attempt: 2, checkpoint: '2' }] }),
+        ...owner.report('e1', { running: [run] }),
+        ...owner.handle({ type: 'tick' }),
+      ];
+      expect(starts(first)).toEqual(['next at e2']);
+      // The time after which a failed task may be started again.
+      owner.clock.advance(2_000);
+      const [stopped] = ended('stopped') as [EndedRun];
+      const last = [
+        ...owner.report('e1', { ended: [{ ...stopped, checkpoint: '1' }] }),
+        ...owner.handle({ type: 'tick' }),
+      ];
+      expect(starts(last)).toEqual(['former at e1']);
+      // It goes on from the checkpoint of the run that was wanted.
+      expect(last.find(({ type }) => type === 'start')).toMatchObject({ checkpoint: '2' });
+    },
+  );
 });
