fix(jobs): orders to instances are checked again when they are sent

Seen, by reading: an order to an instance that waits for a connection leaves after the lease of its leader has lapsed, or over 1 s after its decision.

Cause: lease and age were checked before the HTTP client was called; the client did not ask again.

Change: `InstanceFleet.order` takes a `CallGuard`, which is asked directly before the request is written. An order that is not wanted ends as `not-sent`.

--- a/packages/daemon/src/jobs/instance-control.ts
+++ b/packages/daemon/src/jobs/instance-control.ts
@@ -33,7 +33,7 @@
   readonly inheritedBulletin: Bulletin;
   /** Time for which orders of two holders to one instance conflict. */
   readonly orderHandoverMs: Millis;
-  /** Whether the owner holds its lease now; checked directly before each order. */
+  /** Whether the owner holds its lease now; checked directly before each order is sent. */
   readonly mayAct: () => boolean;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -144,10 +144,10 @@
   async #send(order: InstanceOrder, decidedAt: Millis): Promise<InstanceOrderOutcome> {
     const { fleet, term, mayAct, clock } = this.#options;
     const { signal } = this.#context;
-    const stale = clock.now() - decidedAt > MAX_ORDER_AGE_MS;
-    return stale || signal.aborted || !mayAct()
+    const isWanted = (): boolean => clock.now() - decidedAt <= MAX_ORDER_AGE_MS && mayAct();
+    return signal.aborted || !isWanted()
       ? 'not-sent'
-      : fleet.order(order, term.epoch, signal);
+      : fleet.order(order, term.epoch, { isWanted, signal });
   }
 
   async #poll(now: Millis, status: MaintenanceStatus): Promise<void> {
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -88,7 +88,7 @@
   order(
     order: InstanceOrder,
     fencingToken: number,
-    signal: AbortSignal,
+    guard: CallGuard,
   ): Promise<InstanceOrderOutcome>;
 }
 
--- a/packages/daemon/test/instance-control.test.ts
+++ b/packages/daemon/test/instance-control.test.ts
@@ -163,6 +163,30 @@
   });
 });
 
+describe('an order that waits for a connection is sent', () => {
+  test.each([
+    ['after the lease has lapsed', () => (leading = false)],
+    [
+      'long after it was decided',
+      () => {
+        clock.advance(1_200);
+      },
+    ],
+  ])('%s', async (_what, meanwhile) => {
+    const control = newControl({
+      fleet: {
+        list: () => Promise.reject(new Error('not listed')),
+        order: (_order, _token, { isWanted }) => {
+          meanwhile();
+          return Promise.resolve(isWanted() ? 'done' : 'not-sent');
+        },
+      },
+    });
+    await control.order(move('i1'));
+    expect(answers()).toEqual(['not-sent']);
+  });
+});
+
 describe('orders behind a platform that is slow are sent', () => {
   const EXTRA = 10;
   let pending: (() => void)[];
