test(daemon): the order of a new leader's reads is checked without a clock

'reads the jobs only when it has read their progress' failed once beside load (3,581 ms, bound 3,500): it measured the time from the election to the first acknowledgement, of which reads that take 2 s are a part.

--- a/packages/daemon/test/job-takeover.test.ts
+++ b/packages/daemon/test/job-takeover.test.ts
@@ -158,12 +158,17 @@
 describe('a leader that takes 2 s to read each table', () => {
   test('reads the jobs only when it has read their progress', async () => {
     await killLeaderWithRuns();
-    ['jobs', 'progress', 'waves'].forEach((table) => tables.snapshotDelaysMs.set(table, 2_000));
+    const slow = ['jobs', 'progress', 'waves'];
+    slow.forEach((table) => tables.snapshotDelaysMs.set(table, 2_000));
+    const before = tables.snapshots.length;
     startMember('b', tables, controller.signal, executor);
     await eventually(() => claims() === 2);
-    const electedAt = Date.now();
     await eventually(() => executor.polls.some((poll) => poll.acknowledgedThrough > 0));
-    expect(Date.now() - electedAt).toBeLessThan(3_500);
+    const reads = tables.snapshots.slice(before).filter(({ table }) => slow.includes(table));
+    const firstEnd = reads.findIndex(({ type }) => type === 'end');
+    const begunTogether = reads.slice(0, firstEnd).map(({ table }) => table);
+    expect(new Set(begunTogether)).toEqual(new Set(slow));
+    expect(reads).toHaveLength(2 * slow.length);
     expect(executor.stops).toEqual([]);
     expect(executor.starts).toHaveLength(2);
   }, 30_000);
--- a/packages/daemon/test/support/parted-tables.ts
+++ b/packages/daemon/test/support/parted-tables.ts
@@ -17,6 +17,11 @@
   readonly value: JsonValue;
 }
 
+export interface SnapshotEvent {
+  readonly type: 'begin' | 'end';
+  readonly table: string;
+}
+
 /** In-memory tables in several parts, with one log of changes and a record of all commits. */
 export class PartedTables {
   /** Attempted transactions, in order. */
@@ -25,9 +30,16 @@
   unreadable: string | undefined;
   /** Time that a snapshot takes, by table. */
   readonly snapshotDelaysMs = new Map<string, Millis>();
+  /** Beginnings and ends of snapshots, in order. */
+  readonly snapshots: readonly SnapshotEvent[];
+  readonly #snapshots: SnapshotEvent[] = [];
   readonly #stores = new Map<string, MemoryTableStore>();
   readonly #changes: LoggedChange[] = [];
 
+  constructor() {
+    this.snapshots = this.#snapshots;
+  }
+
   open(part: string): TableStore & ChangeFeed {
     const store = this.#store(part);
     return {
@@ -48,7 +60,9 @@
   feed(parts: readonly string[]): ChangeFeed {
     return {
       snapshot: async (table, signal) => {
+        this.#snapshots.push({ type: 'begin', table });
         await sleep(this.snapshotDelaysMs.get(table) ?? 0, signal);
+        this.#snapshots.push({ type: 'end', table });
         if (table === this.unreadable) {
           await sleep(FEED_CHECK_MS, signal);
           return fail('store-unavailable');
