--- a/packages/core/test/jobs-superseded-runs.test.ts
+++ b/packages/core/test/jobs-superseded-runs.test.ts
@@ -84,6 +84,19 @@
   });
 });
 
+test('runs that a new leader stops do not count, as their queue was removed', () => {
+  const owner = new Takeover('cancelled', CAP);
+  const team = { name: 't1', weight: 1, cap: CAP };
+  const config = { queues: new Map(), pools: new Map(), teams: new Map([['t1', team]]) };
+  owner.handle({ type: 'config', config });
+  owner.report('e2');
+  expect(owner.tick(owner.report('e1', { running: RUNNING }))).toEqual({
+    starts: [],
+    stops: TASKS,
+  });
+  expect(owner.tick(owner.report('e1', { ended: ended('stopped') })).starts).toHaveLength(TASKS);
+});
+
 test('a run that is being stopped counts for good after an end that is not listed', () => {
   const owner = new Takeover('cancelled', CAP);
   owner.report('e2');
