fix(jobs): a team under half of its cap may exceed it by one task

Cause: a task had to fit in the cap together with what the team has running.

Change: `withinCap` lets the last task that starts, or the last member of a gang, exceed the cap while the team uses under half of it in each resource.

--- a/packages/core/src/jobs/reservations.ts
+++ b/packages/core/src/jobs/reservations.ts
@@ -64,8 +64,8 @@
 export interface ReservationRules {
   /** Whether tasks of a group may start if they fit. */
   mayStart(group: StartGroup): boolean;
-  /** Whether the cap of a job's team allows these resources on top of what is running. */
-  withinCap(job: Job, resources: Resources): boolean;
+  /** Whether the cap of a job's team allows a task of this size on top of what is running. */
+  withinCap(job: Job, size: Resources): boolean;
   /** The step's current tasks by executor, where the choice of an executor depends on them. */
   stepRuns(job: Job, step: ReadyStep): ReadonlyMap<ExecutorId, number>;
 }
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,4 +1,4 @@
-import { add, fitsIn, NO_RESOURCES, scale } from '../tasks/resource-arithmetic.js';
+import { add, NO_RESOURCES } from '../tasks/resource-arithmetic.js';
 import type { CellTables } from './cell-tables.js';
 import type { Resources } from '../tasks/model.js';
 import type { Millis, PoolName, ZoneName } from '../types/index.js';
@@ -12,6 +12,7 @@
 import { ShareWaits } from './share-waits.js';
 import type { StartGroup } from './start-group.js';
 import type { StepProgress } from './step-progress.js';
+import { withinCap } from './team-cap.js';
 import { TeamShares } from './team-shares.js';
 import type { UnreportedUsage } from './unreported-usage.js';
 
@@ -89,8 +90,12 @@
   #reservationRules(limits: StartLimits): ReservationRules {
     return {
       mayStart: ({ adopted }) => !(limits.holdAdopted && adopted),
-      withinCap: (job, resources) =>
-        withinCap(this.#usage(job, limits), resources, limits.teams.get(job.accepted.team)),
+      withinCap: (job, size) =>
+        withinCap(
+          this.#usage(job, limits),
+          { size, count: 1 },
+          limits.teams.get(job.accepted.team),
+        ),
       stepRuns: (job, { occurrence, number, step }) =>
         this.#countStepRuns({ jobId: job.id, occurrence, step: number, index: 0 }, step),
     };
@@ -175,9 +180,11 @@
     const placed: PlacedTask[] = [];
     const counts = this.#countStepRuns(ref, step);
     const { agenda } = this.#tables;
+    const team = limits.teams.get(job.accepted.team);
+    const one = { size: step.spec.resources, count: 1 };
     let usage = this.#usage(job, limits);
     for (const index of step.pending) {
-      if (!withinCap(usage, step.spec.resources, limits.teams.get(job.accepted.team))) {
+      if (!withinCap(usage, one, team)) {
         agenda.heldByCap(job.accepted.team, job.policy.pool);
         break;
       }
@@ -205,7 +212,7 @@
     const { spec } = step;
     const { agenda } = this.#tables;
     const usage = this.#usage(job, limits);
-    const all = scale(spec.resources, spec.taskCount);
+    const all = { size: spec.resources, count: spec.taskCount };
     const team = limits.teams.get(job.accepted.team);
     if (step.pending.size < spec.taskCount) {
       return [];
@@ -295,17 +302,3 @@
 function increment(counts: Map<string, number>, key: string): void {
   counts.set(key, (counts.get(key) ?? 0) + 1);
 }
-
-/** Whether `more` on top of the present usage stays within the team's cap. */
-function withinCap(usage: Resources, more: Resources, team: TeamPolicy | undefined): boolean {
-  if (team === undefined) {
-    return true;
-  }
-  const { cap } = team;
-  const limit = {
-    processors: cap.processors || Infinity,
-    memoryMb: cap.memoryMb || Infinity,
-    accelerators: cap.accelerators || Infinity,
-  };
-  return fitsIn(add(usage, more), limit);
-}
