fix(jobs): a wave stops no lasting task that has no room elsewhere

Cause: where a budget blocks the maintenance of an instance, the planner cordons it and stops one of several tasks of the step, without a look for room. The task that waits keeps the budget used up, so the order is never sent.

Change: `Displacement` asks for room with the constraints of a round. Without it the instance goes on serving and waits with the reason `no-room`. A cordon of 3 s without an order is lifted when tasks of the blocked step wait that no executor can take. The types of the planner's actions move to a file of their own, and its part for blocked instances is a function of its own.

--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -13,7 +13,7 @@
 export * from './directory.js';
 export type { LeaseBounds } from './lease-expiry.js';
 export { deferrableUntil } from './maintenance-window.js';
-export type { WaitingInstance } from './maintenance.js';
+export type { WaitingInstance } from './maintenance-action.js';
 export * from './messages.js';
 export * from './model.js';
 export {
--- a/packages/core/src/jobs/instance-orders.ts
+++ b/packages/core/src/jobs/instance-orders.ts
@@ -1,4 +1,4 @@
-import type { Millis, PoolName } from '../types/index.js';
+import type { Millis, PoolName, ZoneName } from '../types/index.js';
 import type { CellTables } from './cell-tables.js';
 import { InstanceLender, type InstanceLenderOptions } from './lending.js';
 import { MaintenancePlanner, type MaintenanceDependencies } from './maintenance.js';
@@ -72,10 +72,11 @@
    */
   plan(
     pools: ReadonlyMap<PoolName, PoolPolicy>,
+    zonesOut: ReadonlySet<ZoneName>,
     recovering: boolean,
     now: Millis,
   ): readonly JobDecision[] {
-    const maintained = recovering ? [] : this.maintenance.plan(now);
+    const maintained = recovering ? [] : this.maintenance.plan(zonesOut, now);
     const reserved = (instance: string): boolean =>
       this.maintenance.isReserved(instance) || (recovering && this.maintenance.isDue(instance));
     return [...maintained, ...this.lender.plan(pools, reserved, now)];
--- a/packages/core/src/jobs/job-decider.ts
+++ b/packages/core/src/jobs/job-decider.ts
@@ -4,7 +4,7 @@
 import { JobTable } from './job-table.js';
 import { LeadershipGate } from './leadership-gate.js';
 import { LeaseExpiry, type LeaseExpiryOptions } from './lease-expiry.js';
-import type { WaitingInstance } from './maintenance.js';
+import type { WaitingInstance } from './maintenance-action.js';
 import type { JobDecision, JobEvent } from './messages.js';
 import type { ExecutorId, ExecutorInfo, JobId, SchedulingConfig } from './model.js';
 import { LeastWorkFirst, type JobOrdering } from './ordering.js';
@@ -351,7 +351,8 @@
     const starts = this.#schedule(now);
     this.#reconciler.retryStops(now);
     const recovering = this.#recovery.isPending(now);
-    return [...starts, ...this.#instanceOrders.plan(this.#config.pools, recovering, now)];
+    const { pools } = this.#config;
+    return [...starts, ...this.#instanceOrders.plan(pools, this.#zonesOut, recovering, now)];
   }
 
   /** Runs the rounds that are due. Pools stay due while the leader lease is not valid. */
--- a/packages/core/src/jobs/maintenance.ts
+++ b/packages/core/src/jobs/maintenance.ts
@@ -1,6 +1,8 @@
-import type { Millis } from '../types/index.js';
-import { AvailabilityBudgets, evictableRun } from './availability-budgets.js';
+import type { Millis, ZoneName } from '../types/index.js';
+import { AvailabilityBudgets, evictableRun, type BlockedStep } from './availability-budgets.js';
 import type { CellTables } from './cell-tables.js';
+import { Displacement } from './displacement.js';
+import { usesSlot, wait, type NextAction, type WaitingInstance } from './maintenance-action.js';
 import { MaintenanceOrders } from './maintenance-orders.js';
 import { deferrableUntil } from './maintenance-window.js';
 import type {
@@ -14,7 +16,6 @@
 import type { OrderHandover } from './order-handover.js';
 import { PoolActivity } from './pool-activity.js';
 import type { RunReconciler } from './run-reconciler.js';
-import type { Run } from './run-table.js';
 
 /** Time that finite tasks get to end before their instance is maintained regardless. */
 const DRAIN_TIMEOUT_MS: Millis = 3_000;
@@ -23,21 +24,6 @@
   readonly reconciler: RunReconciler;
 }
 
-/** An instance that can't be maintained yet. */
-export interface WaitingInstance {
-  readonly instance: string;
-  readonly reason:
-    | 'not-up'
-    | 'order-handover'
-    | 'order-unanswered'
-    | 'executor-unseen'
-    | 'budget'
-    | 'finite-tasks'
-    | 'peak';
-  /** The lasting step whose `maxUnavailable` budget is used up. */
-  readonly step?: string;
-}
-
 interface WaveState {
   readonly wave: MaintenanceWave;
   readonly begun: Set<string>;
@@ -67,6 +53,8 @@
   readonly #downSince = new Map<string, Millis>();
   readonly #activity: PoolActivity;
   readonly #budgets: AvailabilityBudgets;
+  readonly #displacement: Displacement;
+  #zonesOut: ReadonlySet<ZoneName> = new Set();
   /** Instances that can't be maintained yet, for the log. */
   #waiting: readonly WaitingInstance[] = [];
 
@@ -74,6 +62,7 @@
     this.#dependencies = parts;
     this.#handover = handover;
     this.#activity = new PoolActivity(parts);
+    this.#displacement = new Displacement(parts);
     this.#budgets = new AvailabilityBudgets(parts, (executor, now) =>
       this.#isHealthy(executor, now),
     );
@@ -170,7 +159,8 @@
     return [];
   }
 
-  plan(now: Millis): readonly JobDecision[] {
+  plan(zonesOut: ReadonlySet<ZoneName>, now: Millis): readonly JobDecision[] {
+    this.#zonesOut = zonesOut;
     if (this.#handover.holdsAll(now) || this.#instances.size === 0) {
       return [];
     }
@@ -247,30 +237,67 @@
     }
     const runs = executor === undefined ? [] : this.#dependencies.runs.at(executor);
     const blocked = this.#budgets.blockedStep(runs, now);
-    if (blocked !== undefined && this.#orders.isWithoutEffect(instance, this.#listRequestedAt)) {
-      // The tasks that are away may have room only there.
+    if (blocked !== undefined) {
+      return this.#drainBlocked(wave, instance, blocked, now);
+    }
+    const cordonedAt = this.#cordon(wave, instance, now);
+    const finite = runs.some(({ lasting }) => !lasting);
+    if (finite && now - cordonedAt < DRAIN_TIMEOUT_MS) {
+      return wait({ instance: name, reason: 'finite-tasks' }, true);
+    }
+    return this.#order(wave, name, executor);
+  }
+
+  /**
+   * Decides about an instance of which a budget does not allow the maintenance. Tasks of the step are
+   * stopped one by one to restart elsewhere, so they must have room there. A cordon that strands tasks
+   * is lifted: they may have room only on this instance, and the pool on no other one.
+   */
+  #drainBlocked(
+    wave: WaveState,
+    instance: PoolInstance,
+    blocked: BlockedStep,
+    now: Millis,
+  ): NextAction {
+    const { name } = instance;
+    if (this.#orders.isWithoutEffect(instance, this.#listRequestedAt)) {
       this.#release(wave, name);
     }
-    const cordoned = wave.cordonedAt.has(name);
-    if (blocked !== undefined && !cordoned && evictableRun(blocked) === undefined) {
-      return wait({ instance: name, reason: 'budget', step: blocked.step }, false);
+    const evicted = evictableRun(blocked);
+    const noRoom =
+      evicted !== undefined && !this.#displacement.hasRoom(evicted, this.#zonesOut, now);
+    const reason = noRoom ? 'no-room' : 'budget';
+    const cordonedAt = wave.cordonedAt.get(name);
+    const keepsServing =
+      cordonedAt === undefined
+        ? evicted === undefined || noRoom
+        : now - cordonedAt >= DRAIN_TIMEOUT_MS &&
+          !this.#orders.has(name) &&
+          (noRoom || this.#isStranded(blocked, now));
+    if (keepsServing) {
+      if (cordonedAt !== undefined) {
+        this.#release(wave, name);
+      }
+      return wait({ instance: name, reason, step: blocked.step }, false);
     }
+    this.#cordon(wave, instance, now);
+    return evicted === undefined || noRoom
+      ? wait({ instance: name, reason, step: blocked.step }, true)
+      : { type: 'stop', run: evicted };
+  }
+
+  #isStranded({ runs: [run] }: BlockedStep, now: Millis): boolean {
+    return run !== undefined && this.#displacement.isStranded(run.task, this.#zonesOut, now);
+  }
+
+  /** Returns when the instance was cordoned. */
+  #cordon(wave: WaveState, { name, executor }: PoolInstance, now: Millis): Millis {
     if (executor !== undefined) {
       this.#dependencies.executors.update(executor, { cordoned: true });
     }
     const cordonedAt = wave.cordonedAt.get(name) ?? now;
     wave.cordonedAt.set(name, cordonedAt);
-    if (blocked !== undefined) {
-      const run = evictableRun(blocked);
-      return run === undefined
-        ? wait({ instance: name, reason: 'budget', step: blocked.step }, true)
-        : { type: 'stop', run };
-    }
-    const finite = runs.some(({ lasting }) => !lasting);
-    if (finite && now - cordonedAt < DRAIN_TIMEOUT_MS) {
-      return wait({ instance: name, reason: 'finite-tasks' }, true);
-    }
-    return this.#order(wave, name, executor);
+    return cordonedAt;
   }
 
   /** Whether an instance is left for later, as its pool is in a peak. One that drains goes on. */
@@ -346,24 +373,3 @@
     };
   }
 }
-
-type NextAction =
-  | { readonly type: 'order'; readonly order: InstanceOrder }
-  /** Stop one lasting task, so that it restarts on another instance. */
-  | { readonly type: 'stop'; readonly run: Run }
-  | { readonly type: 'wait'; readonly waiting: WaitingInstance; readonly usesSlot: boolean };
-
-/** Whether an instance that was not in flight is so, or is being drained, with this action. */
-function usesSlot(action: NextAction): boolean {
-  switch (action.type) {
-    case 'wait':
-      return action.usesSlot;
-    case 'order':
-    case 'stop':
-      return true;
-  }
-}
-
-function wait(waiting: WaitingInstance, usesSlot: boolean): NextAction {
-  return { type: 'wait', waiting, usesSlot };
-}
