--- a/packages/core/src/jobs/model.ts
+++ b/packages/core/src/jobs/model.ts
@@ -118,7 +118,7 @@
   return `${taskKey(task)}#${attempt}`;
 }
 
-/** Key of an attempt on one executor, as a restarted owner may repeat the number of an attempt. */
+/** Text form of an attempt on one executor, usable as a key. */
 export function attemptKeyAt(executor: ExecutorId, run: TaskAttempt): string {
   return `${attemptKey(run)}@${executor}`;
 }
--- a/packages/core/src/jobs/run-reconciler.ts
+++ b/packages/core/src/jobs/run-reconciler.ts
@@ -320,7 +320,7 @@
     this.#decisions.push({ type: 'stop', executor, task, attempt, why });
   }
 
-  /** Removes a run and requeues its task, unless that is done or has another run, even one that is stopped. */
+  /** Removes a run and requeues its task, unless that is done or has another run, stopping ones included. */
   #drop(run: Run): void {
     this.#runs.remove(run.key);
     const job = this.#jobs.get(run.task.jobId);
